--- a/api.go
+++ b/api.go
@@ -1,9 +1,9 @@
-// Package micaspring makes the decisions of a courier: a relay that hands
+// Package snowjunction makes the decisions of a courier: a relay that hands
 // messages to destinations nobody on its side controls.
 //
 // A Courier is fed events and answers with actions. It reads no clock, opens
 // no connection and starts no goroutine: the program around it does the I/O.
-package micaspring
+package snowjunction
 
 import "time"
 
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"micaspring"
-	"micaspring/internal/wire"
+	"snowjunction"
+	"snowjunction/internal/wire"
 )
 
 func main() {
@@ -23,8 +23,8 @@
 
 // instance is one courier with the events of the batch at hand.
 type instance struct {
-	courier *micaspring.Courier
-	events  []micaspring.Event
+	courier *snowjunction.Courier
+	events  []snowjunction.Event
 	touched bool
 	fault   string
 }
@@ -32,13 +32,13 @@
 // host holds the instances and the process's numbered endpoint lists.
 type host struct {
 	instances map[uint16]*instance
-	pages     map[uint16][]micaspring.Endpoint
+	pages     map[uint16][]snowjunction.Endpoint
 	order     []uint16 // instances with events, in order of their first
 }
 
 func run(in io.Reader, out io.Writer) error {
 	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
-	h := &host{instances: map[uint16]*instance{}, pages: map[uint16][]micaspring.Endpoint{}}
+	h := &host{instances: map[uint16]*instance{}, pages: map[uint16][]snowjunction.Endpoint{}}
 	for {
 		now, events, err := wire.ReadBatch(r)
 		if errors.Is(err, io.EOF) {
@@ -74,7 +74,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("record %d: instance %d: %w", i, ev.Who, err)
 			}
-			if in.courier, err = micaspring.New(settings); err != nil {
+			if in.courier, err = snowjunction.New(settings); err != nil {
 				in.fault = err.Error()
 			}
 		case wire.Teardown:
@@ -127,72 +127,72 @@
 	}
 }
 
-func endpoints(entries []wire.Entry) []micaspring.Endpoint {
-	out := make([]micaspring.Endpoint, 0, len(entries))
+func endpoints(entries []wire.Entry) []snowjunction.Endpoint {
+	out := make([]snowjunction.Endpoint, 0, len(entries))
 	for _, e := range entries {
-		out = append(out, micaspring.Endpoint{
-			ID: micaspring.EndpointID(e.Endpoint), Destination: micaspring.DestinationID(e.Dest),
-			Zone: int(e.Zone), Kind: int(e.Kind), Phase: micaspring.Phase(e.Phase), Weight: float64(e.Weight),
+		out = append(out, snowjunction.Endpoint{
+			ID: snowjunction.EndpointID(e.Endpoint), Destination: snowjunction.DestinationID(e.Dest),
+			Zone: int(e.Zone), Kind: int(e.Kind), Phase: snowjunction.Phase(e.Phase), Weight: float64(e.Weight),
 		})
 	}
 	return out
 }
 
-var outcomes = map[uint16]micaspring.Outcome{
-	200: micaspring.OK, 502: micaspring.Error, 429: micaspring.Full, 408: micaspring.TimedOut,
-	521: micaspring.ConnectFailed, 520: micaspring.Reset, 444: micaspring.Cancelled, 409: micaspring.Moot,
+var outcomes = map[uint16]snowjunction.Outcome{
+	200: snowjunction.OK, 502: snowjunction.Error, 429: snowjunction.Full, 408: snowjunction.TimedOut,
+	521: snowjunction.ConnectFailed, 520: snowjunction.Reset, 444: snowjunction.Cancelled, 409: snowjunction.Moot,
 }
 
 // outcome takes a verdict it does not know for an error: that proves nothing.
-func outcome(verdict uint16) micaspring.Outcome {
+func outcome(verdict uint16) snowjunction.Outcome {
 	if o, ok := outcomes[verdict]; ok {
 		return o
 	}
-	return micaspring.Error
+	return snowjunction.Error
 }
 
-func translate(ev wire.Event, pages map[uint16][]micaspring.Endpoint) micaspring.Event {
+func translate(ev wire.Event, pages map[uint16][]snowjunction.Endpoint) snowjunction.Event {
 	switch ev.Code {
 	case wire.Discovery:
-		kinds := []micaspring.ListKind{
-			wire.Full: micaspring.ListFull, wire.Cached: micaspring.ListCached,
-			wire.Failed: micaspring.ListFailed, wire.Delta: micaspring.ListDelta,
+		kinds := []snowjunction.ListKind{
+			wire.Full: snowjunction.ListFull, wire.Cached: snowjunction.ListCached,
+			wire.Failed: snowjunction.ListFailed, wire.Delta: snowjunction.ListDelta,
 		}
 		if int(ev.Kind) >= len(kinds) {
 			return nil
 		}
-		list := micaspring.List{Kind: kinds[ev.Kind]}
-		if list.Kind != micaspring.ListFailed {
+		list := snowjunction.List{Kind: kinds[ev.Kind]}
+		if list.Kind != snowjunction.ListFailed {
 			list.Endpoints = pages[ev.Page]
 		}
 		return list
 	case wire.Call:
-		return micaspring.Request{
-			ID: micaspring.RequestID(ev.Req), Destination: micaspring.DestinationID(ev.Dest),
+		return snowjunction.Request{
+			ID: snowjunction.RequestID(ev.Req), Destination: snowjunction.DestinationID(ev.Dest),
 			Class: int(ev.Class), Tenant: int(ev.Tenant), Key: ev.Token, Deadline: ev.Budget,
 			Work: hinted(ev), Again: ev.Bits&2 != 0,
 		}
 	case wire.Started:
-		return micaspring.StreamStarted{Request: micaspring.RequestID(ev.Req), Attempt: int(ev.Seq)}
+		return snowjunction.StreamStarted{Request: snowjunction.RequestID(ev.Req), Attempt: int(ev.Seq)}
 	case wire.Outcome:
-		e := micaspring.AttemptEnded{
-			Request: micaspring.RequestID(ev.Req), Endpoint: micaspring.EndpointID(ev.Endpoint),
+		e := snowjunction.AttemptEnded{
+			Request: snowjunction.RequestID(ev.Req), Endpoint: snowjunction.EndpointID(ev.Endpoint),
 			Attempt: int(ev.Seq), Outcome: outcome(ev.Verdict), Took: ev.Took, Done: ev.Finished,
 			Report: ev.Report,
 		}
-		if e.Outcome == micaspring.Full {
+		if e.Outcome == snowjunction.Full {
 			e.Wait = ev.Wait
 		}
 		return e
 	case wire.Pong:
-		return micaspring.ProbeEnded{
-			Endpoint: micaspring.EndpointID(ev.Endpoint), Outcome: outcome(ev.Verdict), Took: ev.Took,
+		return snowjunction.ProbeEnded{
+			Endpoint: snowjunction.EndpointID(ev.Endpoint), Outcome: outcome(ev.Verdict), Took: ev.Took,
 			Report: ev.Report,
 		}
 	case wire.Vanished:
-		return micaspring.Withdrawn{Request: micaspring.RequestID(ev.Req)}
+		return snowjunction.Withdrawn{Request: snowjunction.RequestID(ev.Req)}
 	case wire.Wake:
-		return micaspring.Timer{Token: ev.Token}
+		return snowjunction.Timer{Token: ev.Token}
 	}
 	return nil // notes from peers carry nothing this module uses
 }
@@ -205,26 +205,26 @@
 	return ev.Estimate
 }
 
-func encode(who uint16, a micaspring.Action) wire.Action {
+func encode(who uint16, a snowjunction.Action) wire.Action {
 	switch a := a.(type) {
-	case micaspring.Send:
+	case snowjunction.Send:
 		return wire.Action{Code: wire.Assign, Who: who, Req: uint32(a.Request),
 			Endpoint: uint32(a.Endpoint), After: a.Timeout}
-	case micaspring.Refuse:
+	case snowjunction.Refuse:
 		return wire.Action{Code: wire.NotNow, Who: who, Req: uint32(a.Request), After: a.RetryAfter}
-	case micaspring.Fail:
+	case snowjunction.Fail:
 		return wire.Action{Code: wire.Surrender, Who: who, Req: uint32(a.Request)}
-	case micaspring.Cancel:
+	case snowjunction.Cancel:
 		return wire.Action{Code: wire.Recall, Who: who, Req: uint32(a.Request), Seq: uint16(a.Attempt)}
-	case micaspring.Probe:
+	case snowjunction.Probe:
 		return wire.Action{Code: wire.Sample, Who: who, Endpoint: uint32(a.Endpoint)}
-	case micaspring.CloseIdle:
+	case snowjunction.CloseIdle:
 		return wire.Action{Code: wire.Disconnect, Who: who, Endpoint: uint32(a.Endpoint)}
-	case micaspring.Watch:
+	case snowjunction.Watch:
 		return wire.Action{Code: wire.KeepInformed, Who: who}
-	case micaspring.SetTimer:
+	case snowjunction.SetTimer:
 		return wire.Action{Code: wire.WakeAt, Who: who, Token: a.Token, After: a.After}
-	case micaspring.Log:
+	case snowjunction.Log:
 		return wire.Action{Code: wire.Trace, Who: who, Text: a.Text}
 	}
 	return wire.Action{Code: wire.BailOut, Who: who, Text: fmt.Sprintf("unknown action %T", a)}
--- a/courier.go
+++ b/courier.go
@@ -1,4 +1,4 @@
-package micaspring
+package snowjunction
 
 // The module: every decision of a courier. Its interface, the events it is
 // fed and the actions it answers with, is api.go; state.go only keeps books
--- a/courier_test.go
+++ b/courier_test.go
@@ -1,4 +1,4 @@
-package micaspring
+package snowjunction
 
 import (
 	"fmt"
