--- a/api.go
+++ b/api.go
@@ -177,6 +177,12 @@
 		Deadline    time.Duration // time left
 		Work        time.Duration // expected work; 0: unknown
 		Again       bool          // handed in before
+
+		// What a restarted courier finds in its journal: the attempts of its
+		// earlier life, and whether one may have run, and how long ago it left.
+		Attempts int
+		Ran      bool
+		RanFor   time.Duration
 	}
 	// StreamStarted tells that an answer has begun to flow.
 	StreamStarted struct {
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"snowjunction"
+	"snowjunction/internal/config"
 	"snowjunction/internal/wire"
 )
 
@@ -70,7 +71,7 @@
 		case wire.Start:
 			in := h.touch(ev.Who)
 			*in = instance{touched: true}
-			settings, err := wire.ParseSettings(ev.Token, ev.Data)
+			settings, err := config.ParseSettings(ev.Token, ev.Data)
 			if err != nil {
 				return nil, fmt.Errorf("record %d: instance %d: %w", i, ev.Who, err)
 			}
--- a/courier.go
+++ b/courier.go
@@ -158,7 +158,13 @@
 	if class.InOrder && ev.Key != 0 {
 		r.key = ev.Key
 	}
+	r.attempts, r.ran, r.ranAt = ev.Attempts, ev.Ran, c.now-ev.RanFor
 	c.hold(r)
+	// After a restart a further attempt is a repeat like any other: it needs
+	// an effect that allows it, attempts left and the ledger's consent.
+	if r.attempts > 0 && !c.repeatable(r) {
+		c.giveUp(r)
+	}
 }
 
 // overQuota draws on the tenant's quota at this courier. What is over it is
@@ -397,6 +403,9 @@
 	}
 	if r.ran && r.class.Effect == Keyed {
 		g := r.class.Group
+		if g != GroupAll && r.ranOn == nil { // it ran in an earlier life of the courier: where, is not known
+			return false
+		}
 		if g == GroupEndpoint && e != r.ranOn || g == GroupZone && e.Zone != r.ranOn.Zone {
 			return false
 		}
@@ -480,15 +489,20 @@
 // settle repeats a failed request if that is harmless and the ledger funds
 // it; else it is answered at once.
 func (c *Courier) settle(r *request) {
-	repeatable := !r.ran || r.class.Effect != Unsafe
-	spent := c.s.MaxAttempts > 0 && r.attempts >= c.s.MaxAttempts
-	if repeatable && !spent && c.now+2*c.s.Tick < r.deadline && c.fund(r.dest) {
+	if c.repeatable(r) {
 		c.enqueue(r)
 		return
 	}
 	c.giveUp(r)
 }
 
+// repeatable tells whether r may go again, and has the ledger fund it.
+func (c *Courier) repeatable(r *request) bool {
+	harmless := !r.ran || r.class.Effect != Unsafe
+	spent := c.s.MaxAttempts > 0 && r.attempts >= c.s.MaxAttempts
+	return harmless && !spent && c.now+2*c.s.Tick < r.deadline && c.fund(r.dest)
+}
+
 // fund withdraws a repeat from the destination's ledger.
 func (c *Courier) fund(d *destination) bool {
 	floor := math.Max(1, ledgerFloor*float64(c.s.Slots))
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,205 @@
+// Package config decodes what the courier is told, once, into the few values
+// that it uses: the platform's configuration, the settings of the decision
+// module, lists of targets and the file of the push front.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"snowjunction"
+	"snowjunction/internal/core"
+)
+
+// Config is what a courier is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // for RESP2 clients
+	Discovery string // the platform's agent
+	State     string // the folder that outlasts the process
+	Limits    Limits
+	Known     List // the target group as last held; maybe old
+	Settings  snowjunction.Settings
+	Columns   []string // names of the load report's values
+	Names     Names
+}
+
+// Limits are those of the machine.
+type Limits struct {
+	MemoryMB int
+	Sockets  int
+	DiskMB   float64
+}
+
+// Names resolve what lists and settings call things.
+type Names struct {
+	Zones map[string]int
+	Kinds map[string]int
+}
+
+// List is the target group, or the changes in it.
+type List struct {
+	Generation uint64
+	Full       bool
+	Targets    []core.Endpoint
+}
+
+// The limits taken where none is given.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	defaultDiskMB   = 3
+)
+
+// Load reads the file named by GW_CONFIG. Where the file leaves out an address
+// the environment's is taken.
+func Load(env func(string) string) (*Config, error) {
+	path := env("GW_CONFIG")
+	if path == "" {
+		return nil, errors.New("GW_CONFIG is not set: it names the configuration file")
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read the configuration: %w", err)
+	}
+	c, err := Parse(b, env)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse decodes a configuration.
+func Parse(b []byte, env func(string) string) (*Config, error) {
+	v, err := fastjson.ParseBytes(b)
+	if err != nil {
+		return nil, err
+	}
+	or := func(key, name string) string {
+		if s := text(v, key); s != "" {
+			return s
+		}
+		return env(name)
+	}
+	c := &Config{
+		Name: or("name", "GW_NAME"), Listen: or("listen", "GW_LISTEN"),
+		Discovery: or("discovery", "GW_DISCOVERY"), State: env("GW_STATE"),
+		Limits: Limits{
+			MemoryMB: positive(v.GetInt("limits", "memory_mb"), defaultMemoryMB),
+			Sockets:  positive(v.GetInt("limits", "sockets"), defaultSockets),
+			DiskMB:   positive(v.GetFloat64("limits", "disk_mb"), defaultDiskMB),
+		},
+	}
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: %q is not an address with a port", a.name, a.addr)
+		}
+	}
+	if c.State == "" {
+		return nil, errors.New("GW_STATE is not set: it names the folder that lasts")
+	}
+	set := v.Get("settings")
+	if set == nil || set.Type() != fastjson.TypeObject {
+		return nil, errors.New("settings: missing")
+	}
+	seed, err := strconv.ParseUint(text(v, "seed"), 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", text(v, "seed"))
+	}
+	c.Settings = settings(seed, set)
+	for _, col := range set.GetArray("report", "columns") {
+		name, _ := col.StringBytes()
+		c.Columns = append(c.Columns, string(name))
+	}
+	c.Names = Names{Zones: number(set.GetArray("dcs")), Kinds: number(set.GetArray("models"))}
+	if known := v.Get("known"); known != nil && known.Type() == fastjson.TypeObject {
+		if c.Known, err = c.Names.list(known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return c, nil
+}
+
+func positive[T int | float64](v, other T) T {
+	if v <= 0 {
+		return other
+	}
+	return v
+}
+
+func number(names []*fastjson.Value) map[string]int {
+	out := map[string]int{}
+	for i, n := range names {
+		name, _ := n.StringBytes()
+		out[string(name)] = i
+	}
+	return out
+}
+
+// List decodes an answer of discovery.
+func (n Names) List(b []byte) (List, error) {
+	v, err := fastjson.ParseBytes(b)
+	if err != nil {
+		return List{}, fmt.Errorf("list: %w", err)
+	}
+	l, err := n.list(v)
+	if err != nil {
+		return List{}, fmt.Errorf("list: %w", err)
+	}
+	return l, nil
+}
+
+func (n Names) list(v *fastjson.Value) (List, error) {
+	if !v.Exists("generation") {
+		return List{}, errors.New("no generation")
+	}
+	out := List{Generation: v.GetUint64("generation"), Full: v.GetBool("reset")}
+	for i, t := range v.GetArray("instances") {
+		e, err := n.target(t)
+		if err != nil {
+			return List{}, fmt.Errorf("instances[%d]: %w", i, err)
+		}
+		out.Targets = append(out.Targets, e)
+	}
+	return out, nil
+}
+
+var phases = map[string]snowjunction.Phase{
+	"Ready": snowjunction.Ready, "Terminating": snowjunction.Draining, "Gone": snowjunction.Gone,
+}
+
+// target takes an unknown zone or kind for one past all that are known, and an
+// unknown state for draining: nothing new is sent where in doubt.
+func (n Names) target(t *fastjson.Value) (core.Endpoint, error) {
+	e := core.Endpoint{Name: text(t, "instanceId"), Addr: text(t, "hostPort"), Weight: t.GetFloat64("weight")}
+	if e.Name == "" {
+		return e, errors.New("no instanceId")
+	}
+	var ok bool
+	if e.Phase, ok = phases[text(t, "lifecycle")]; !ok {
+		e.Phase = snowjunction.Draining
+	}
+	if e.Zone, ok = n.Zones[text(t, "zone")]; !ok {
+		e.Zone = len(n.Zones)
+	}
+	if e.Kind, ok = n.Kinds[text(t, "machineType")]; !ok {
+		e.Kind = len(n.Kinds)
+	}
+	if e.Phase == snowjunction.Gone {
+		return e, nil
+	}
+	if _, err := netip.ParseAddrPort(e.Addr); err != nil {
+		return e, fmt.Errorf("hostPort: %q is not an address with a port", e.Addr)
+	}
+	cell, err := t.Get("cell").Uint()
+	if err != nil {
+		return e, fmt.Errorf("cell: %w", err)
+	}
+	e.Destination = snowjunction.DestinationID(cell)
+	return e, nil
+}
--- /dev/null
+++ b/internal/core/admit.go
@@ -0,0 +1,135 @@
+package core
+
+import (
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/store"
+)
+
+// admit asks the hook and the journal's room, then the module. The client is
+// answered after the module's first look, within about a tick: what it gives
+// up at once was never taken on.
+func (c *Core) admit(f *flow) {
+	if c.draining || c.frozen {
+		c.refuse(f, c.Settings.MaxRetry/2)
+		return
+	}
+	if c.Hook != nil {
+		if pass, after := c.Hook.Admit(f.msg); !pass {
+			c.Counters.Hooked++
+			c.refuse(f, after)
+			return
+		}
+	}
+	full := c.Settings.MaxHeld > 0 && c.held >= c.Settings.MaxHeld
+	if full || !c.Journal.Room(len(f.msg.Body)+len(f.msg.ID)+len(f.msg.IdempotencyKey)) {
+		c.refuse(f, c.Settings.MaxRetry/2)
+		return
+	}
+	c.fresh = append(c.fresh, f)
+	c.hand(f)
+}
+
+// hand files a flow and gives it to the module.
+func (c *Core) hand(f *flow) {
+	c.Counters.serial++
+	f.id = snowjunction.RequestID(c.Counters.serial)
+	c.flows[f.id], c.ids[f.name()] = f, f
+	c.held++
+	m, now := f.msg, c.Loop.Now()
+	ev := snowjunction.Request{
+		ID: f.id, Destination: snowjunction.DestinationID(m.Destination), Class: c.classes[m.Class],
+		Tenant: c.tenant(m.Tenant), Key: m.Key, Deadline: m.Deadline.Sub(now), Again: m.Again,
+		Attempts: m.Attempts, Ran: m.Ran,
+	}
+	if m.Ran {
+		ev.RanFor = now.Sub(m.RanSince)
+	}
+	c.feed(ev)
+}
+
+func (c *Core) tenant(name string) int {
+	if no, ok := c.tenants[name]; ok {
+		return no
+	}
+	return -1
+}
+
+// Restore takes up what an earlier process left in the journal, in the order
+// of taking: open messages go to the module, ends that nobody may have heard
+// of are told once more.
+func (c *Core) Restore(messages []*store.Message) {
+	for _, m := range messages {
+		no, known := c.classes[m.Class]
+		switch {
+		case m.Settled:
+		case int(m.Origin) >= len(c.Fronts):
+			c.Log.Error("a message in the journal came by a front that is not there", "id", m.ID)
+		case m.State == store.Open && known:
+			c.Counters.Restored++
+			c.hand(&flow{msg: m, class: &c.Settings.Classes[no]})
+		default:
+			f := &flow{msg: m, class: &snowjunction.Class{}}
+			if known {
+				f.class = &c.Settings.Classes[no]
+			}
+			if m.State == store.Open { // a class that this configuration does not know
+				c.end(f, store.Failed, 0)
+			} else {
+				c.tell(f)
+			}
+		}
+	}
+}
+
+// admitFresh takes on what the module has seen and kept.
+func (c *Core) admitFresh() {
+	fresh := c.fresh
+	c.fresh = nil
+	for _, f := range fresh {
+		if f.answer != nil && !f.ended {
+			c.take(f)
+		}
+	}
+}
+
+// take writes a flow to the journal, then tells the client. It returns false
+// where that failed and the flow is over.
+func (c *Core) take(f *flow) bool {
+	answer := f.answer
+	if answer == nil {
+		return true
+	}
+	f.answer = nil
+	if err := c.Journal.Take(f.msg); err != nil {
+		c.Log.Error("not taken on", "id", f.msg.ID, "err", err)
+		c.Counters.Refused++
+		answer(Answer{Verdict: Fixed, After: c.Settings.MaxRetry / 2})
+		c.forgo(f)
+		return false
+	}
+	c.Counters.Taken++
+	if !answer(Answer{Verdict: Taken}) {
+		c.Counters.Gone++
+		c.forgo(f)
+		c.end(f, store.Withdrawn, 0)
+		return false
+	}
+	return true
+}
+
+// forgo has the module forget a flow that nobody waits for.
+func (c *Core) forgo(f *flow) {
+	c.drop(f)
+	c.feed(snowjunction.Withdrawn{Request: f.id})
+}
+
+// refuse gives a flow that is not taken on its fixed response.
+func (c *Core) refuse(f *flow, after time.Duration) {
+	c.Counters.Refused++
+	if f.answer != nil {
+		f.answer(Answer{Verdict: Fixed, After: after})
+		f.answer = nil
+	}
+}
--- /dev/null
+++ b/internal/core/book.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/store"
+)
+
+// Counters count what the courier does. They are its alone: nothing in the
+// program depends on them.
+type Counters struct {
+	In        uint64 // well-formed messages handed in
+	Malformed uint64 // requests answered with an error
+	Taken     uint64 // taken on
+	Refused   uint64 // fixed responses
+	Hooked    uint64 // of these, by a plug-in
+	Gone      uint64 // taken on, but the client had gone
+	Restored  uint64 // taken up from the journal at the start
+	Sent      uint64 // attempts that left
+	Unsent    uint64 // attempts that did not leave after all
+	Late      uint64 // successes after the message's end
+	Delivered uint64
+	Withdrawn uint64
+	Failed    uint64
+	Returned  uint64
+	Results   [snowjunction.Moot + 1]uint64
+
+	serial uint32
+}
+
+var outcomes = [...]string{"ok", "error", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
+
+func (n *Counters) result(o snowjunction.Outcome) {
+	if int(o) < len(n.Results) {
+		n.Results[o]++
+	}
+}
+
+// LogValue puts the counters in one line of the log.
+func (n *Counters) LogValue() slog.Value {
+	attrs := []slog.Attr{
+		slog.Uint64("in", n.In), slog.Uint64("malformed", n.Malformed), slog.Uint64("taken", n.Taken),
+		slog.Uint64("refused", n.Refused), slog.Uint64("hooked", n.Hooked), slog.Uint64("gone", n.Gone),
+		slog.Uint64("restored", n.Restored), slog.Uint64("sent", n.Sent), slog.Uint64("unsent", n.Unsent),
+		slog.Uint64("late", n.Late), slog.Uint64("delivered", n.Delivered),
+		slog.Uint64("withdrawn", n.Withdrawn), slog.Uint64("failed", n.Failed),
+		slog.Uint64("returned", n.Returned),
+	}
+	for o, count := range n.Results {
+		attrs = append(attrs, slog.Uint64(outcomes[o], count))
+	}
+	return slog.GroupValue(attrs...)
+}
+
+// giveUp is the module's final answer: at once, to the client if it still
+// waits for the first one, else as an end.
+func (c *Core) giveUp(id snowjunction.RequestID, s store.State, after time.Duration) {
+	f := c.flows[id]
+	if f == nil || f.ended {
+		return
+	}
+	if f.answer == nil {
+		c.end(f, s, after)
+		return
+	}
+	answer := f.answer
+	f.answer = nil
+	c.drop(f)
+	if s == store.Returned {
+		c.Counters.Refused++
+		answer(Answer{Verdict: Fixed, After: after})
+	} else {
+		c.Counters.Failed++
+		answer(Answer{Verdict: Failed})
+	}
+}
+
+// end books the end of a flow that was taken on and has it told.
+func (c *Core) end(f *flow, s store.State, after time.Duration) {
+	if !f.ended && f.id != 0 {
+		c.drop(f)
+	}
+	if err := c.Journal.Ended(f.msg, s, after, c.Loop.Now()); err != nil {
+		c.Log.Error("journal", "err", err)
+	}
+	switch s {
+	case store.Delivered:
+		c.Counters.Delivered++
+	case store.Withdrawn:
+		c.Counters.Withdrawn++
+	case store.Failed:
+		c.Counters.Failed++
+	case store.Returned:
+		c.Counters.Returned++
+	}
+	c.tell(f)
+}
+
+// tell lets the front know of an end; its key waits until that is settled.
+func (c *Core) tell(f *flow) {
+	if f.class.InOrder && f.msg.Key != 0 {
+		c.unknown[f.msg.Key]++
+	}
+	c.Fronts[f.msg.Origin].Ended(f.msg)
+}
+
+// Settled tells that the end of m is known to whoever handed it in.
+func (c *Core) Settled(m *store.Message) {
+	if m.Settled {
+		return
+	}
+	if err := c.Journal.Settle(m); err != nil {
+		c.Log.Error("journal", "err", err)
+	}
+	n, ok := c.unknown[m.Key]
+	if no, known := c.classes[m.Class]; !ok || !known || !c.Settings.Classes[no].InOrder {
+		return
+	}
+	if n > 1 {
+		c.unknown[m.Key] = n - 1
+		return
+	}
+	delete(c.unknown, m.Key)
+	waiting := c.owing[m.Key]
+	delete(c.owing, m.Key)
+	for _, f := range waiting {
+		if f.attempt != nil && f.attempt.call == nil {
+			c.leave(f.attempt)
+		}
+	}
+}
+
+// drop takes a flow off what is held.
+func (c *Core) drop(f *flow) {
+	if f.ended {
+		return
+	}
+	f.ended = true
+	c.held--
+	if c.ids[f.name()] == f {
+		delete(c.ids, f.name())
+	}
+	c.forget(f)
+}
+
+// forget removes a flow that has its end and no attempt out.
+func (c *Core) forget(f *flow) {
+	if f.ended && f.attempt == nil {
+		delete(c.flows, f.id)
+	}
+}
+
+func (f *flow) name() name { return name{int(f.msg.Origin), f.msg.ID} }
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,205 @@
+// Package core takes messages in, lets the decision module decide about them,
+// and carries its decisions out. It knows no wire: fronts hand it messages and
+// targets, and hear of ends.
+//
+// A flow, one message on its way, passes a chain of units, each in its file:
+//
+//	takein   a listener's request becomes a flow, or is refused as malformed
+//	admit    hooks, room and the module's first look; then the journal, then +OK
+//	route    target groups: which endpoints there are, for the module
+//	send     an attempt is recorded and leaves
+//	relay    its result goes back to the module
+//	book     the end is recorded and told
+//
+// All of it runs on the goroutine of a Loop.
+package core
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/store"
+)
+
+// Journal is where the core keeps what it has taken on.
+type Journal interface {
+	Room(bytes int) bool
+	Take(m *store.Message) error
+	Sent(m *store.Message, at time.Time) error
+	Came(m *store.Message, mayHaveRun bool) error
+	Ended(m *store.Message, s store.State, after time.Duration, at time.Time) error
+	Settle(m *store.Message) error
+}
+
+// Front is a wire's own side: it brings targets and hears of ends.
+type Front interface {
+	// Target makes the target of an endpoint that the front has listed.
+	Target(e Endpoint) Target
+	// Ended tells the end of a message that the front has taken in. Once
+	// those who handed it in know, the front calls Settled.
+	Ended(m *store.Message)
+}
+
+// Hook may answer a flow before the module sees it.
+type Hook interface {
+	// Admit returns false, and after how long to come back, for a flow that
+	// gets a fixed response.
+	Admit(m *store.Message) (pass bool, after time.Duration)
+}
+
+// Config is what a core is made of.
+type Config struct {
+	Loop     *Loop
+	Log      *slog.Logger
+	Journal  Journal
+	Settings snowjunction.Settings
+	Hook     Hook // nil: none
+	Fronts   []Front
+}
+
+// Core owns the courier, the flows and the target groups.
+type Core struct {
+	Config
+	Counters Counters
+
+	courier  *snowjunction.Courier
+	start    time.Time
+	handled  time.Time // when the module was last asked
+	due      *Timer
+	events   []snowjunction.Event
+	flows    map[snowjunction.RequestID]*flow
+	ids      map[name]*flow // by front and the id handed in, until they are over
+	fresh    []*flow        // not answered yet
+	held     int
+	calls    int
+	routes   routes
+	owing    map[uint64][]*flow // by key: flows whose turn waits for the settling of an end
+	unknown  map[uint64]int     // by key: ends that are not settled
+	classes  map[string]int
+	tenants  map[string]int
+	draining bool
+	frozen   bool
+	idle     func() // called once frozen and no call is out
+}
+
+// flow is one message on its way.
+type flow struct {
+	msg     *store.Message
+	id      snowjunction.RequestID
+	class   *snowjunction.Class
+	answer  func(Answer) bool // nil once answered
+	attempt *attempt          // the one that is out
+	ended   bool
+}
+
+// New returns a core. Its fronts are numbered as given.
+func New(cfg Config) (*Core, error) {
+	// On sockets what was sent takes a while to arrive, and the rules' clocks
+	// run at the other end: the key's rest begins there and its window here.
+	cfg.Settings.OrderSettle += settleSlack
+	for i := range cfg.Settings.Classes {
+		if c := &cfg.Settings.Classes[i]; c.Effect == snowjunction.Keyed {
+			c.Window = max(c.Window-windowSlack, 0)
+		}
+	}
+	courier, err := snowjunction.New(cfg.Settings)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{
+		Config: cfg, courier: courier, start: cfg.Loop.Now(),
+		flows: map[snowjunction.RequestID]*flow{}, ids: map[name]*flow{},
+		owing: map[uint64][]*flow{}, unknown: map[uint64]int{},
+		classes: map[string]int{}, tenants: map[string]int{},
+		routes: newRoutes(),
+	}
+	for i, cl := range cfg.Settings.Classes {
+		c.classes[cl.Name] = i
+	}
+	for i, t := range cfg.Settings.Tenants {
+		c.tenants[t.Name] = i
+	}
+	return c, nil
+}
+
+const (
+	settleSlack = 60 * time.Millisecond
+	windowSlack = 60 * time.Millisecond
+)
+
+// feed has the module asked about ev, with all else that comes before the
+// next tick.
+func (c *Core) feed(ev snowjunction.Event) {
+	c.events = append(c.events, ev)
+	if c.due == nil && !c.frozen {
+		c.due = c.Loop.After(c.handled.Add(c.Settings.Tick).Sub(c.Loop.Now()), c.handle)
+	}
+}
+
+// handle lets the module decide, at most once a tick, and does what it says.
+func (c *Core) handle() {
+	c.due = nil
+	if c.frozen {
+		return
+	}
+	c.handled = c.Loop.Now()
+	events := c.events
+	c.events = nil
+	for _, a := range c.courier.Handle(c.handled.Sub(c.start), events) {
+		c.do(a)
+	}
+	c.admitFresh()
+}
+
+func (c *Core) do(a snowjunction.Action) {
+	switch a := a.(type) {
+	case snowjunction.Send:
+		c.send(a)
+	case snowjunction.Refuse:
+		c.giveUp(a.Request, store.Returned, a.RetryAfter)
+	case snowjunction.Fail:
+		c.giveUp(a.Request, store.Failed, 0)
+	case snowjunction.Cancel:
+		c.cancel(a)
+	case snowjunction.SetTimer:
+		c.Loop.After(a.After, func() { c.feed(snowjunction.Timer{Token: a.Token}) })
+	case snowjunction.CloseIdle:
+		if t := c.routes.byID[a.Endpoint]; t != nil && t.target != nil {
+			t.target.CloseIdle()
+		}
+	case snowjunction.Log:
+		c.Log.Info("decision", "text", a.Text)
+	case snowjunction.Watch: // the fronts watch their lists unasked
+	default:
+		c.Log.Error("the module asked for what this program does not do", "action", fmt.Sprintf("%T", a))
+	}
+}
+
+// Drain stops the taking: what comes from now on gets a fixed response.
+func (c *Core) Drain() { c.draining = true }
+
+// Freeze stops deciding. What is held stays in the journal; idle is called
+// once no call is out.
+func (c *Core) Freeze(idle func()) {
+	c.frozen, c.idle = true, idle
+	c.due.Stop()
+	c.due = nil
+	for _, f := range c.fresh { // not seen by the module yet
+		c.refuse(f, 0)
+	}
+	c.fresh = nil
+	c.checkIdle()
+}
+
+func (c *Core) checkIdle() {
+	if c.frozen && c.calls == 0 && c.idle != nil {
+		idle := c.idle
+		c.idle = nil
+		idle()
+	}
+}
+
+// Held is the number of flows that have no end yet.
+func (c *Core) Held() int { return c.held }
--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"snowjunction"
+	"snowjunction/internal/store"
+)
+
+// relay takes an attempt's result to the journal and the module.
+func (c *Core) relay(a *attempt, r Result) {
+	f := a.flow
+	if f.attempt != a {
+		return
+	}
+	a.limit.Stop()
+	a.connect.Stop()
+	f.attempt = nil
+	c.calls--
+	c.Counters.result(r.Outcome)
+	switch {
+	case r.Outcome == snowjunction.OK && f.ended:
+		c.Counters.Late++
+	case r.Outcome == snowjunction.OK:
+		c.end(f, store.Delivered, 0)
+	case r.Over && !f.ended:
+		c.end(f, store.Withdrawn, 0)
+	case !f.ended:
+		if err := c.Journal.Came(f.msg, mayHaveRun(r.Outcome)); err != nil {
+			c.Log.Error("journal", "err", err)
+		}
+	}
+	c.feed(snowjunction.AttemptEnded{
+		Request: f.id, Endpoint: a.endpoint, Attempt: a.no, Outcome: r.Outcome,
+		Took: c.Loop.Now().Sub(a.began), Wait: r.Wait, Done: f.ended, Report: r.Report,
+	})
+	c.forget(f)
+	c.checkIdle()
+}
+
+func mayHaveRun(o snowjunction.Outcome) bool {
+	switch o {
+	case snowjunction.Full, snowjunction.ConnectFailed, snowjunction.Moot:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/route.go
@@ -0,0 +1,149 @@
+package core
+
+import (
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/store"
+)
+
+// Endpoint is one entry of a target group as a front lists it.
+type Endpoint struct {
+	Name        string // unique within its front
+	Addr        string
+	Destination snowjunction.DestinationID
+	Zone, Kind  int
+	Phase       snowjunction.Phase
+	Weight      float64
+}
+
+// Target is an endpoint that can be called.
+type Target interface {
+	// Call makes one attempt. done is called once with its result, unless it
+	// is given up, and never within Call itself.
+	Call(m *store.Message, timeout time.Duration, done func(Result)) Call
+	// CloseIdle ends idle connections.
+	CloseIdle()
+	// Leave ends idle connections, and the others with their calls: the
+	// target is no longer in its group.
+	Leave()
+}
+
+// Call is an attempt that is out.
+type Call interface {
+	// Left tells whether its last byte may have left.
+	Left() bool
+	// GiveUp stops waiting. done is not called any more.
+	GiveUp()
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome snowjunction.Outcome
+	Wait    time.Duration // with Full: the told wait
+	Over    bool          // nothing more is owed for the message
+	Report  []float64
+}
+
+// routes is the target groups.
+type routes struct {
+	byID   map[snowjunction.EndpointID]*listed
+	byName map[name]*listed
+	last   snowjunction.EndpointID
+}
+
+type name struct {
+	front int
+	name  string
+}
+
+// listed is an endpoint in the list, under the number the module knows.
+type listed struct {
+	Endpoint
+	id     snowjunction.EndpointID
+	target Target // nil once it has left
+}
+
+func newRoutes() routes {
+	return routes{byID: map[snowjunction.EndpointID]*listed{}, byName: map[name]*listed{}}
+}
+
+// Listed takes news of a front's target group: the entries that changed, or
+// the full list. The module is told of changes only, as each front's full
+// list says nothing of another's.
+func (c *Core) Listed(front int, full bool, entries []Endpoint) {
+	var news []snowjunction.Endpoint
+	named := map[string]bool{}
+	for _, e := range entries {
+		named[e.Name] = true
+		news = append(news, c.list(front, e)...)
+	}
+	if full {
+		for n, l := range c.routes.byName {
+			if n.front == front && !named[n.name] {
+				news = append(news, c.unlist(n, l))
+			}
+		}
+	}
+	if len(news) > 0 {
+		c.feed(snowjunction.List{Kind: snowjunction.ListDelta, Endpoints: news})
+	}
+}
+
+// list takes one entry. An endpoint that moves to another destination is
+// another one to the module.
+func (c *Core) list(front int, e Endpoint) (news []snowjunction.Endpoint) {
+	n := name{front, e.Name}
+	l := c.routes.byName[n]
+	if e.Phase == snowjunction.Gone {
+		if l == nil {
+			return nil
+		}
+		return []snowjunction.Endpoint{c.unlist(n, l)}
+	}
+	if l != nil && l.Destination != e.Destination {
+		news = append(news, c.unlist(n, l))
+		l = nil
+	}
+	if l == nil {
+		c.routes.last++
+		l = &listed{Endpoint: e, id: c.routes.last}
+		c.routes.byID[l.id], c.routes.byName[n] = l, l
+	}
+	if l.target != nil && (l.Addr != e.Addr || e.Phase != snowjunction.Ready) {
+		l.target.Leave()
+		l.target = nil
+	}
+	l.Endpoint = e
+	if l.target == nil && e.Phase == snowjunction.Ready {
+		l.target = c.Fronts[front].Target(e)
+	}
+	return append(news, l.entry())
+}
+
+func (c *Core) unlist(n name, l *listed) snowjunction.Endpoint {
+	if l.target != nil {
+		l.target.Leave()
+		l.target = nil
+	}
+	l.Phase = snowjunction.Gone
+	delete(c.routes.byName, n)
+	delete(c.routes.byID, l.id)
+	return l.entry()
+}
+
+func (l *listed) entry() snowjunction.Endpoint {
+	return snowjunction.Endpoint{
+		ID: l.id, Destination: l.Destination, Zone: l.Zone, Kind: l.Kind, Phase: l.Phase, Weight: l.Weight,
+	}
+}
+
+// target is the target of an attempt of f, or nil if it must not go there:
+// the list may have changed since the module decided.
+func (c *Core) target(f *flow, id snowjunction.EndpointID) Target {
+	l := c.routes.byID[id]
+	if l == nil || l.target == nil || uint32(l.Destination) != f.msg.Destination {
+		return nil
+	}
+	return l.target
+}
--- /dev/null
+++ b/internal/core/send.go
@@ -0,0 +1,115 @@
+package core
+
+import (
+	"time"
+
+	"snowjunction"
+)
+
+// attempt is a Send of the module's from its decision to its outcome.
+type attempt struct {
+	flow     *flow
+	endpoint snowjunction.EndpointID
+	no       int
+	began    time.Time
+	timeout  time.Duration
+	limit    *Timer // to give the attempt up
+	connect  *Timer // to give it up if no byte of it could leave
+	call     Call   // nil while it waits for its key's turn
+}
+
+// send carries out a Send. A flow's first one takes it on.
+func (c *Core) send(s snowjunction.Send) {
+	f := c.flows[s.Request]
+	if f == nil || f.ended || f.attempt != nil {
+		c.Log.Error("the module sends what is not held or already out", "request", s.Request)
+		return
+	}
+	if !c.take(f) { // nothing left: the module's call is closed all the same
+		c.feed(snowjunction.AttemptEnded{
+			Request: f.id, Endpoint: s.Endpoint, Attempt: f.msg.Attempts, Outcome: snowjunction.Moot, Done: true,
+		})
+		return
+	}
+	a := &attempt{flow: f, endpoint: s.Endpoint, no: f.msg.Attempts, began: c.Loop.Now(), timeout: s.Timeout}
+	f.attempt = a
+	c.calls++
+	a.limit = c.Loop.After(s.Timeout, func() { c.expire(a, snowjunction.TimedOut) })
+	if c.waits(f) {
+		c.owing[f.msg.Key] = append(c.owing[f.msg.Key], f)
+		return
+	}
+	c.leave(a)
+}
+
+// waits tells whether an earlier message of f's key has an end that the
+// platform has not confirmed: until then it is not over, and the key's order
+// would break.
+func (c *Core) waits(f *flow) bool {
+	return f.class.InOrder && f.msg.Key != 0 && c.unknown[f.msg.Key] > 0
+}
+
+// leave records an attempt, then lets its bytes go.
+func (c *Core) leave(a *attempt) {
+	f := a.flow
+	to := c.target(f, a.endpoint)
+	if to == nil {
+		c.unsent(a)
+		return
+	}
+	left := a.timeout - c.Loop.Now().Sub(a.began)
+	if left <= 0 {
+		c.unsent(a)
+		return
+	}
+	if err := c.Journal.Sent(f.msg, c.Loop.Now()); err != nil {
+		// Unrecorded it could be sent again after a restart.
+		c.Log.Error("not sent", "id", f.msg.ID, "err", err)
+		c.unsent(a)
+		return
+	}
+	c.Counters.Sent++
+	a.call = to.Call(f.msg, left, func(r Result) { c.relay(a, r) })
+	a.connect = c.Loop.After(c.Settings.ConnectTimeout, func() {
+		if !a.call.Left() {
+			c.expire(a, snowjunction.ConnectFailed)
+		}
+	})
+}
+
+// unsent reports an attempt that never left. It counts for the module as one
+// made; the journal's count follows.
+func (c *Core) unsent(a *attempt) {
+	c.Counters.Unsent++
+	if a.flow.msg.Attempts == a.no {
+		if err := c.Journal.Sent(a.flow.msg, c.Loop.Now()); err != nil {
+			c.Log.Error("journal", "err", err)
+		}
+	}
+	c.relay(a, Result{Outcome: snowjunction.Moot})
+}
+
+// expire gives an attempt up after its time. One whose bytes never left proves
+// that it did not run.
+func (c *Core) expire(a *attempt, o snowjunction.Outcome) {
+	switch {
+	case a.flow.attempt != a:
+		return
+	case a.call == nil:
+		c.unsent(a)
+		return
+	default:
+		if !a.call.Left() {
+			o = snowjunction.ConnectFailed
+		}
+		a.call.GiveUp()
+	}
+	c.relay(a, Result{Outcome: o})
+}
+
+// cancel stops waiting for an attempt, as the module wishes.
+func (c *Core) cancel(x snowjunction.Cancel) {
+	if f := c.flows[x.Request]; f != nil && f.attempt != nil && f.attempt.no == x.Attempt {
+		c.expire(f.attempt, snowjunction.Cancelled)
+	}
+}
--- /dev/null
+++ b/internal/core/takein.go
@@ -0,0 +1,116 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/store"
+)
+
+// Request is what a listener has read: a message to be handed in.
+type Request struct {
+	Origin         int // the number of its front
+	ID             string
+	IdempotencyKey string
+	Key            uint64
+	Class, Tenant  string
+	Destination    uint32
+	Left           time.Duration // of its time
+	Again          bool
+	Body           []byte
+}
+
+// Verdict is what a client is told of the message that it hands in.
+type Verdict int
+
+// The verdicts.
+const (
+	Taken  Verdict = iota // taken on: the courier owes it an end
+	Fixed                 // a fixed response: not taken, handing it in again is harmless
+	Failed                // not taken, and of no use any more
+)
+
+// Answer is the one answer to a Request.
+type Answer struct {
+	Verdict Verdict
+	After   time.Duration // with Fixed: when to come back; 0: no advice
+}
+
+// Bounds of what a client may hand in.
+const (
+	MaxBody = 64 << 10
+	maxText = 64        // bytes of an id or idempotency key
+	maxLeft = time.Hour // far over any deadline: a longer one is a mistake
+)
+
+// ErrRequest wraps what is wrong with a request.
+var ErrRequest = errors.New("invalid message")
+
+// TakeIn is the first unit of the chain. An error says what is wrong with the
+// request, which then gets no other answer. Else answer is called once, soon;
+// it returns false where the client has gone.
+func (c *Core) TakeIn(r Request, answer func(Answer) bool) error {
+	class, err := c.check(r)
+	if err != nil {
+		c.Counters.Malformed++
+		return err
+	}
+	c.Counters.In++
+	if f := c.ids[name{r.Origin, r.ID}]; f != nil {
+		// The client lost the connection and sends once more what is held.
+		if f.answer != nil {
+			f.answer = answer
+		} else {
+			answer(Answer{Verdict: Taken})
+		}
+		return nil
+	}
+	f := &flow{class: class, answer: answer, msg: &store.Message{
+		Origin: byte(r.Origin), ID: r.ID, IdempotencyKey: r.IdempotencyKey, Key: r.Key,
+		Destination: r.Destination, Class: r.Class, Tenant: r.Tenant,
+		Deadline: c.Loop.Now().Add(r.Left), Again: r.Again, Body: r.Body,
+	}}
+	c.admit(f)
+	return nil
+}
+
+func (c *Core) check(r Request) (*snowjunction.Class, error) {
+	bad := func(format string, args ...any) (*snowjunction.Class, error) {
+		return nil, fmt.Errorf("%w: %s", ErrRequest, fmt.Sprintf(format, args...))
+	}
+	no, known := c.classes[r.Class]
+	_, tenant := c.tenants[r.Tenant]
+	switch {
+	case !plain(r.ID):
+		return bad("the id must be 1 to %d letters, digits, '-', '_' or '.'", maxText)
+	case r.IdempotencyKey != "" && !plain(r.IdempotencyKey):
+		return bad("the idempotency key must be 1 to %d letters, digits, '-', '_' or '.'", maxText)
+	case !known:
+		return bad("unknown class %q", r.Class)
+	case !tenant && (r.Tenant != "" || len(c.tenants) > 0):
+		return bad("unknown tenant %q", r.Tenant)
+	case r.Left <= 0 || r.Left > maxLeft:
+		return bad("the time left must be over 0 and at most %v", maxLeft)
+	case len(r.Body) > MaxBody:
+		return bad("the body must be %d bytes at most", MaxBody)
+	case c.Settings.Classes[no].Effect == snowjunction.Keyed && r.IdempotencyKey == "":
+		return bad("class %q needs an idempotency key", r.Class)
+	}
+	return &c.Settings.Classes[no], nil
+}
+
+// plain tells whether s can stand in a header as it is.
+func plain(s string) bool {
+	if s == "" || len(s) > maxText {
+		return false
+	}
+	for _, b := range []byte(s) {
+		letter := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9'
+		if !letter && b != '-' && b != '_' && b != '.' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/front/platform/listener.go
@@ -0,0 +1,192 @@
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"snowjunction/internal/core"
+	"snowjunction/internal/net"
+	"snowjunction/internal/proto/resp"
+)
+
+// client is a listener's connection. Answers go out in the order of requests,
+// as RESP2 clients may send several at once.
+type client struct {
+	front  *Front
+	conn   *net.Conn
+	parser resp.Parser
+	due    []*answer // in the order of the requests
+	quit   bool      // ends after the answers that are due
+}
+
+type answer struct {
+	text []byte // nil: not known yet
+}
+
+// pipelineMost bounds the answers one connection may be waiting for.
+const pipelineMost = 256
+
+func (f *Front) accept(conn *net.Conn) net.Handler {
+	c := &client{front: f, conn: conn}
+	f.clients[c] = true
+	return c
+}
+
+func (c *client) Opened() {}
+
+func (c *client) Closed(net.Code) { delete(c.front.clients, c) }
+
+func (c *client) Data(b []byte) {
+	c.parser.Feed(b)
+	for !c.quit {
+		args, err := c.parser.Next()
+		if err != nil {
+			c.say(resp.Error("ERR " + err.Error()))
+			c.quit = true
+			break
+		}
+		if args == nil {
+			break
+		}
+		c.command(args)
+	}
+	c.flush()
+}
+
+func (c *client) command(args [][]byte) {
+	switch name := strings.ToUpper(string(args[0])); {
+	case len(c.due) >= pipelineMost:
+		c.say(resp.Error("BUSY"))
+	case name == "OUT.ADD":
+		c.add(args[1:])
+	case name == "PING" && !c.front.ready:
+		c.say(resp.Error("LOADING not ready yet"))
+	case name == "PING" && len(args) == 1:
+		c.say(resp.Simple("PONG"))
+	case name == "PING" && len(args) == 2:
+		c.say(resp.Bulk(args[1]))
+	case name == "QUIT":
+		c.say(resp.Simple("OK"))
+		c.quit = true
+	default:
+		c.say(resp.Error(fmt.Sprintf("ERR unknown command or wrong number of arguments for '%.32s'", name)))
+	}
+}
+
+func (c *client) say(text []byte) { c.due = append(c.due, &answer{text: text}) }
+
+// add hands a message in: key, id, names and values, body.
+func (c *client) add(args [][]byte) {
+	r, err := parseAdd(args)
+	if err != nil {
+		c.front.core.Counters.Malformed++
+		c.say(resp.Error("ERR " + err.Error()))
+		return
+	}
+	r.Origin = c.front.Number
+	a := &answer{}
+	c.due = append(c.due, a)
+	err = c.front.core.TakeIn(r, func(x core.Answer) bool {
+		a.text = render(x)
+		if !c.conn.Up() {
+			return false
+		}
+		c.flush()
+		return c.conn.Up()
+	})
+	if err != nil {
+		a.text = resp.Error("ERR " + err.Error())
+	}
+}
+
+func render(x core.Answer) []byte {
+	switch {
+	case x.Verdict == core.Taken:
+		return resp.Simple("OK")
+	case x.Verdict == core.Failed:
+		return resp.Error("ERR failed")
+	case x.After > 0:
+		return resp.Error("BUSY " + strconv.FormatInt(x.After.Milliseconds()+1, 10))
+	}
+	return resp.Error("BUSY")
+}
+
+// flush sends the answers that are known, up to the first that is not.
+func (c *client) flush() {
+	n := 0
+	var out []byte
+	for ; n < len(c.due) && c.due[n].text != nil; n++ {
+		out = append(out, c.due[n].text...)
+	}
+	c.due = c.due[n:]
+	if len(out) > 0 {
+		c.conn.Write(out)
+	}
+	if c.quit && len(c.due) == 0 {
+		c.end(net.Finished)
+	} else if c.front.draining {
+		c.release()
+	}
+}
+
+// release ends a connection that is between requests.
+func (c *client) release() {
+	if len(c.due) == 0 && c.parser.Idle() {
+		c.end(net.Shutdown)
+	}
+}
+
+func (c *client) end(code net.Code) {
+	c.conn.Close(code)
+	delete(c.front.clients, c)
+}
+
+var errAdd = errors.New("OUT.ADD wants a key, an id, names and values, and a body")
+
+func parseAdd(args [][]byte) (core.Request, error) {
+	if len(args) != 4 {
+		return core.Request{}, errAdd
+	}
+	key, err := strconv.ParseUint(string(args[0]), 16, 64)
+	if err != nil {
+		return core.Request{}, errors.New("the key must be a hexadecimal number of 64 bits")
+	}
+	r := core.Request{Key: key, ID: string(args[1]), Body: args[3]}
+	var seen struct{ class, left, dest bool }
+	for _, pair := range strings.Split(string(args[2]), ",") {
+		name, value, ok := strings.Cut(pair, "=")
+		if !ok {
+			return r, fmt.Errorf("%.32q is no name and value", pair)
+		}
+		switch name {
+		case "c":
+			r.Class, seen.class = value, true
+		case "t":
+			r.Tenant = value
+		case "d":
+			ms, err := strconv.ParseFloat(value, 64)
+			if err != nil || math.IsNaN(ms) || math.Abs(ms) > 1e12 {
+				return r, errors.New("d must be a number of milliseconds")
+			}
+			r.Left, seen.left = time.Duration(ms*float64(time.Millisecond)), true
+		case "dest":
+			dest, err := strconv.ParseUint(value, 10, 32)
+			if err != nil {
+				return r, errors.New("dest must be the number of a destination")
+			}
+			r.Destination, seen.dest = uint32(dest), true
+		case "k":
+			r.IdempotencyKey = value
+		case "r", "again":
+			r.Again = r.Again || value == "1"
+		}
+	}
+	if !seen.class || !seen.left || !seen.dest {
+		return r, errors.New("c, d and dest are wanted")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/front/platform/platform.go
@@ -0,0 +1,107 @@
+// Package platform is the platform's front, a thin one: RESP2 clients hand
+// messages in, targets are called by HTTP/1.1, discovery's target group is
+// watched, and ends that are no delivery go out as notices.
+package platform
+
+import (
+	"log/slog"
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/config"
+	"snowjunction/internal/core"
+	"snowjunction/internal/net"
+	"snowjunction/internal/store"
+)
+
+// Config is what the front needs to know.
+type Config struct {
+	Loop      *core.Loop
+	Engine    *net.Engine
+	Log       *slog.Logger
+	Number    int // of this front in the core
+	Listen    string
+	Discovery string
+	Names     config.Names
+	Columns   []string // of the load report
+	Settings  snowjunction.Settings
+}
+
+// Front is the platform's front.
+type Front struct {
+	Config
+	core      *core.Core
+	addr      string
+	ready     bool
+	draining  bool
+	clients   map[*client]bool
+	discovery discovery
+	notices   notices
+}
+
+// New returns a front that does nothing yet.
+func New(cfg Config) *Front {
+	f := &Front{Config: cfg, clients: map[*client]bool{}}
+	f.discovery.front = f
+	f.notices.front = f
+	return f
+}
+
+// readyAfter bounds how long a courier that knows no target group waits for
+// discovery before it calls itself ready.
+const readyAfter = 2 * time.Second
+
+// Start listens, takes the target group as last known and watches it.
+func (f *Front) Start(c *core.Core, known config.List) error {
+	f.core = c
+	addr, err := f.Engine.Listen("client", f.Listen, f.accept)
+	if err != nil {
+		return err
+	}
+	f.addr = addr
+	if len(known.Targets) > 0 {
+		c.Listed(f.Number, true, known.Targets)
+		f.ready = true
+	} else {
+		f.Loop.After(readyAfter, func() { f.ready = true })
+	}
+	f.discovery.generation = known.Generation
+	f.discovery.watch()
+	return nil
+}
+
+// Addr is the address that clients reach.
+func (f *Front) Addr() string { return f.addr }
+
+// Target makes the target of an endpoint.
+func (f *Front) Target(e core.Endpoint) core.Target { return &target{front: f, endpoint: e} }
+
+// Ended has a notice sent unless the end needs none.
+func (f *Front) Ended(m *store.Message) {
+	if m.State == store.Failed || m.State == store.Returned {
+		f.notices.add(m)
+		return
+	}
+	f.core.Settled(m)
+}
+
+// Drain lets the clients go: idle connections end now, the others after their
+// answers, so that the clients turn to other couriers.
+func (f *Front) Drain() {
+	f.draining = true
+	for c := range f.clients {
+		c.release()
+	}
+}
+
+// Close ends all connections.
+func (f *Front) Close() {
+	for c := range f.clients {
+		c.conn.Close(net.Shutdown)
+	}
+	f.discovery.close()
+	f.notices.close()
+}
+
+// Quiet tells that no notice is on its way.
+func (f *Front) Quiet() bool { return len(f.notices.queue) == 0 && f.notices.out == 0 }
--- /dev/null
+++ b/internal/front/platform/target.go
@@ -0,0 +1,241 @@
+package platform
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/core"
+	"snowjunction/internal/net"
+	"snowjunction/internal/proto/http1"
+	"snowjunction/internal/store"
+)
+
+// target is an endpoint with its connections. Each carries one call at a time.
+type target struct {
+	front    *Front
+	endpoint core.Endpoint
+	idle     []*link // the last used at the end
+	left     bool    // no longer in its group
+}
+
+// link is a connection to a target. It is a core.Call too, as it carries one
+// at most.
+type link struct {
+	target *target
+	conn   *net.Conn
+	parser http1.Parser
+	out    []byte // the request, until it leaves
+	done   func(core.Result)
+	sent   bool // the request may have left
+	used   time.Time
+}
+
+const (
+	maxAnswer = 64 << 10
+	// reuseWithin is the share of the time a connection may sit idle within
+	// which it is used again: later the request could cross the other side's
+	// end of it, which would be a reset.
+	reuseWithin = 0.85
+)
+
+// Call makes an attempt on the connection last used, or a new one.
+func (t *target) Call(m *store.Message, timeout time.Duration, done func(core.Result)) core.Call {
+	headers := []string{
+		"X-Request-ID", m.ID,
+		"X-Timeout-Ms", strconv.FormatInt(max(timeout.Milliseconds(), 1), 10),
+	}
+	if m.IdempotencyKey != "" {
+		headers = append(headers, "Idempotency-Key", m.IdempotencyKey)
+	}
+	out := http1.Request("POST", "/inbox", t.endpoint.Addr, m.Body, headers...)
+	t.expire()
+	if n := len(t.idle); n > 0 {
+		l := t.idle[n-1]
+		t.idle = t.idle[:n-1]
+		l.begin(out, done)
+		l.write()
+		return l
+	}
+	l := &link{target: t, parser: http1.Parser{MaxBody: maxAnswer}}
+	l.begin(out, done)
+	l.conn = t.front.Engine.Dial("target", t.endpoint.Addr, l)
+	return l
+}
+
+// expire ends the connections that have been idle for too long to be used.
+func (t *target) expire() {
+	limit := time.Duration(float64(t.front.Settings.ConnIdle) * reuseWithin)
+	if limit <= 0 {
+		return
+	}
+	now, n := t.front.Loop.Now(), 0
+	for n < len(t.idle) && now.Sub(t.idle[n].used) >= limit {
+		t.idle[n].conn.Close(net.Idle)
+		n++
+	}
+	t.idle = t.idle[n:]
+}
+
+// CloseIdle ends the idle connections.
+func (t *target) CloseIdle() { t.drop(net.Dropped) }
+
+// Leave ends the idle connections now and the others with their calls.
+func (t *target) Leave() {
+	t.left = true
+	t.drop(net.Drained)
+}
+
+func (t *target) drop(code net.Code) {
+	for _, l := range t.idle {
+		l.conn.Close(code)
+	}
+	t.idle = nil
+}
+
+func (l *link) begin(out []byte, done func(core.Result)) {
+	l.out, l.done, l.sent = out, done, false
+}
+
+// write lets the request go. Where the socket takes none of it, Closed comes
+// and sent says that nothing left.
+func (l *link) write() {
+	out := l.out
+	l.out = nil
+	l.sent = l.conn.Write(out)
+}
+
+// Left tells whether the request's last byte may have left.
+func (l *link) Left() bool { return l.sent }
+
+// GiveUp ends the connection, which tells the target.
+func (l *link) GiveUp() {
+	l.done = nil
+	if l.sent {
+		l.conn.Close(net.CallTimeout)
+	} else {
+		l.conn.Close(net.DialTimeout)
+	}
+}
+
+// Opened lets the request go on a new connection.
+func (l *link) Opened() { l.write() }
+
+// Closed ends the call that is out, if any.
+func (l *link) Closed(net.Code) {
+	if l.done == nil {
+		for i, x := range l.target.idle {
+			if x == l {
+				l.target.idle = append(l.target.idle[:i], l.target.idle[i+1:]...)
+				break
+			}
+		}
+		return
+	}
+	if r := l.parser.End(); r != nil && l.sent {
+		l.finish(l.target.result(r))
+		return
+	}
+	l.lost()
+}
+
+func (l *link) lost() {
+	o := snowjunction.ConnectFailed
+	if l.sent {
+		o = snowjunction.Reset
+	}
+	l.finish(core.Result{Outcome: o})
+}
+
+func (l *link) finish(r core.Result) {
+	done := l.done
+	l.done = nil
+	done(r)
+}
+
+// Data reads the answer.
+func (l *link) Data(b []byte) {
+	l.parser.Feed(b)
+	if l.done == nil || !l.sent { // nothing was asked
+		l.conn.Close(net.Protocol)
+		l.Closed(net.Protocol)
+		return
+	}
+	r, err := l.parser.Next()
+	if err != nil {
+		l.conn.Close(net.Protocol)
+		l.lost()
+		return
+	}
+	if r == nil {
+		return
+	}
+	t := l.target
+	switch {
+	case r.Close:
+		l.conn.Close(net.Finished)
+	case l.parser.Begun():
+		l.conn.Close(net.Protocol)
+	case t.left:
+		l.conn.Close(net.Drained)
+	default:
+		l.used = t.front.Loop.Now()
+		t.idle = append(t.idle, l)
+	}
+	l.finish(t.result(r))
+}
+
+// result maps an answer.
+func (t *target) result(r *http1.Response) core.Result {
+	out := core.Result{Report: t.report(r.Get("X-Server-Load"))}
+	switch r.Status {
+	case 200:
+		out.Outcome = snowjunction.OK
+	case 429:
+		out.Outcome = snowjunction.Full
+		if ms, err := strconv.ParseFloat(r.Get("X-RateLimit-Wait-Ms"), 64); err == nil && ms > 0 && ms < 1e9 {
+			out.Wait = time.Duration(ms * float64(time.Millisecond))
+		}
+	case 503:
+		out.Outcome = snowjunction.Full
+		if r.Get("X-Over-Slots") == "1" {
+			out.Outcome = snowjunction.Moot
+		}
+	case 504: // all attempts made; the end is still owed
+		out.Outcome = snowjunction.Moot
+	case 410:
+		out.Outcome, out.Over = snowjunction.Moot, true
+	default:
+		out.Outcome = snowjunction.Error
+	}
+	return out
+}
+
+// report reads a load report such as x0=0.4,x1=25. One without all the values
+// that the settings name is none.
+func (t *target) report(text string) []float64 {
+	columns := t.front.Columns
+	if text == "" || len(columns) == 0 {
+		return nil
+	}
+	values := map[string]float64{}
+	for _, pair := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			return nil
+		}
+		values[name] = v
+	}
+	out := make([]float64, len(columns))
+	for i, name := range columns {
+		v, ok := values[name]
+		if !ok {
+			return nil
+		}
+		out[i] = v
+	}
+	return out
+}
--- /dev/null
+++ b/internal/net/engine.go
@@ -0,0 +1,185 @@
+// Package net owns the sockets: the nbio engine, the limit on connections and
+// the codes with which connections end. Its callbacks only hand work to the
+// loop's goroutine; a Conn and its Handler belong to that goroutine.
+package net
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	stdnet "net"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+// Code is the reason for which a connection ended; docs/oncall.md lists them.
+type Code string
+
+// The codes.
+const (
+	PeerClosed  Code = "peer_closed"  // the other side ended it
+	PeerReset   Code = "peer_reset"   // it broke
+	DialFailed  Code = "dial_failed"  // it never came up: refused or unreachable
+	DialTimeout Code = "dial_timeout" // it never came up: silence
+	CallTimeout Code = "call_timeout" // the call on it was given up
+	Protocol    Code = "protocol"     // the other side broke its protocol
+	Idle        Code = "idle"         // unused for too long
+	Dropped     Code = "dropped"      // an idle one that the module no longer trusts
+	Drained     Code = "drained"      // its target leaves the target group
+	Finished    Code = "finished"     // one side had asked for an end after this exchange
+	Limit       Code = "limit"        // no room for another connection
+	Slow        Code = "slow"         // the other side does not read what it is sent
+	Abuse       Code = "abuse"        // too much of what costs only this side
+	Shutdown    Code = "shutdown"     // the courier ends
+)
+
+// Handler is told what happens on a connection, on the loop's goroutine.
+type Handler interface {
+	Opened()          // a dialled connection is up
+	Data(b []byte)    // b is the handler's to keep
+	Closed(code Code) // the last call; not made for a Close of one's own
+}
+
+// Config is what an engine needs to know.
+type Config struct {
+	Post     func(func()) // hands work to the loop's goroutine
+	Log      *slog.Logger
+	MaxConns int // connections open at once, listeners' and targets' together
+}
+
+// Engine opens and accepts connections.
+type Engine struct {
+	cfg       Config
+	nb        *nbio.Engine
+	open      int
+	listeners []stdnet.Listener
+}
+
+const (
+	readBuffer  = 16 << 10
+	writeBuffer = 1 << 20 // a peer that lets more pile up is too slow
+)
+
+// New starts an engine.
+func New(cfg Config) (*Engine, error) {
+	logging.SetLevel(logging.LevelNone)
+	// The engine keeps a table of this size; its default is for two million.
+	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, cfg.MaxConns+4096)
+	e := &Engine{cfg: cfg, nb: nbio.NewEngine(nbio.Config{
+		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: writeBuffer,
+	})}
+	e.nb.OnData(func(nc *nbio.Conn, data []byte) {
+		c, ok := nc.Session().(*Conn)
+		if !ok {
+			return
+		}
+		b := append([]byte(nil), data...)
+		cfg.Post(func() { c.data(b) })
+	})
+	e.nb.OnClose(func(nc *nbio.Conn, err error) {
+		if c, ok := nc.Session().(*Conn); ok {
+			cfg.Post(func() { c.ended(codeOf(err)) })
+		}
+	})
+	if err := e.nb.Start(); err != nil {
+		return nil, fmt.Errorf("start the network engine: %w", err)
+	}
+	return e, nil
+}
+
+// Stop closes the listeners; connections are their owners' to close.
+func (e *Engine) Stop() {
+	for _, l := range e.listeners {
+		l.Close()
+	}
+	e.listeners = nil
+}
+
+// Open is the number of connections that are open or being opened.
+func (e *Engine) Open() int { return e.open }
+
+// Room tells whether one more connection may be opened.
+func (e *Engine) Room() bool { return e.open < e.cfg.MaxConns }
+
+// Listen accepts connections on addr; accept gives each its handler. It
+// returns the address, which tells the port where addr leaves it open.
+func (e *Engine) Listen(kind, addr string, accept func(*Conn) Handler) (string, error) {
+	l, err := stdnet.Listen("tcp", addr)
+	if err != nil {
+		return "", fmt.Errorf("listen for %s: %w", kind, err)
+	}
+	e.listeners = append(e.listeners, l)
+	go func() {
+		for {
+			raw, err := l.Accept()
+			switch {
+			case errors.Is(err, stdnet.ErrClosed):
+				return
+			case err != nil: // out of descriptors, say: the next may do better
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			e.cfg.Post(func() { e.accept(kind, raw, accept) })
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+func (e *Engine) accept(kind string, raw stdnet.Conn, accept func(*Conn) Handler) {
+	c := &Conn{engine: e, kind: kind, peer: raw.RemoteAddr().String(), since: time.Now()}
+	e.open++
+	if e.open > e.cfg.MaxConns {
+		c.end(Limit)
+		raw.Close()
+		return
+	}
+	if c.attach(raw) {
+		c.handler = accept(c)
+	}
+}
+
+// Dial opens a connection. The handler learns of its fate later, never within
+// this call.
+//
+// The engine's own DialAsync puts the first four bytes of a 16-byte address on
+// the wire, which are zeros for IPv4, so the standard library dials.
+func (e *Engine) Dial(kind, addr string, h Handler) *Conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Conn{engine: e, kind: kind, peer: addr, since: time.Now(), handler: h, cancel: cancel}
+	e.open++
+	if e.open > e.cfg.MaxConns {
+		e.cfg.Post(func() { c.ended(Limit) })
+		return c
+	}
+	go func() {
+		var d stdnet.Dialer
+		raw, err := d.DialContext(ctx, "tcp", addr)
+		e.cfg.Post(func() {
+			switch {
+			case err != nil:
+				c.ended(DialFailed)
+			case c.over: // closed while it was being opened
+				raw.Close()
+			case c.attach(raw):
+				c.handler.Opened()
+			default:
+				c.ended(DialFailed)
+			}
+		})
+	}()
+	return c
+}
+
+func codeOf(err error) Code {
+	switch {
+	case errors.Is(err, nbio.ErrOverflow):
+		return Slow
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
+		return PeerReset
+	}
+	return PeerClosed
+}
--- /dev/null
+++ b/internal/proto/http1/http1.go
@@ -0,0 +1,246 @@
+// Package http1 writes HTTP/1.1 requests and reads responses. The parser does
+// no I/O: it is fed what has come and yields one response after the other.
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// Errors that end a connection.
+var (
+	ErrSyntax = errors.New("malformed HTTP/1.1 response")
+	ErrTooBig = errors.New("HTTP/1.1 response too big")
+)
+
+const (
+	maxHead    = 16 << 10 // bytes of status line and headers
+	maxHeaders = 64
+)
+
+// Response is one response.
+type Response struct {
+	Status int
+	Close  bool // the connection ends with it
+	Body   []byte
+	header []field
+}
+
+type field struct{ name, value string }
+
+// Get returns the first header of that name, in any case, or "".
+func (r *Response) Get(name string) string {
+	for _, f := range r.header {
+		if strings.EqualFold(f.name, name) {
+			return f.value
+		}
+	}
+	return ""
+}
+
+type state int
+
+const (
+	head state = iota
+	sized
+	chunkSize
+	chunkData
+	chunkEnd
+	trailer
+	untilClose
+)
+
+// Parser takes responses out of a stream. MaxBody bounds a body.
+type Parser struct {
+	MaxBody int
+	buf     []byte
+	at      state
+	left    int // of the body or chunk
+	now     *Response
+}
+
+// Feed adds what has come.
+func (p *Parser) Feed(b []byte) { p.buf = append(p.buf, b...) }
+
+// Begun tells that part of a response has come.
+func (p *Parser) Begun() bool { return len(p.buf) > 0 || p.at != head }
+
+// End takes the end of the stream: it completes a response that has no length
+// of its own.
+func (p *Parser) End() *Response {
+	if p.at != untilClose {
+		return nil
+	}
+	return p.done()
+}
+
+// Next returns the next whole response, or nil until there is one.
+func (p *Parser) Next() (*Response, error) {
+	for {
+		switch p.at {
+		case head:
+			ok, err := p.readHead()
+			if !ok || err != nil {
+				return nil, err
+			}
+			if p.now.Status/100 == 1 { // interim: the answer is still to come
+				p.now, p.at = nil, head
+				continue
+			}
+			if p.at == sized && p.left == 0 {
+				return p.done(), nil
+			}
+		case sized, chunkData, untilClose:
+			n := len(p.buf)
+			if p.at != untilClose {
+				n = min(n, p.left)
+			}
+			if len(p.now.Body)+n > p.MaxBody {
+				return nil, ErrTooBig
+			}
+			p.now.Body = append(p.now.Body, p.buf[:n]...)
+			p.take(n)
+			p.left -= n
+			switch {
+			case p.at == untilClose || p.left > 0:
+				return nil, nil
+			case p.at == sized:
+				return p.done(), nil
+			}
+			p.at = chunkEnd
+		case chunkSize, chunkEnd, trailer:
+			line, ok, err := p.line()
+			if !ok || err != nil {
+				return nil, err
+			}
+			switch {
+			case p.at == chunkEnd && len(line) > 0:
+				return nil, ErrSyntax
+			case p.at == chunkEnd:
+				p.at = chunkSize
+			case p.at == trailer && len(line) == 0:
+				return p.done(), nil
+			case p.at == chunkSize:
+				size, _, _ := strings.Cut(string(line), ";")
+				n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+				if err != nil {
+					return nil, ErrSyntax
+				}
+				if p.left, p.at = int(n), chunkData; n == 0 {
+					p.at = trailer
+				}
+			}
+		}
+	}
+}
+
+func (p *Parser) done() *Response {
+	r := p.now
+	p.now, p.at, p.left = nil, head, 0
+	return r
+}
+
+func (p *Parser) take(n int) { p.buf = append(p.buf[:0], p.buf[n:]...) }
+
+func (p *Parser) line() ([]byte, bool, error) {
+	i := bytes.IndexByte(p.buf, '\n')
+	if i < 0 {
+		if len(p.buf) > maxHead {
+			return nil, false, ErrTooBig
+		}
+		return nil, false, nil
+	}
+	line := append([]byte(nil), bytes.TrimSuffix(p.buf[:i], []byte("\r"))...)
+	p.take(i + 1)
+	return line, true, nil
+}
+
+func (p *Parser) readHead() (bool, error) {
+	end := bytes.Index(p.buf, []byte("\r\n\r\n"))
+	if end < 0 {
+		if len(p.buf) > maxHead {
+			return false, ErrTooBig
+		}
+		if n := min(len(p.buf), 5); string(p.buf[:n]) != "HTTP/"[:n] {
+			return false, ErrSyntax
+		}
+		return false, nil
+	}
+	if end > maxHead {
+		return false, ErrTooBig
+	}
+	lines := strings.Split(string(p.buf[:end]), "\r\n")
+	p.take(end + 4)
+	if len(lines) > maxHeaders+1 {
+		return false, ErrTooBig
+	}
+	version, rest, _ := strings.Cut(lines[0], " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || len(code) != 3 || status < 100 || version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return false, ErrSyntax
+	}
+	r := &Response{Status: status, Close: version == "HTTP/1.0"}
+	for _, l := range lines[1:] {
+		name, value, ok := strings.Cut(l, ":")
+		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+			return false, ErrSyntax
+		}
+		r.header = append(r.header, field{name, strings.TrimSpace(value)})
+	}
+	for _, token := range strings.Split(r.Get("Connection"), ",") {
+		switch strings.ToLower(strings.TrimSpace(token)) {
+		case "close":
+			r.Close = true
+		case "keep-alive":
+			r.Close = false
+		}
+	}
+	p.now = r
+	return true, p.frame()
+}
+
+// frame finds out how the body ends.
+func (p *Parser) frame() error {
+	coding, length := p.now.Get("Transfer-Encoding"), p.now.Get("Content-Length")
+	switch {
+	case p.now.Status/100 == 1, p.now.Status == 204, p.now.Status == 304:
+		p.at, p.left = sized, 0
+	case strings.EqualFold(coding, "chunked"):
+		p.at = chunkSize
+	case coding != "":
+		return ErrSyntax
+	case length != "":
+		n, err := strconv.ParseUint(length, 10, 31)
+		if err != nil {
+			return ErrSyntax
+		}
+		if int(n) > p.MaxBody {
+			return ErrTooBig
+		}
+		p.at, p.left = sized, int(n)
+	default:
+		p.at, p.now.Close = untilClose, true
+	}
+	return nil
+}
+
+// Request writes a request. The headers are name and value in turn; they and
+// the path must hold no line break, which is checked where they come from.
+func Request(method, path, host string, body []byte, headers ...string) []byte {
+	b := make([]byte, 0, 256+len(body))
+	b = append(b, method...)
+	b = append(append(append(b, ' '), path...), " HTTP/1.1\r\nHost: "...)
+	b = append(append(b, host...), '\r', '\n')
+	for i := 0; i+1 < len(headers); i += 2 {
+		b = append(append(append(b, headers[i]...), ": "...), headers[i+1]...)
+		b = append(b, '\r', '\n')
+	}
+	if method != "GET" {
+		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(body)), 10), '\r', '\n')
+	}
+	b = append(b, '\r', '\n')
+	return append(b, body...)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,8 @@
 	"io"
 	"math"
 	"time"
+
+	"snowjunction/internal/config"
 )
 
 // Sizes of the parts of a frame, and the largest frame taken.
@@ -94,15 +96,6 @@
 	Weight   float32
 }
 
-// Millis turns the wire's fractional milliseconds into a duration. The bench
-// counts microseconds, so that is where it rounds.
-func Millis(ms float64) time.Duration {
-	if math.IsNaN(ms) || math.Abs(ms) > 1e14 {
-		return 0
-	}
-	return time.Duration(math.Round(ms*1000)) * time.Microsecond
-}
-
 // ReadBatch reads one batch. It returns io.EOF at a clean end of input.
 func ReadBatch(r io.Reader) (now time.Duration, events []Event, err error) {
 	var head [batchHeader]byte
@@ -114,7 +107,7 @@
 	}
 	count := int(binary.BigEndian.Uint32(head[0:]))
 	size := int(binary.BigEndian.Uint32(head[4:]))
-	now = Millis(getF64(head[8:]))
+	now = config.Millis(getF64(head[8:]))
 	if size < batchHeader || size > maxFrame {
 		return 0, nil, fmt.Errorf("batch header: frame of %d bytes", size)
 	}
@@ -180,17 +173,17 @@
 			})
 		}
 	case Call:
-		ev.Req, ev.Token, ev.Budget = be.Uint32(b[3:]), be.Uint64(b[7:]), Millis(getF64(b[15:]))
+		ev.Req, ev.Token, ev.Budget = be.Uint32(b[3:]), be.Uint64(b[7:]), config.Millis(getF64(b[15:]))
 		ev.Bits, ev.Class, ev.Tenant = be.Uint16(b[23:]), b[25], be.Uint16(b[26:])
 		if d := getF32(b[28:]); d >= 0 && d < 1<<16 {
 			ev.Dest = uint32(d)
 		}
-		ev.Estimate = Millis(getF64(b[32:]))
+		ev.Estimate = config.Millis(getF64(b[32:]))
 	case Started:
 		ev.Req, ev.Seq, ev.Endpoint = be.Uint32(b[3:]), be.Uint16(b[7:]), be.Uint32(b[9:])
-		ev.Took = Millis(getF64(b[13:]))
+		ev.Took = config.Millis(getF64(b[13:]))
 	case Outcome:
-		ev.Req, ev.Endpoint, ev.Took = be.Uint32(b[3:]), be.Uint32(b[7:]), Millis(getF64(b[11:]))
+		ev.Req, ev.Endpoint, ev.Took = be.Uint32(b[3:]), be.Uint32(b[7:]), config.Millis(getF64(b[11:]))
 		ev.Finished, ev.Verdict, ev.Seq = b[19] != 0, be.Uint16(b[20:]), be.Uint16(b[22:])
 		ev.Wait = time.Duration(be.Uint32(b[24:])) * time.Millisecond
 		ev.Report, err = report(b[28:])
@@ -199,7 +192,7 @@
 	case Wake:
 		ev.Token = be.Uint64(b[3:])
 	case Pong:
-		ev.Endpoint, ev.Verdict, ev.Took = be.Uint32(b[3:]), be.Uint16(b[7:]), Millis(getF64(b[9:]))
+		ev.Endpoint, ev.Verdict, ev.Took = be.Uint32(b[3:]), be.Uint16(b[7:]), config.Millis(getF64(b[9:]))
 		ev.Report, err = report(b[17:])
 	case Inbox:
 		ev.Data, err = slice(b[7:], tail, 1)
