--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -72,7 +72,7 @@
 		return err
 	}
 	courier.Restore(left)
-	log.Info("started", "listen", front.Addr(), "restored", courier.Counters.Restored)
+	log.Info("started", "listen", front.Addr(), "push", "", "restored", courier.Counters.Restored)
 
 	stop := func() { loop.End() }
 	signals := make(chan os.Signal, 4)
--- /dev/null
+++ b/cmd/snowjunction/main_test.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/scenario"
+)
+
+// The test binary is the courier when it is told so.
+func TestMain(m *testing.M) {
+	if os.Getenv(scenario.RunAs) == "1" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// start starts a courier with one target for destination 7.
+func start(t *testing.T) *scenario.Play {
+	c := scenario.NewCourier(t)
+	c.Targets = []scenario.Target{{Name: "s-1", Addr: c.Play.Server("target"), Cell: 7}}
+	c.Play.Let("ok", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, c.Start())
+	return c.Play
+}
+
+func TestDelivery(t *testing.T) {
+	start(t).Run(`
+		client dial c
+		c send "*1\r\n$4\r\nPING\r\n"
+		c expect "+PONG\r\n"
+		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$5\r\nhello\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "POST /inbox HTTP/1.1\r\n"
+		t expect "...X-Request-ID: m1\r\n"
+		t expect "...Content-Length: 5\r\n\r\nhello"
+		t send "$ok"
+		# the next call uses the same connection
+		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm2\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$0\r\n\r\n"
+		c expect "+OK\r\n"
+		t expect "...X-Request-ID: m2\r\n"
+		t expect "...\r\n\r\n"
+		t send "$ok"
+		c close
+		courier wait "kind=client"
+		courier wait "code=peer_closed"
+	`)
+}
+
+func TestBadInput(t *testing.T) {
+	p := start(t)
+	for bad, want := range map[string]string{
+		`c=nope,t=town,d=8000,dest=7`:                               `unknown class`,
+		`c=status,t=else,d=8000,dest=7`:                             `unknown tenant`,
+		`c=status,t=town,d=-5,dest=7`:                               `time left`,
+		`c=status,t=town,d=NaN,dest=7`:                              `d must be`,
+		`c=status,t=town,d=8000,dest=99999999999`:                   `dest must be`,
+		`c=status,t=town,d=8000`:                                    `c, d and dest`,
+		`c=order,t=town,d=8000,dest=7`:                              `needs an idempotency key`,
+		`c=order,t=town,d=8000,dest=7,k=` + strings.Repeat("x", 65): `idempotency key must be`,
+		`rubbish`: `no name and value`,
+	} {
+		p.Let("bad", bad)
+		p.Let("n", strconv.Itoa(len(bad)))
+		p.Let("want", want)
+		p.Run(`
+			client dial c
+			c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$$n\r\n$bad\r\n$0\r\n\r\n"
+			c expect "-ERR "
+			c expect "...$want"
+			c expect "...\r\n"
+			c send "*1\r\n$4\r\nPING\r\n"
+			c expect "+PONG\r\n"
+		`)
+	}
+	p.Run(`
+		client dial d
+		d send "*2\r\n$4\r\nECHO\r\n$1\r\nx\r\n"
+		d expect "-ERR unknown command"
+		d expect "...\r\n"
+		# what breaks the protocol ends the connection, after an answer
+		d send "*1\r\n$99999999\r\n"
+		d expect "-ERR protocol error: too big\r\n"
+		d expect EOF
+	`)
+}
+
+func TestGivenUpAtOnce(t *testing.T) {
+	// Destination 9 has no target: the message waits, and its notice comes at
+	// its deadline, repeated until its 204.
+	start(t).Run(`
+		client dial c
+		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$27\r\nc=status,t=town,d=50,dest=9\r\n$0\r\n\r\n"
+		c expect "+OK\r\n"
+		discovery accept d
+		d expect "GET /discovery/hosts?after=1&wait_ms=20000 HTTP/1.1\r\n"
+		discovery accept n
+		n expect "POST /v1/outcomes HTTP/1.1\r\n"
+		n expect "...{\"id\":\"m1\",\"state\":\""
+		n close
+		discovery accept n
+		n expect "...{\"id\":\"m1\",\"state\":\""
+		n expect "...}\n"
+		n send "HTTP/1.1 204 No Content\r\n\r\n"
+	`)
+}
+
+func TestRestart(t *testing.T) {
+	// Killed with a call out: the message goes again after the restart, as its
+	// class allows a repeat within its window.
+	start(t).Run(`
+		client dial c
+		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n00000000000000aa\r\n$2\r\nm1\r\n$32\r\nc=order,t=town,d=9000,dest=7,k=a\r\n$1\r\nx\r\n"
+		c expect "+OK\r\n"
+		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n00000000000000aa\r\n$2\r\nm2\r\n$32\r\nc=order,t=town,d=9000,dest=7,k=b\r\n$1\r\ny\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "...X-Request-ID: m1\r\n"
+		courier wait kill
+		courier wait start
+		target accept t
+		t expect "...X-Request-ID: m1\r\n"
+		t expect "...Idempotency-Key: a\r\n"
+		t expect "...\r\n\r\nx"
+		t send "$ok"
+		# the second of the key only then
+		t expect "POST /inbox"
+		t expect "...X-Request-ID: m2\r\n"
+		t expect "...\r\n\r\ny"
+		t send "$ok"
+	`)
+}
+
+func TestPlannedStop(t *testing.T) {
+	start(t).Run(`
+		client dial idle
+		idle send "*1\r\n$4\r\nPING\r\n"
+		idle expect "+PONG\r\n"
+		client dial c
+		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\nx\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "...\r\n\r\nx"
+		courier wait term
+		idle expect EOF
+		# the call that is out is finished
+		t send "$ok"
+		courier wait exit
+	`)
+}
+
+func TestDrainedTarget(t *testing.T) {
+	p := start(t)
+	list := `{"generation":2,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","cell":7,` +
+		`"lifecycle":"Terminating","zone":"a","machineType":"k"}]}`
+	p.Let("list", list)
+	p.Let("size", strconv.Itoa(len(list)))
+	p.Run(`
+		client dial c
+		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\nx\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "...\r\n\r\nx"
+		t send "$ok"
+		discovery accept d
+		d expect "...\r\n\r\n"
+		d send "HTTP/1.1 200 OK\r\nContent-Length: $size\r\n\r\n$list"
+		d expect "GET /discovery/hosts?after=2&wait_ms=20000 HTTP/1.1\r\n"
+		# its idle connection ends
+		t expect EOF
+	`)
+}
+
+func TestBadConfiguration(t *testing.T) {
+	c := scenario.NewCourier(t)
+	c.Settings["classes"] = []any{}
+	path, err := c.Config()
+	require.NoError(t, err)
+	for _, tc := range []struct{ env, want string }{
+		{"GW_CONFIG=" + path, "no classes"},
+		{"GW_CONFIG=/nowhere", "read the configuration"},
+		{"GW_CONFIG=", "GW_CONFIG is not set"},
+	} {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), scenario.RunAs+"=1", "GW_STATE="+c.State(), tc.env)
+		out, err := cmd.CombinedOutput()
+		assert.Error(t, err, tc.env)
+		assert.Contains(t, string(out), tc.want)
+		assert.Equal(t, 1, strings.Count(string(out), "\n"), "one line: %s", out)
+	}
+}
--- /dev/null
+++ b/internal/proto/http1/http1_test.go
@@ -0,0 +1,103 @@
+package http1
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const three = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-Server-Load: x0=1\r\n\r\nabc" +
+	"HTTP/1.1 100 Continue\r\n\r\n" +
+	"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nA: b\r\n\r\n" +
+	"HTTP/1.1 204 No Content\r\n\r\n"
+
+func TestResponsesInAnyPieces(t *testing.T) {
+	for size := 1; size <= len(three); size++ {
+		p := Parser{MaxBody: 10}
+		var got []*Response
+		for at := 0; at < len(three); at += size {
+			p.Feed([]byte(three[at:min(at+size, len(three))]))
+			for {
+				r, err := p.Next()
+				require.NoError(t, err)
+				if r == nil {
+					break
+				}
+				got = append(got, r)
+			}
+		}
+		require.Len(t, got, 3)
+		assert.Equal(t, "abc", string(got[0].Body))
+		assert.Equal(t, "x0=1", got[0].Get("x-server-LOAD"))
+		assert.Equal(t, "hello", string(got[1].Body))
+		assert.True(t, got[1].Close)
+		assert.Equal(t, 204, got[2].Status)
+		assert.False(t, p.Begun())
+	}
+}
+
+func TestBodyUntilTheEnd(t *testing.T) {
+	p := Parser{MaxBody: 10}
+	p.Feed([]byte("HTTP/1.0 200 OK\r\n\r\nabc"))
+	r, err := p.Next()
+	require.NoError(t, err)
+	require.Nil(t, r)
+	r = p.End()
+	require.NotNil(t, r)
+	assert.Equal(t, "abc", string(r.Body))
+	assert.True(t, r.Close)
+}
+
+func TestMalformed(t *testing.T) {
+	for in, want := range map[string]error{
+		"SSH-2.0":                                                          ErrSyntax,
+		"HTTP/2 200 OK\r\n\r\n":                                            ErrSyntax,
+		"HTTP/1.1 20 OK\r\n\r\n":                                           ErrSyntax,
+		"HTTP/1.1 200 OK\r\nbad\r\n\r\n":                                   ErrSyntax,
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n":                    ErrSyntax,
+		"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n":                    ErrTooBig,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n":               ErrSyntax,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":      ErrSyntax,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n": ErrSyntax,
+		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", maxHead):            ErrTooBig,
+	} {
+		p := Parser{MaxBody: 10}
+		p.Feed([]byte(in))
+		_, err := p.Next()
+		assert.ErrorIs(t, err, want, "%.60q", in)
+	}
+}
+
+func TestRequest(t *testing.T) {
+	assert.Equal(t, "POST /inbox HTTP/1.1\r\nHost: h\r\nA: b\r\nContent-Length: 2\r\n\r\nhi",
+		string(Request("POST", "/inbox", "h", []byte("hi"), "A", "b")))
+	assert.Equal(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", string(Request("GET", "/", "h", nil)))
+}
+
+func FuzzParser(f *testing.F) {
+	f.Add([]byte(three), 5)
+	f.Fuzz(func(t *testing.T, b []byte, size int) {
+		size = max(1, size%512)
+		p := Parser{MaxBody: 1000}
+		for at := 0; at < len(b); at += size {
+			p.Feed(b[at:min(at+size, len(b))])
+			for {
+				r, err := p.Next()
+				if err != nil {
+					return
+				}
+				if r == nil {
+					break
+				}
+				if len(r.Body) > p.MaxBody {
+					t.Fatalf("a body of %d bytes", len(r.Body))
+				}
+			}
+			if len(p.buf) > maxHead+1024 {
+				t.Fatalf("%d bytes kept", len(p.buf))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/proto/resp/resp_test.go
@@ -0,0 +1,84 @@
+package resp
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const two = "*2\r\n$4\r\nPING\r\n$3\r\na\r\n\r\n*1\r\n$0\r\n\r\n"
+
+func TestCommandsInAnyPieces(t *testing.T) {
+	for size := 1; size <= len(two); size++ {
+		var p Parser
+		var got [][][]byte
+		for at := 0; at < len(two); at += size {
+			p.Feed([]byte(two[at:min(at+size, len(two))]))
+			for {
+				args, err := p.Next()
+				require.NoError(t, err)
+				if args == nil {
+					break
+				}
+				got = append(got, args)
+			}
+		}
+		require.Equal(t, [][][]byte{{[]byte("PING"), []byte("a\r\n")}, {{}}}, got, "pieces of %d", size)
+		assert.True(t, p.Idle())
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	for in, want := range map[string]error{
+		"PING\r\n":                    ErrSyntax,
+		"*x\r\n":                      ErrLength,
+		"*17\r\n":                     ErrTooBig,
+		"*1\r\n$65537\r\n":            ErrTooBig,
+		"*1\r\n$-1\r\n":               ErrLength,
+		"*1\r\n+a\r\n":                ErrSyntax,
+		"*1\r\n$1\r\nabc":             ErrSyntax,
+		"*" + strings.Repeat("1", 40): ErrLength,
+		"*1\n":                        ErrLength,
+		"*2\r\n$65000\r\n" + strings.Repeat("x", 65000) + "\r\n$65000\r\n": ErrTooBig,
+	} {
+		var p Parser
+		p.Feed([]byte(in))
+		_, err := p.Next()
+		assert.ErrorIs(t, err, want, "%.40q", in)
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	assert.Equal(t, "+OK\r\n", string(Simple("OK")))
+	assert.Equal(t, "-ERR a  b\r\n", string(Error("ERR a\r\nb")), "no line break gets through")
+	assert.Equal(t, "$2\r\nhi\r\n", string(Bulk([]byte("hi"))))
+}
+
+func FuzzParser(f *testing.F) {
+	f.Add([]byte(two), 3)
+	f.Add([]byte("*1\r\n$-1\r\n"), 1)
+	f.Fuzz(func(t *testing.T, b []byte, size int) {
+		size = max(1, size%64)
+		var p Parser
+		for at := 0; at < len(b); at += size {
+			p.Feed(b[at:min(at+size, len(b))])
+			for {
+				args, err := p.Next()
+				if err != nil {
+					return
+				}
+				if args == nil {
+					break
+				}
+				if len(args) > MaxArgs {
+					t.Fatalf("%d arguments", len(args))
+				}
+			}
+			if len(p.buf) > MaxTotal+64 {
+				t.Fatalf("%d bytes kept", len(p.buf))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/scenario/courier.go
@@ -0,0 +1,240 @@
+package scenario
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// RunAs tells the test binary of the courier's command to be the courier.
+const RunAs = "RUN_COURIER"
+
+// Target is an entry of the courier's list.
+type Target struct {
+	Name, Addr string
+	Cell       int
+}
+
+// Courier is the program under test: a process of its own, with a folder that
+// outlasts it. Its steps are: wait ready, kill, term, start, exit, and any
+// text, which is then awaited in the log.
+type Courier struct {
+	Play     *Play
+	Settings map[string]any
+	Limits   map[string]any
+	Targets  []Target
+	Env      []string
+
+	dir, state string
+	cmd        *exec.Cmd
+	exited     chan error
+	mu         sync.Mutex
+	log        bytes.Buffer
+	grown      chan struct{}
+	read       int // of the log, by Await
+}
+
+// Settings are those of a small deployment: class order is keyed and in order,
+// class status safe.
+func Settings() map[string]any {
+	class := func(name, semantics string, inOrder bool, aim, deadline, worth float64) map[string]any {
+		return map[string]any{
+			"name": name, "semantics": semantics, "key-scope": "all", "in-order": inOrder, "promise-ms": aim,
+			"deadline-ms": deadline, "importance": worth, "late-share": 0.3, "window-ms": 5000,
+		}
+	}
+	return map[string]any{
+		"fleet-size": 1, "quantum-ms": 5, "dcs": []string{"a"}, "models": []string{"k"},
+		"classes":     []any{class("order", "token", true, 3000, 20000, 1), class("status", "pure", false, 1500, 8000, 2)},
+		"tenants":     []any{map[string]any{"name": "town", "quota-rps": 100}},
+		"family-info": map[string]any{"bundle-max": []int{1}, "max-calls": 8, "routes-apart": []bool{false}, "late": "linear"},
+		"limits": map[string]any{
+			"cancelling": true, "conn-idle-ms": 15000, "connect-timeout-ms": 1500, "max-attempts": 6,
+			"max-retry-after-ms": 3000, "most-held": 100, "retry-after": true, "streams-per-conn": 8,
+		},
+		"contract": map[string]any{
+			"answer-slack-ms": 20, "cold-share": 0.2, "warm-up-ms": 14000, "fall-ms": 1500, "fall-multiple": 2,
+			"order-settle-ms": 100, "stop-sending-within-ms": 1000,
+		},
+		"report": map[string]any{"columns": []string{"x0", "x1"}},
+	}
+}
+
+// NewCourier prepares a courier that reaches discovery, a server of the play.
+func NewCourier(t *testing.T, targets ...Target) *Courier {
+	p := New(t)
+	p.Server("discovery")
+	c := &Courier{
+		Play: p, Settings: Settings(), Targets: targets, dir: t.TempDir(),
+		Limits: map[string]any{"memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+	}
+	c.state = filepath.Join(c.dir, "state")
+	require.NoError(t, os.Mkdir(c.state, 0o700))
+	p.On("courier", c.step)
+	t.Cleanup(func() {
+		c.Stop(syscall.SIGKILL)
+		if t.Failed() {
+			t.Logf("the courier's log:\n%s", c.Log())
+		}
+	})
+	return c
+}
+
+// Dir is a folder of the courier's, beside the one that lasts.
+func (c *Courier) Dir() string { return c.dir }
+
+// State is the folder that lasts.
+func (c *Courier) State() string { return c.state }
+
+func (c *Courier) step(word string) error {
+	switch word {
+	case "start":
+		return c.Start()
+	case "kill":
+		return c.Stop(syscall.SIGKILL)
+	case "term":
+		return c.cmd.Process.Signal(syscall.SIGTERM)
+	case "exit":
+		return c.wait()
+	}
+	_, err := c.Await(regexp.QuoteMeta(word))
+	return err
+}
+
+// Config writes the courier's configuration and returns its path.
+func (c *Courier) Config() (string, error) {
+	instances := []any{}
+	for _, t := range c.Targets {
+		instances = append(instances, map[string]any{
+			"instanceId": t.Name, "hostPort": t.Addr, "zone": "a", "machineType": "k", "cell": t.Cell,
+			"lifecycle": "Ready", "weight": 1, "startedAtMs": 0,
+		})
+	}
+	b, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "discovery": c.Play.names["discovery"], "seed": "8c1f30d27a5be964",
+		"limits": c.Limits, "settings": c.Settings,
+		"known": map[string]any{"generation": 1, "reset": true, "instances": instances},
+	})
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(c.dir, "config.json")
+	return path, os.WriteFile(path, b, 0o600)
+}
+
+// Start starts the courier and names where it listens: $client and, with the
+// push front on, $push.
+func (c *Courier) Start() error {
+	path, err := c.Config()
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(append(os.Environ(), RunAs+"=1", "GW_CONFIG="+path, "GW_STATE="+c.state), c.Env...)
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited, grown := make(chan error, 1), make(chan struct{}, 1)
+	c.mu.Lock()
+	c.cmd, c.exited, c.grown = cmd, exited, grown
+	c.log.Reset()
+	c.read = 0
+	c.mu.Unlock()
+	go func() {
+		lines := bufio.NewReader(out)
+		for {
+			line, err := lines.ReadBytes('\n')
+			c.mu.Lock()
+			c.log.Write(line)
+			c.mu.Unlock()
+			if err != nil {
+				break
+			}
+			select {
+			case grown <- struct{}{}:
+			default:
+			}
+		}
+		exited <- cmd.Wait()
+		close(grown)
+	}()
+	m, err := c.Await(`msg=started .*listen=(\S+) push=(\S*)`)
+	if err != nil {
+		return err
+	}
+	c.Play.Let("client", m[1])
+	c.Play.Let("push", strings.Trim(m[2], `"`))
+	return nil
+}
+
+// Await waits for a match in the log, after the last one awaited.
+func (c *Courier) Await(pattern string) ([]string, error) {
+	re := regexp.MustCompile(pattern)
+	limit := time.After(Limit)
+	for open := true; ; {
+		c.mu.Lock()
+		text := c.log.String()[c.read:]
+		loc, m := re.FindStringIndex(text), re.FindStringSubmatch(text)
+		if m != nil {
+			c.read += loc[1]
+		}
+		c.mu.Unlock()
+		if m != nil {
+			return m, nil
+		}
+		if !open {
+			return nil, fmt.Errorf("the courier ended; no %q in its log", pattern)
+		}
+		select {
+		case _, open = <-c.grown:
+		case <-limit:
+			return nil, fmt.Errorf("no %q in the log", pattern)
+		}
+	}
+}
+
+// Log is what the running courier has logged.
+func (c *Courier) Log() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.log.String()
+}
+
+// Stop ends the courier by a signal and waits for it.
+func (c *Courier) Stop(s syscall.Signal) error {
+	if c.cmd == nil {
+		return nil
+	}
+	_ = c.cmd.Process.Signal(s)
+	_ = c.wait()
+	return nil
+}
+
+func (c *Courier) wait() error {
+	if c.cmd == nil {
+		return nil
+	}
+	select {
+	case err := <-c.exited:
+		c.cmd = nil
+		return err
+	case <-time.After(Limit):
+		return fmt.Errorf("the courier does not end")
+	}
+}
