HTTP/2 push front: framing, listener, targets, descriptions and plug-ins

Streams, flow control and bounds are the project's own over hpack; routes and limits come from the OpenAPI document, what is told of a message from the AsyncAPI one. A GOAWAY's unserved streams count as moot, not as failed connections, since they say nothing of the target's health.

--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -15,7 +15,10 @@
 
 	"snowjunction/internal/config"
 	"snowjunction/internal/core"
+	"snowjunction/internal/describe"
 	"snowjunction/internal/front/platform"
+	"snowjunction/internal/front/push"
+	"snowjunction/internal/hook"
 	"snowjunction/internal/net"
 	"snowjunction/internal/store"
 )
@@ -30,77 +33,189 @@
 const (
 	memoryShare = 0.6 // of the machine's memory, for the heap: the folder's files count too
 	descriptors = 32  // besides connections: journal, log, epoll, listeners
-	// A planned stop: decisions go on for a while, calls out are waited for,
-	// and the process is gone before the platform would kill it.
+	pushFile    = "deploy/push.json"
+)
+
+// A planned stop: decisions go on for a while, calls out are waited for, and
+// the process is gone before the platform would kill it.
+const (
+	listenFor = 500 * time.Millisecond
 	decideFor = 1800 * time.Millisecond
 	finishFor = 3200 * time.Millisecond
-	listenFor = 500 * time.Millisecond
 )
 
+// The fronts' numbers, which stand in the journal too.
+const (
+	platformFront = iota
+	pushFront
+)
+
+// courier is the program's parts.
+type courier struct {
+	cfg      *config.Config
+	pushPath string
+	log      *slog.Logger
+	loop     *core.Loop
+	journal  *store.Journal
+	engine   *net.Engine
+	core     *core.Core
+	hooks    *hook.Hooks
+	platform *platform.Front
+	push     *push.Front
+}
+
 func run() error {
-	cfg, err := config.Load(os.Getenv)
+	c, left, err := build()
 	if err != nil {
 		return err
 	}
+	defer c.journal.Close()
+	if err := c.start(left); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	go func() {
+		for s := range signals {
+			c.loop.Post(func() { c.signal(s) })
+		}
+	}()
+	c.loop.Run()
+	c.platform.Close()
+	c.push.Close()
+	c.count("ended")
+	return nil
+}
+
+// build reads what the courier is told and makes its parts.
+func build() (*courier, []*store.Message, error) {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return nil, nil, err
+	}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * memoryShare))
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("courier", cfg.Name)
-
-	journal, left, err := store.Load(store.Options{
-		Dir: cfg.State, Bytes: int64(cfg.Limits.DiskMB * 1e6), Log: log,
+	c := &courier{cfg: cfg, pushPath: os.Getenv("SNOWJUNCTION_PUSH"), loop: core.NewLoop(time.Now)}
+	c.log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("courier", cfg.Name)
+	if c.pushPath == "" {
+		c.pushPath = pushFile
+	}
+	pushCfg, err := config.LoadPush(c.pushPath, cfg.Names)
+	if err != nil {
+		return nil, nil, err
+	}
+	api, life, err := descriptions(pushCfg)
+	if err != nil {
+		return nil, nil, err
+	}
+	if pushCfg.Hooks != "" {
+		if c.hooks, err = hook.Load(pushCfg.Hooks, c.log); err != nil {
+			return nil, nil, err
+		}
+	}
+	var left []*store.Message
+	c.journal, left, err = store.Load(store.Options{
+		Dir: cfg.State, Bytes: int64(cfg.Limits.DiskMB * 1e6), Retain: pushCfg.Retain, Log: c.log,
 	})
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	defer journal.Close()
-	loop := core.NewLoop(time.Now)
-	engine, err := net.New(net.Config{Post: loop.Post, Log: log, MaxConns: cfg.Limits.Sockets - descriptors})
+	c.engine, err = net.New(net.Config{Post: c.loop.Post, Log: c.log, MaxConns: cfg.Limits.Sockets - descriptors})
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	front := platform.New(platform.Config{
-		Loop: loop, Engine: engine, Log: log, Listen: cfg.Listen, Discovery: cfg.Discovery,
-		Names: cfg.Names, Columns: cfg.Columns, Settings: cfg.Settings,
+	c.platform = platform.New(platform.Config{
+		Loop: c.loop, Engine: c.engine, Log: c.log, Number: platformFront, Listen: cfg.Listen,
+		Discovery: cfg.Discovery, Names: cfg.Names, Columns: cfg.Columns, Settings: cfg.Settings,
 	})
-	courier, err := core.New(core.Config{
-		Loop: loop, Log: log, Journal: journal, Settings: cfg.Settings, Fronts: []core.Front{front},
+	c.push = push.New(push.Config{
+		Loop: c.loop, Engine: c.engine, Log: c.log, Number: pushFront, Push: pushCfg, API: api, Life: life,
+		Columns: cfg.Columns, Settings: cfg.Settings,
 	})
+	coreCfg := core.Config{
+		Loop: c.loop, Log: c.log, Journal: c.journal, Settings: cfg.Settings,
+		Fronts: []core.Front{platformFront: c.platform, pushFront: c.push},
+	}
+	if c.hooks != nil {
+		coreCfg.Hook = c.hooks
+	}
+	c.core, err = core.New(coreCfg)
+	return c, left, err
+}
+
+// descriptions reads the push front's documents, if it is on.
+func descriptions(p *config.Push) (*describe.API, *describe.Life, error) {
+	if p.Listen == "" {
+		return nil, nil, nil
+	}
+	text, err := os.ReadFile(p.OpenAPI)
 	if err != nil {
+		return nil, nil, fmt.Errorf("read the OpenAPI document: %w", err)
+	}
+	api, err := describe.OpenAPI(p.OpenAPI, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	if text, err = os.ReadFile(p.AsyncAPI); err != nil {
+		return nil, nil, fmt.Errorf("read the AsyncAPI document: %w", err)
+	}
+	life, err := describe.AsyncAPI(p.AsyncAPI, text)
+	return api, life, err
+}
+
+// start opens the fronts and takes up what an earlier process left.
+func (c *courier) start(left []*store.Message) error {
+	if err := c.push.Start(c.core, left); err != nil {
 		return err
 	}
-	if err := front.Start(courier, cfg.Known); err != nil {
+	if err := c.platform.Start(c.core, c.cfg.Known); err != nil {
 		return err
 	}
-	courier.Restore(left)
-	log.Info("started", "listen", front.Addr(), "push", "", "restored", courier.Counters.Restored)
-
-	stop := func() { loop.End() }
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	go func() {
-		for s := range signals {
-			loop.Post(func() {
-				if s == syscall.SIGUSR1 {
-					log.Info("counters", "n", &courier.Counters, "held", courier.Held(), "connections", engine.Open())
-					return
-				}
-				drain(loop, log, engine, courier, front, stop)
-			})
-		}
-	}()
-	loop.Run()
-	front.Close()
-	log.Info("ended", "n", &courier.Counters, "held", courier.Held(), "journal", journal.Size())
+	c.core.Restore(left) // before the loop runs: nothing new comes in front of it
+	c.log.Info("started", "listen", c.platform.Addr(), "push", c.push.Addr(), "restored", c.core.Counters.Restored)
 	return nil
 }
 
+func (c *courier) signal(s os.Signal) {
+	switch s {
+	case syscall.SIGUSR1:
+		c.count("counters")
+	case syscall.SIGHUP:
+		c.relist()
+	default:
+		c.drain()
+	}
+}
+
+// relist reads the push front's targets anew. A file that cannot be read
+// changes nothing.
+func (c *courier) relist() {
+	p, err := config.LoadPush(c.pushPath, c.cfg.Names)
+	if err != nil {
+		c.log.Error("targets not read again", "err", err)
+		return
+	}
+	c.push.Relist(p.Targets)
+	c.log.Info("targets read again", "targets", len(p.Targets))
+}
+
+func (c *courier) count(why string) {
+	var failed uint64
+	if c.hooks != nil {
+		failed = c.hooks.Failed
+	}
+	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(),
+		"journal", c.journal.Size(), "plugin_failures", failed)
+}
+
 // drain ends the courier in order: it takes nothing more, lets its clients go,
 // finishes what it can and leaves the rest in the journal.
-func drain(loop *core.Loop, log *slog.Logger, engine *net.Engine, c *core.Core, f *platform.Front, stop func()) {
-	log.Info("draining", "held", c.Held())
-	c.Drain()
-	f.Drain()
-	loop.After(listenFor, engine.Stop)
-	loop.After(decideFor, func() { c.Freeze(stop) })
-	loop.After(finishFor, stop)
+func (c *courier) drain() {
+	c.log.Info("draining", "held", c.core.Held())
+	c.core.Drain()
+	c.platform.Drain()
+	c.push.Drain()
+	c.loop.After(listenFor, c.engine.Stop)
+	c.loop.After(decideFor, func() { c.core.Freeze(c.loop.End) })
+	c.loop.After(finishFor, c.loop.End)
 }
--- /dev/null
+++ b/internal/config/push.go
@@ -0,0 +1,82 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"snowjunction/internal/core"
+)
+
+// Push is the file of the push front.
+type Push struct {
+	Listen   string // "": the front is off
+	MaxConns int    // clients' connections
+	Retain   time.Duration
+	OpenAPI  string // paths of the descriptions
+	AsyncAPI string
+	Hooks    string // folder of the plug-ins; "": none
+	Targets  []core.Endpoint
+}
+
+// The values taken where none is given.
+const (
+	defaultPushConns = 64
+	defaultRetain    = 300 // seconds
+)
+
+// LoadPush reads the push front's file. Paths in it start from its folder. A
+// file that is not there leaves the front off.
+func LoadPush(path string, names Names) (*Push, error) {
+	b, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return &Push{}, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read the push front's file: %w", err)
+	}
+	p, err := parsePush(b, filepath.Dir(path), names)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return p, nil
+}
+
+func parsePush(b []byte, dir string, names Names) (*Push, error) {
+	v, err := fastjson.ParseBytes(b)
+	if err != nil {
+		return nil, err
+	}
+	beside := func(key string) string {
+		if s := text(v, key); s != "" && !filepath.IsAbs(s) {
+			return filepath.Join(dir, s)
+		}
+		return text(v, key)
+	}
+	p := &Push{
+		Listen: text(v, "listen"), MaxConns: positive(v.GetInt("max_connections"), defaultPushConns),
+		Retain:  time.Duration(positive(v.GetInt("retain_s"), defaultRetain)) * time.Second,
+		OpenAPI: beside("openapi"), AsyncAPI: beside("asyncapi"), Hooks: beside("hooks"),
+	}
+	if p.Listen != "" {
+		if _, err := netip.ParseAddrPort(p.Listen); err != nil {
+			return nil, fmt.Errorf("listen: %q is not an address with a port", p.Listen)
+		}
+		if p.OpenAPI == "" || p.AsyncAPI == "" {
+			return nil, errors.New("openapi and asyncapi: the front needs its descriptions")
+		}
+	}
+	for i, t := range v.GetArray("targets") {
+		e, err := names.target(t)
+		if err != nil {
+			return nil, fmt.Errorf("targets[%d]: %w", i, err)
+		}
+		p.Targets = append(p.Targets, e)
+	}
+	return p, nil
+}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if c.Hook != nil {
-		if pass, after := c.Hook.Admit(f.msg); !pass {
+		if pass, after := c.Hook.Admit(f.msg, f.msg.Deadline.Sub(c.Loop.Now())); !pass {
 			c.Counters.Hooked++
 			c.refuse(f, after)
 			return
@@ -105,12 +105,12 @@
 	if err := c.Journal.Take(f.msg); err != nil {
 		c.Log.Error("not taken on", "id", f.msg.ID, "err", err)
 		c.Counters.Refused++
-		answer(Answer{Verdict: Fixed, After: c.Settings.MaxRetry / 2})
+		answer(Answer{Verdict: Fixed, After: c.Settings.MaxRetry / 2}, nil)
 		c.forgo(f)
 		return false
 	}
 	c.Counters.Taken++
-	if !answer(Answer{Verdict: Taken}) {
+	if !answer(Answer{Verdict: Taken}, f.msg) {
 		c.Counters.Gone++
 		c.forgo(f)
 		c.end(f, store.Withdrawn, 0)
@@ -129,7 +129,7 @@
 func (c *Core) refuse(f *flow, after time.Duration) {
 	c.Counters.Refused++
 	if f.answer != nil {
-		f.answer(Answer{Verdict: Fixed, After: after})
+		f.answer(Answer{Verdict: Fixed, After: after}, nil)
 		f.answer = nil
 	}
 }
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -70,10 +70,10 @@
 	c.drop(f)
 	if s == store.Returned {
 		c.Counters.Refused++
-		answer(Answer{Verdict: Fixed, After: after})
+		answer(Answer{Verdict: Fixed, After: after}, nil)
 	} else {
 		c.Counters.Failed++
-		answer(Answer{Verdict: Failed})
+		answer(Answer{Verdict: Failed}, nil)
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,7 +46,7 @@
 type Hook interface {
 	// Admit returns false, and after how long to come back, for a flow that
 	// gets a fixed response.
-	Admit(m *store.Message) (pass bool, after time.Duration)
+	Admit(m *store.Message, left time.Duration) (pass bool, after time.Duration)
 }
 
 // Config is what a core is made of.
@@ -89,8 +89,8 @@
 	msg     *store.Message
 	id      snowjunction.RequestID
 	class   *snowjunction.Class
-	answer  func(Answer) bool // nil once answered
-	attempt *attempt          // the one that is out
+	answer  AnswerFunc // nil once answered
+	attempt *attempt   // the one that is out
 	ended   bool
 }
 
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -38,6 +38,10 @@
 	After   time.Duration // with Fixed: when to come back; 0: no advice
 }
 
+// AnswerFunc takes the answer to a Request, with the message if it was taken
+// on. It returns false where the client has gone.
+type AnswerFunc func(a Answer, taken *store.Message) bool
+
 // Bounds of what a client may hand in.
 const (
 	MaxBody = 64 << 10
@@ -49,9 +53,8 @@
 var ErrRequest = errors.New("invalid message")
 
 // TakeIn is the first unit of the chain. An error says what is wrong with the
-// request, which then gets no other answer. Else answer is called once, soon;
-// it returns false where the client has gone.
-func (c *Core) TakeIn(r Request, answer func(Answer) bool) error {
+// request, which then gets no other answer. Else answer is called once, soon.
+func (c *Core) TakeIn(r Request, answer AnswerFunc) error {
 	class, err := c.check(r)
 	if err != nil {
 		c.Counters.Malformed++
@@ -63,7 +66,7 @@
 		if f.answer != nil {
 			f.answer = answer
 		} else {
-			answer(Answer{Verdict: Taken})
+			answer(Answer{Verdict: Taken}, f.msg)
 		}
 		return nil
 	}
--- a/internal/front/platform/listener.go
+++ b/internal/front/platform/listener.go
@@ -11,6 +11,7 @@
 	"snowjunction/internal/core"
 	"snowjunction/internal/net"
 	"snowjunction/internal/proto/resp"
+	"snowjunction/internal/store"
 )
 
 // client is a listener's connection. Answers go out in the order of requests,
@@ -90,7 +91,7 @@
 	r.Origin = c.front.Number
 	a := &answer{}
 	c.due = append(c.due, a)
-	err = c.front.core.TakeIn(r, func(x core.Answer) bool {
+	err = c.front.core.TakeIn(r, func(x core.Answer, _ *store.Message) bool {
 		a.text = render(x)
 		if !c.conn.Up() {
 			return false
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -1,13 +1,12 @@
 package platform
 
 import (
-	"math"
 	"strconv"
-	"strings"
 	"time"
 
 	"snowjunction"
 	"snowjunction/internal/core"
+	"snowjunction/internal/front"
 	"snowjunction/internal/net"
 	"snowjunction/internal/proto/http1"
 	"snowjunction/internal/store"
@@ -44,13 +43,13 @@
 // Call makes an attempt on the connection last used, or a new one.
 func (t *target) Call(m *store.Message, timeout time.Duration, done func(core.Result)) core.Call {
 	headers := []string{
-		"X-Request-ID", m.ID,
-		"X-Timeout-Ms", strconv.FormatInt(max(timeout.Milliseconds(), 1), 10),
+		front.HeaderID, m.ID,
+		front.HeaderTimeout, strconv.FormatInt(max(timeout.Milliseconds(), 1), 10),
 	}
 	if m.IdempotencyKey != "" {
-		headers = append(headers, "Idempotency-Key", m.IdempotencyKey)
+		headers = append(headers, front.HeaderKey, m.IdempotencyKey)
 	}
-	out := http1.Request("POST", "/inbox", t.endpoint.Addr, m.Body, headers...)
+	out := http1.Request("POST", front.InboxPath, t.endpoint.Addr, m.Body, headers...)
 	t.expire()
 	if n := len(t.idle); n > 0 {
 		l := t.idle[n-1]
@@ -187,55 +186,6 @@
 	l.finish(t.result(r))
 }
 
-// result maps an answer.
 func (t *target) result(r *http1.Response) core.Result {
-	out := core.Result{Report: t.report(r.Get("X-Server-Load"))}
-	switch r.Status {
-	case 200:
-		out.Outcome = snowjunction.OK
-	case 429:
-		out.Outcome = snowjunction.Full
-		if ms, err := strconv.ParseFloat(r.Get("X-RateLimit-Wait-Ms"), 64); err == nil && ms > 0 && ms < 1e9 {
-			out.Wait = time.Duration(ms * float64(time.Millisecond))
-		}
-	case 503:
-		out.Outcome = snowjunction.Full
-		if r.Get("X-Over-Slots") == "1" {
-			out.Outcome = snowjunction.Moot
-		}
-	case 504: // all attempts made; the end is still owed
-		out.Outcome = snowjunction.Moot
-	case 410:
-		out.Outcome, out.Over = snowjunction.Moot, true
-	default:
-		out.Outcome = snowjunction.Error
-	}
-	return out
-}
-
-// report reads a load report such as x0=0.4,x1=25. One without all the values
-// that the settings name is none.
-func (t *target) report(text string) []float64 {
-	columns := t.front.Columns
-	if text == "" || len(columns) == 0 {
-		return nil
-	}
-	values := map[string]float64{}
-	for _, pair := range strings.Split(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
-			return nil
-		}
-		values[name] = v
-	}
-	out := make([]float64, len(columns))
-	for i, name := range columns {
-		v, ok := values[name]
-		if !ok {
-			return nil
-		}
-		out[i] = v
-	}
-	return out
+	return front.Result(r.Status, r.Get, t.front.Columns)
 }
--- /dev/null
+++ b/internal/front/push/push.go
@@ -0,0 +1,148 @@
+// Package push is the front for HTTP/2 push gateways, modelled on Web Push
+// (RFC 8030): clients POST messages and GET what became of them, and targets
+// are called over HTTP/2. Both go through the same core as the platform's.
+// Connections are cleartext HTTP/2 with prior knowledge.
+package push
+
+import (
+	"log/slog"
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/config"
+	"snowjunction/internal/core"
+	"snowjunction/internal/describe"
+	"snowjunction/internal/net"
+	"snowjunction/internal/proto/h2"
+	"snowjunction/internal/store"
+)
+
+// Config is what the front needs to know.
+type Config struct {
+	Loop     *core.Loop
+	Engine   *net.Engine
+	Log      *slog.Logger
+	Number   int // of this front in the core
+	Push     *config.Push
+	API      *describe.API
+	Life     *describe.Life
+	Columns  []string // of the load report
+	Settings snowjunction.Settings
+}
+
+// Front is the push front.
+type Front struct {
+	Config
+	core     *core.Core
+	addr     string
+	draining bool
+	clients  map[*client]bool
+	messages map[string]*store.Message // by id, until forgotten
+	kept     []*store.Message          // ended ones, in order of their end
+	waiting  map[string][]*waiter      // by id, of GETs that wait for the end
+}
+
+// keptMost bounds how many ended messages can be asked about.
+const keptMost = 2048
+
+// New returns a front that does nothing yet.
+func New(cfg Config) *Front {
+	return &Front{
+		Config: cfg, clients: map[*client]bool{}, messages: map[string]*store.Message{},
+		waiting: map[string][]*waiter{},
+	}
+}
+
+// Start listens, where the front's file says so, and lists its targets.
+func (f *Front) Start(c *core.Core, restored []*store.Message) error {
+	f.core = c
+	for _, m := range restored {
+		if int(m.Origin) == f.Number {
+			f.messages[m.ID] = m
+			if m.Settled {
+				f.keep(m)
+			}
+		}
+	}
+	f.Relist(f.Push.Targets)
+	if f.Push.Listen == "" {
+		return nil
+	}
+	addr, err := f.Engine.Listen("push client", f.Push.Listen, f.accept)
+	f.addr = addr
+	return err
+}
+
+// Addr is the address that clients reach; "": none.
+func (f *Front) Addr() string { return f.addr }
+
+// Relist takes the front's targets anew.
+func (f *Front) Relist(targets []core.Endpoint) { f.core.Listed(f.Number, true, targets) }
+
+// Target makes the target of an endpoint.
+func (f *Front) Target(e core.Endpoint) core.Target { return &target{front: f, endpoint: e} }
+
+// Ended lets those know who wait for the end. Whoever asks later is told as
+// long as it is kept.
+func (f *Front) Ended(m *store.Message) {
+	f.core.Settled(m)
+	f.keep(m)
+	waiters := f.waiting[m.ID]
+	delete(f.waiting, m.ID)
+	for _, w := range waiters {
+		w.timer.Stop()
+		w.client.status(w.stream, m, w.wait)
+		w.client.write()
+	}
+}
+
+func (f *Front) keep(m *store.Message) {
+	f.kept = append(f.kept, m)
+	f.expire()
+}
+
+// expire forgets the ends that have been kept for long enough.
+func (f *Front) expire() {
+	for len(f.kept) > 0 {
+		m := f.kept[0]
+		if len(f.kept) <= keptMost && f.Loop.Now().Sub(m.EndedAt) < f.Push.Retain {
+			return
+		}
+		if f.messages[m.ID] == m {
+			delete(f.messages, m.ID)
+		}
+		f.kept = f.kept[1:]
+	}
+}
+
+// Drain has the clients turn elsewhere: their streams are answered, further
+// ones are not taken.
+func (f *Front) Drain() {
+	f.draining = true
+	for _, list := range f.waiting {
+		for _, w := range list {
+			w.timer.Stop()
+			w.client.status(w.stream, f.messages[w.id], w.wait)
+		}
+	}
+	f.waiting = map[string][]*waiter{}
+	for c := range f.clients {
+		c.h2.GoAway()
+		c.write()
+	}
+}
+
+// Close ends all connections.
+func (f *Front) Close() {
+	for c := range f.clients {
+		c.conn.Close(net.Shutdown)
+	}
+}
+
+// limits are those of both sides of the front.
+func limits(body int) h2.Limits {
+	return h2.Limits{Streams: 100, HeaderBytes: 16 << 10, Body: body, Buffered: 1 << 20}
+}
+
+// idleAfter ends a client's connection without streams.
+const idleAfter = 2 * time.Minute
--- /dev/null
+++ b/internal/front/push/target.go
@@ -0,0 +1,283 @@
+package push
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/core"
+	"snowjunction/internal/front"
+	"snowjunction/internal/net"
+	"snowjunction/internal/proto/h2"
+	"snowjunction/internal/store"
+)
+
+// target is an endpoint that speaks HTTP/2. Calls share its connections.
+type target struct {
+	front    *Front
+	endpoint core.Endpoint
+	links    []*link // that may take further calls, the oldest first
+	left     bool    // no longer in its group
+}
+
+// link is a connection to a target.
+type link struct {
+	target *target
+	conn   *net.Conn
+	h2     *h2.Conn
+	up     bool
+	calls  map[uint32]*call
+	queue  []*call // until the connection is up
+	used   time.Time
+	gone   bool // takes no further call
+}
+
+// call is one attempt, on a stream of its own.
+type call struct {
+	link   *link
+	fields []h2.Field
+	body   []byte
+	stream uint32 // 0: not on its way yet
+	done   func(core.Result)
+}
+
+const (
+	maxAnswer = 64 << 10
+	// reuseWithin is the share of the time a connection may sit idle within
+	// which it is used again.
+	reuseWithin = 0.85
+)
+
+// Call makes an attempt on a connection with room, or a new one.
+func (t *target) Call(m *store.Message, timeout time.Duration, done func(core.Result)) core.Call {
+	lower := strings.ToLower
+	x := &call{done: done, body: m.Body, fields: []h2.Field{
+		{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"},
+		{Name: ":authority", Value: t.endpoint.Addr}, {Name: ":path", Value: front.InboxPath},
+		{Name: lower(front.HeaderID), Value: m.ID},
+		{Name: lower(front.HeaderTimeout), Value: strconv.FormatInt(max(timeout.Milliseconds(), 1), 10)},
+		{Name: "content-length", Value: strconv.Itoa(len(m.Body))},
+	}}
+	if m.IdempotencyKey != "" {
+		x.fields = append(x.fields, h2.Field{Name: lower(front.HeaderKey), Value: m.IdempotencyKey})
+	}
+	l := t.link()
+	x.link = l
+	if l.queue = append(l.queue, x); l.up {
+		l.send()
+	}
+	return x
+}
+
+// link is a connection with room for one more call.
+func (t *target) link() *link {
+	limit := time.Duration(float64(t.front.Settings.ConnIdle) * reuseWithin)
+	now := t.front.Loop.Now()
+	for _, l := range append([]*link(nil), t.links...) {
+		stale := limit > 0 && l.up && len(l.calls) == 0 && len(l.queue) == 0 && now.Sub(l.used) >= limit
+		switch {
+		case stale:
+			l.end(net.Idle)
+		case !l.up && len(l.queue) < limits(maxAnswer).Streams, l.up && l.h2.Room():
+			return l
+		}
+	}
+	l := &link{target: t, h2: h2.NewClient(limits(maxAnswer)), calls: map[uint32]*call{}, used: now}
+	t.links = append(t.links, l)
+	l.conn = t.front.Engine.Dial("push target", t.endpoint.Addr, l)
+	return l
+}
+
+// CloseIdle ends the connections without calls.
+func (t *target) CloseIdle() { t.drop(net.Dropped) }
+
+// Leave ends the idle connections now and the others with their calls.
+func (t *target) Leave() {
+	t.left = true
+	t.drop(net.Drained)
+}
+
+func (t *target) drop(code net.Code) {
+	for _, l := range append([]*link(nil), t.links...) {
+		l.rest(code)
+	}
+}
+
+// rest ends a link that has no calls.
+func (l *link) rest(code net.Code) {
+	if len(l.calls) == 0 && len(l.queue) == 0 && l.conn.Up() {
+		l.h2.GoAway()
+		l.conn.Write(l.h2.Output())
+		l.end(code)
+	}
+}
+
+func (l *link) end(code net.Code) {
+	l.conn.Close(code)
+	l.leave()
+}
+
+// leave takes the link off its target: no further call goes on it.
+func (l *link) leave() {
+	l.gone = true
+	for i, x := range l.target.links {
+		if x == l {
+			l.target.links = append(l.target.links[:i], l.target.links[i+1:]...)
+			return
+		}
+	}
+}
+
+// Opened lets the calls go that have waited for the connection.
+func (l *link) Opened() {
+	l.up = true
+	l.send()
+}
+
+// send puts the waiting calls on their streams.
+func (l *link) send() {
+	queue := l.queue
+	l.queue = nil
+	var back []*call
+	for _, x := range queue {
+		id, err := l.h2.Request(x.fields, x.body)
+		if err != nil { // it takes fewer streams than thought: not sent
+			back = append(back, x)
+			continue
+		}
+		x.stream = id
+		l.calls[id] = x
+	}
+	l.used = l.target.front.Loop.Now()
+	if l.conn.Write(l.h2.Output()) || len(back) > 0 {
+		for _, x := range back {
+			// Not within Call: the core does not expect its answer there.
+			l.target.front.Loop.Post(func() { x.finish(core.Result{Outcome: snowjunction.Moot}) })
+		}
+		return
+	}
+	// The socket took nothing: Closed follows, and nothing of these has left.
+	for _, x := range queue {
+		if x.stream != 0 {
+			delete(l.calls, x.stream)
+			x.stream = 0
+			l.queue = append(l.queue, x)
+		}
+	}
+}
+
+// Left tells whether the request may have left.
+func (x *call) Left() bool { return x.stream != 0 }
+
+// GiveUp resets the stream, which tells the target. Other calls on the
+// connection go on.
+func (x *call) GiveUp() {
+	l := x.link
+	x.done = nil
+	if x.stream != 0 {
+		l.h2.Reset(x.stream, h2.Cancel)
+		delete(l.calls, x.stream)
+		l.conn.Write(l.h2.Output())
+		l.leave() // silence may be the connection's: the next call tries another
+	} else {
+		for i, q := range l.queue {
+			if q == x {
+				l.queue = append(l.queue[:i], l.queue[i+1:]...)
+				break
+			}
+		}
+	}
+	if len(l.calls) == 0 && len(l.queue) == 0 {
+		code := net.CallTimeout
+		if !l.up {
+			code = net.DialTimeout
+		}
+		l.end(code)
+	}
+}
+
+func (x *call) finish(r core.Result) {
+	if done := x.done; done != nil {
+		x.done = nil
+		done(r)
+	}
+}
+
+// Closed ends the calls that are out.
+func (l *link) Closed(net.Code) {
+	l.leave()
+	queue, calls := l.queue, l.calls
+	l.queue, l.calls = nil, map[uint32]*call{}
+	for _, x := range queue {
+		x.finish(core.Result{Outcome: snowjunction.ConnectFailed})
+	}
+	for _, x := range calls {
+		x.finish(core.Result{Outcome: snowjunction.Reset})
+	}
+}
+
+// Data reads answers.
+func (l *link) Data(b []byte) {
+	events, err := l.h2.Feed(l.target.front.Loop.Now(), b)
+	for _, ev := range events {
+		switch ev := ev.(type) {
+		case h2.Message:
+			l.answer(ev)
+		case h2.Reset:
+			l.reset(ev)
+		case h2.Farewell:
+			l.leave()
+		}
+	}
+	if out := l.h2.Output(); len(out) > 0 {
+		l.conn.Write(out)
+	}
+	var failed *h2.ConnError
+	switch {
+	case errors.As(err, &failed):
+		l.conn.Close(net.Protocol)
+		l.Closed(net.Protocol)
+	case l.gone || l.target.left:
+		code := net.Finished
+		if l.target.left {
+			code = net.Drained
+		}
+		l.rest(code)
+	}
+}
+
+func (l *link) answer(m h2.Message) {
+	x := l.calls[m.Stream]
+	delete(l.calls, m.Stream)
+	l.used = l.target.front.Loop.Now()
+	if x == nil {
+		return
+	}
+	status, err := strconv.Atoi(h2.Get(m.Fields, ":status"))
+	if err != nil {
+		status = 500
+	}
+	x.finish(front.Result(status, func(name string) string {
+		return h2.Get(m.Fields, strings.ToLower(name))
+	}, l.target.front.Columns))
+}
+
+// reset ends one call. A stream refused, or above the last of a GOAWAY, never
+// ran; after any other reset it may have.
+func (l *link) reset(r h2.Reset) {
+	x := l.calls[r.Stream]
+	delete(l.calls, r.Stream)
+	if x == nil {
+		return
+	}
+	o := snowjunction.Reset
+	switch {
+	case r.NotRun && l.h2.Left(): // the connection ends, the target may be well: it counts for nothing
+		o = snowjunction.Moot
+	case r.NotRun:
+		o = snowjunction.Full
+	}
+	x.finish(core.Result{Outcome: o})
+}
--- /dev/null
+++ b/internal/proto/h2/frame.go
@@ -0,0 +1,139 @@
+// Package h2 speaks HTTP/2 (RFC 9113) without I/O: a Conn is fed what has come
+// and yields whole messages, resets and the other side's farewell; what it
+// wants written it keeps until Output takes it. Framing, streams and flow
+// control are its own; header compression is x/net's hpack.
+package h2
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// Preface opens a client's side of a connection.
+const Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+
+// Code is an error code of RFC 9113, section 7.
+type Code uint32
+
+// The codes used here.
+const (
+	NoError          Code = 0x0
+	ProtocolError    Code = 0x1
+	InternalError    Code = 0x2
+	FlowControlError Code = 0x3
+	StreamClosed     Code = 0x5
+	FrameSizeError   Code = 0x6
+	RefusedStream    Code = 0x7
+	Cancel           Code = 0x8
+	CompressionError Code = 0x9
+	EnhanceYourCalm  Code = 0xb
+)
+
+// ConnError ends a connection. The GOAWAY that says so is already in Output.
+type ConnError struct {
+	Code Code
+	Why  string
+}
+
+func (e *ConnError) Error() string { return fmt.Sprintf("HTTP/2 error %#x: %s", uint32(e.Code), e.Why) }
+
+// ErrNoStream tells that a connection takes no further stream.
+var ErrNoStream = errors.New("no further stream on this connection")
+
+type frameType byte
+
+const (
+	frameData         frameType = 0x0
+	frameHeaders      frameType = 0x1
+	framePriority     frameType = 0x2
+	frameReset        frameType = 0x3
+	frameSettings     frameType = 0x4
+	framePush         frameType = 0x5
+	framePing         frameType = 0x6
+	frameGoAway       frameType = 0x7
+	frameWindow       frameType = 0x8
+	frameContinuation frameType = 0x9
+)
+
+const (
+	flagEndStream  = 0x1
+	flagAck        = 0x1
+	flagEndHeaders = 0x4
+	flagPadded     = 0x8
+	flagPriority   = 0x20
+)
+
+const (
+	settingTableSize   = 0x1
+	settingPush        = 0x2
+	settingConcurrent  = 0x3
+	settingWindow      = 0x4
+	settingFrameSize   = 0x5
+	settingHeaderBytes = 0x6
+)
+
+const (
+	frameHead     = 9
+	defaultWindow = 65535
+	maxWindow     = 1<<31 - 1
+	minFrameSize  = 16384 // also the largest that we take
+	maxFrameSize  = 1<<24 - 1
+)
+
+type frame struct {
+	kind    frameType
+	flags   byte
+	stream  uint32
+	payload []byte
+}
+
+func (f frame) has(flag byte) bool { return f.flags&flag != 0 }
+
+// next takes one frame off b, or none where it is not whole.
+func next(b []byte) (f frame, rest []byte, ok bool, err *ConnError) {
+	if len(b) < frameHead {
+		return f, b, false, nil
+	}
+	n := int(b[0])<<16 | int(b[1])<<8 | int(b[2])
+	if n > minFrameSize {
+		return f, b, false, &ConnError{FrameSizeError, "a frame over the size we take"}
+	}
+	if len(b) < frameHead+n {
+		return f, b, false, nil
+	}
+	f = frame{frameType(b[3]), b[4], binary.BigEndian.Uint32(b[5:]) & maxWindow, b[frameHead : frameHead+n]}
+	return f, b[frameHead+n:], true, nil
+}
+
+func appendFrame(b []byte, kind frameType, flags byte, stream uint32, payload []byte) []byte {
+	n := len(payload)
+	b = append(b, byte(n>>16), byte(n>>8), byte(n), byte(kind), flags)
+	b = binary.BigEndian.AppendUint32(b, stream)
+	return append(b, payload...)
+}
+
+func appendSetting(b []byte, id uint16, value uint32) []byte {
+	return binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint16(b, id), value)
+}
+
+// unpad strips padding, and the priority fields that HEADERS may carry.
+func unpad(f frame) ([]byte, *ConnError) {
+	b, pad := f.payload, 0
+	if f.has(flagPadded) {
+		if len(b) == 0 {
+			return nil, &ConnError{FrameSizeError, "padding without its length"}
+		}
+		pad, b = int(b[0]), b[1:]
+	}
+	if f.kind == frameHeaders && f.has(flagPriority) {
+		if len(b) < 5 {
+			return nil, &ConnError{FrameSizeError, "priority cut short"}
+		}
+		b = b[5:]
+	}
+	if pad > len(b) {
+		return nil, &ConnError{ProtocolError, "more padding than payload"}
+	}
+	return b[:len(b)-pad], nil
+}
--- a/internal/scenario/courier.go
+++ b/internal/scenario/courier.go
@@ -105,7 +105,7 @@
 	case "kill":
 		return c.Stop(syscall.SIGKILL)
 	case "term":
-		return c.cmd.Process.Signal(syscall.SIGTERM)
+		return c.Signal(syscall.SIGTERM)
 	case "exit":
 		return c.wait()
 	}
@@ -216,6 +216,9 @@
 	return c.log.String()
 }
 
+// Signal sends the courier a signal.
+func (c *Courier) Signal(s syscall.Signal) error { return c.cmd.Process.Signal(s) }
+
 // Stop ends the courier by a signal and waits for it.
 func (c *Courier) Stop(s syscall.Signal) error {
 	if c.cmd == nil {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -63,6 +63,9 @@
 // Let names a value.
 func (p *Play) Let(name, value string) { p.names[name] = value }
 
+// Name is what Let has named.
+func (p *Play) Name(name string) string { return p.names[name] }
+
 // On names a step: THING wait WORD calls it with WORD.
 func (p *Play) On(thing string, step func(word string) error) { p.steps[thing] = step }
 
