--- a/cmd/snowjunction/push_test.go
+++ b/cmd/snowjunction/push_test.go
@@ -18,9 +18,11 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fastjson"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"snowjunction/internal/describe"
 	"snowjunction/internal/scenario"
 )
 
@@ -84,9 +86,56 @@
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
 	require.NoError(g.t, err)
+	g.described(method, path, resp, b)
 	return resp, string(b)
 }
 
+// described holds every answer that a test gets to the deployed documents: its
+// status, the headers that it must have, and the fields of a message's life.
+func (g *gateway) described(method, path string, resp *http.Response, body []byte) {
+	text, err := os.ReadFile("../../deploy/openapi.json")
+	require.NoError(g.t, err)
+	doc, err := fastjson.ParseBytes(text)
+	require.NoError(g.t, err)
+	api, err := describe.OpenAPI("openapi.json", text)
+	require.NoError(g.t, err)
+	for _, op := range []*describe.Operation{&api.Submit, &api.Status} {
+		if _, ok := op.Match(path); !ok || op.Method != method {
+			continue
+		}
+		assert.Contains(g.t, op.Statuses, resp.StatusCode, "%s %s", method, path)
+		item := map[bool]string{true: "/push/{destination}", false: "/message/{id}"}[op == &api.Submit]
+		answer := doc.Get("paths", item, strings.ToLower(method), "responses", fmt.Sprint(resp.StatusCode))
+		if ref := string(answer.GetStringBytes("$ref")); ref != "" {
+			answer = doc.Get(strings.Split(strings.TrimPrefix(ref, "#/"), "/")...)
+		}
+		answer.GetObject("headers").Visit(func(name []byte, h *fastjson.Value) {
+			if h.GetBool("required") {
+				assert.NotEmpty(g.t, resp.Header.Get(string(name)), "%s of %d", name, resp.StatusCode)
+			}
+		})
+	}
+	if resp.StatusCode != 200 {
+		return
+	}
+	text, err = os.ReadFile("../../deploy/asyncapi.json")
+	require.NoError(g.t, err)
+	life, err := describe.AsyncAPI("asyncapi.json", text)
+	require.NoError(g.t, err)
+	v, err := fastjson.ParseBytes(body)
+	require.NoError(g.t, err)
+	notice := life.Ended
+	if state := string(v.GetStringBytes("state")); state == life.Taken.States[0] {
+		notice = life.Taken
+	} else {
+		assert.Contains(g.t, life.Ended.States, state)
+	}
+	v.GetObject().Visit(func(key []byte, _ *fastjson.Value) { assert.Contains(g.t, notice.Fields, string(key)) })
+	for _, field := range notice.Fields {
+		assert.True(g.t, field == "after_ms" || v.Exists(field), "%s is promised: %s", field, body)
+	}
+}
+
 // post hands a message in and returns its location.
 func (g *gateway) post(id, class, key, body string, dest int) string {
 	g.t.Helper()
@@ -420,6 +469,8 @@
 	headers := []string{"TTL", "1", "Message-Id", "m", "Message-Class", "status", "Tenant", "town"}
 	resp, text := g.do("POST", "/push/9", "", headers...)
 	require.Equal(t, 201, resp.StatusCode, text)
+	_, text = g.do("GET", resp.Header.Get("Location"), "")
+	assert.Contains(t, text, `"taken"`, "without a wait the answer comes at once")
 	assert.Contains(t, []string{"failed", "returned"}, g.end(resp.Header.Get("Location")))
 	resp, text = g.do("POST", "/push/13", "", headers...)
 	assert.Equal(t, 201, resp.StatusCode, "the same id is the same message: %s", text)
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+	"limits":{"memory_mb":100,"sockets":200,"disk_mb":1.5},
+	"known":{"generation":0,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"b",
+		"machineType":"k","cell":3,"lifecycle":"Ready","weight":2}]},
+	"settings":{"dcs":["a","b"],"models":["j","k"],"report":{"columns":["x0","q"]},"classes":[{"name":"c","deadline-ms":5}]}}`
+
+func env(name string) string { return map[string]string{"GW_STATE": "state"}[name] }
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good), env)
+	require.NoError(t, err)
+	assert.Equal(t, Limits{MemoryMB: 100, Sockets: 200, DiskMB: 1.5}, c.Limits)
+	assert.Equal(t, uint64(0x8c1f30d27a5be964), c.Settings.Seed)
+	assert.Equal(t, []string{"x0", "q"}, c.Columns)
+	assert.True(t, c.Known.Held, "generation 0 is a list like any other")
+	require.Len(t, c.Known.Targets, 1)
+	e := c.Known.Targets[0]
+	assert.Equal(t, [3]int{1, 1, 3}, [3]int{e.Zone, e.Kind, int(e.Destination)})
+	assert.Equal(t, snowjunction.Ready, e.Phase)
+	assert.Equal(t, 5*time.Millisecond, c.Settings.Classes[0].Deadline)
+}
+
+func TestParseErrors(t *testing.T) {
+	for _, tc := range []struct{ old, new, want string }{
+		{`{"name"`, `{"name`, "JSON"},
+		{`127.0.0.1:6379`, `nowhere`, `listen: "nowhere"`},
+		{`127.0.0.1:8500`, ``, `discovery: ""`},
+		{`8c1f30d27a5be964`, `xyz`, `seed: "xyz"`},
+		{`"settings":{`, `"settings":[],"x":{`, `settings: missing`},
+		{`"generation":0,`, ``, `known: no generation`},
+		{`"cell":3`, `"cell":-3`, `instances[0]: cell`},
+		{`"127.0.0.1:1"`, `"x"`, `instances[0]: hostPort`},
+		{`"instanceId":"s-1",`, ``, `instances[0]: no instanceId`},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, tc.old, tc.new, 1)), env)
+		assert.ErrorContains(t, err, tc.want)
+	}
+	_, err := Parse([]byte(good), func(string) string { return "" })
+	assert.ErrorContains(t, err, "GW_STATE")
+}
+
+// What a list does not say clearly gets nothing new.
+func TestListInDoubt(t *testing.T) {
+	n := Names{Zones: map[string]int{"a": 0}, Kinds: map[string]int{}}
+	l, err := n.List([]byte(`{"generation":4,"reset":false,"instances":[
+		{"instanceId":"x","lifecycle":"Gone"},
+		{"instanceId":"y","lifecycle":"Resting","hostPort":"127.0.0.1:1","cell":1,"zone":"new"}]}`))
+	require.NoError(t, err)
+	assert.Equal(t, snowjunction.Gone, l.Targets[0].Phase)
+	assert.Equal(t, snowjunction.Draining, l.Targets[1].Phase)
+	assert.Equal(t, 1, l.Targets[1].Zone)
+}
+
+func TestLoadPush(t *testing.T) {
+	dir := t.TempDir()
+	p, err := LoadPush(filepath.Join(dir, "none.json"), Names{})
+	require.NoError(t, err)
+	assert.Empty(t, p.Listen, "no file: the front is off")
+	path := filepath.Join(dir, "push.json")
+	for text, want := range map[string]string{
+		`{"listen":"x"}`:           "listen",
+		`{"listen":"127.0.0.1:1"}`: "openapi and asyncapi",
+		`{"targets":[{}]}`:         "targets[0]: no instanceId",
+		`{"listen":`:               "push.json",
+	} {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := LoadPush(path, Names{})
+		assert.ErrorContains(t, err, want, text)
+	}
+	p, err = LoadPush("../../deploy/push.json", Names{})
+	require.NoError(t, err)
+	assert.Empty(t, p.Listen, "off on the platform")
+	assert.Equal(t, filepath.FromSlash("../../deploy/openapi.json"), p.OpenAPI)
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,268 @@
+package core
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction"
+	"snowjunction/internal/store"
+)
+
+const ms = time.Millisecond
+
+// bench drives a core on a clock of its own. It is the core's front, and its
+// targets keep the calls that they get.
+type bench struct {
+	t       *testing.T
+	c       *Core
+	now     time.Time
+	journal *store.Journal
+	ended   []*store.Message
+	settle  bool // ends are settled at once
+	calls   []*testCall
+	left    int // targets that have left their groups
+}
+
+type testCall struct {
+	m      *store.Message
+	done   func(Result)
+	left   bool
+	gaveUp bool
+}
+
+func (x *testCall) Left() bool { return x.left }
+func (x *testCall) GiveUp()    { x.gaveUp = true }
+
+type testTarget struct{ b *bench }
+
+func (x testTarget) Call(m *store.Message, _ time.Duration, done func(Result)) Call {
+	assert.True(x.b.t, m.Out, "an attempt is recorded before it leaves")
+	call := &testCall{m: m, done: done, left: true}
+	x.b.calls = append(x.b.calls, call)
+	return call
+}
+func (x testTarget) CloseIdle() {}
+func (x testTarget) Leave()     { x.b.left++ }
+
+func (b *bench) Target(Endpoint) Target { return testTarget{b} }
+
+func (b *bench) Ended(m *store.Message) {
+	b.ended = append(b.ended, m)
+	if b.settle {
+		b.c.Settled(m)
+	}
+}
+
+func newBench(t *testing.T, change func(*snowjunction.Settings)) *bench {
+	b := &bench{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), settle: true}
+	log := slog.New(slog.DiscardHandler)
+	var err error
+	b.journal, _, err = store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
+	require.NoError(t, err)
+	t.Cleanup(func() { b.journal.Close() })
+	s := snowjunction.Settings{
+		Seed: 1, Fleet: 1, Tick: 5 * ms, Slots: 8, MaxHeld: 10, MaxAttempts: 6, RetryAfter: true, MaxRetry: 3 * time.Second,
+		ConnectTimeout: time.Second, OrderSettle: 100 * ms, Kinds: []snowjunction.Kind{{BundleMax: 1}},
+		Classes: []snowjunction.Class{
+			{Name: "order", Effect: snowjunction.Keyed, Window: 5 * time.Second, Aim: time.Second, Deadline: 20 * time.Second, Worth: 1, InOrder: true},
+			{Name: "status", Aim: time.Second, Deadline: 8 * time.Second, Worth: 2},
+		},
+	}
+	if change != nil {
+		change(&s)
+	}
+	b.c, err = New(Config{
+		Loop: NewLoop(func() time.Time { return b.now }), Log: log, Journal: b.journal, Settings: s, Fronts: []Front{b},
+	})
+	require.NoError(t, err)
+	b.list(snowjunction.Ready, true)
+	return b
+}
+
+func (b *bench) list(phase snowjunction.Phase, full bool) {
+	b.c.Listed(0, full, []Endpoint{{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: phase}})
+	b.step(10 * ms)
+}
+
+func (b *bench) step(d time.Duration) {
+	b.c.Loop.Turn()
+	b.now = b.now.Add(d)
+	b.c.Loop.Turn()
+}
+
+// add hands a message in and returns where its answer goes.
+func (b *bench) add(id, class string, key uint64) *[]Answer {
+	got := &[]Answer{}
+	err := b.c.TakeIn(Request{ID: id, Class: class, Key: key, IdempotencyKey: id, Destination: 7, Left: 2 * time.Second},
+		func(a Answer, _ *store.Message) bool {
+			*got = append(*got, a)
+			return true
+		})
+	require.NoError(b.t, err)
+	return got
+}
+
+func TestTakenThenDelivered(t *testing.T) {
+	b := newBench(t, nil)
+	got := b.add("m1", "status", 0)
+	assert.Empty(t, *got, "no answer before the module has seen it")
+	b.step(5 * ms)
+	assert.Equal(t, []Answer{{Verdict: Taken}}, *got)
+	require.Len(t, b.calls, 1)
+	b.calls[0].done(Result{Outcome: snowjunction.OK})
+	b.calls[0].done(Result{Outcome: snowjunction.Error}) // a second result is none
+	b.step(5 * ms)
+	require.Len(t, b.ended, 1)
+	assert.Equal(t, store.Delivered, b.ended[0].State)
+	assert.Zero(t, b.c.Held())
+	assert.Empty(t, b.c.flows)
+}
+
+func TestSentTwiceByItsClient(t *testing.T) {
+	b := newBench(t, nil)
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	again := b.add("m1", "status", 0)
+	b.step(5 * ms)
+	assert.Equal(t, []Answer{{Verdict: Taken}}, *again)
+	assert.Len(t, b.calls, 1)
+}
+
+func TestFullIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t, func(s *snowjunction.Settings) { s.MaxHeld = 1 })
+	b.add("m1", "status", 0)
+	got := b.add("m2", "status", 0)
+	require.Len(t, *got, 1)
+	assert.Equal(t, Fixed, (*got)[0].Verdict)
+	assert.Positive(t, (*got)[0].After)
+}
+
+// What the module gives up at its first look was never taken on.
+func TestGivenUpBeforeTaken(t *testing.T) {
+	b := newBench(t, func(s *snowjunction.Settings) { s.MaxHeld = 2 })
+	var all []*[]Answer
+	for _, id := range []string{"m1", "m2"} {
+		all = append(all, b.add(id, "status", 0))
+	}
+	b.step(5 * ms)
+	verdicts := map[Verdict]int{}
+	for _, got := range all {
+		require.Len(t, *got, 1)
+		verdicts[(*got)[0].Verdict]++
+	}
+	assert.Equal(t, map[Verdict]int{Taken: 1, Fixed: 1}, verdicts)
+	assert.Empty(t, b.ended)
+}
+
+func TestClientGone(t *testing.T) {
+	b := newBench(t, nil)
+	require.NoError(t, b.c.TakeIn(Request{ID: "m1", Class: "status", Destination: 7, Left: time.Second},
+		func(Answer, *store.Message) bool { return false }))
+	b.step(5 * ms)
+	assert.Empty(t, b.calls, "nobody waits for it")
+	assert.Zero(t, b.c.Held())
+	b.step(5 * ms)
+	b.add("m2", "status", 0)
+	b.step(5 * ms)
+	assert.Len(t, b.calls, 1, "and its slot is free again")
+}
+
+// A message ended by a notice is over once that is answered: until then the
+// next of its key must not leave, or the key's order is broken.
+func TestKeyWaitsForTheNotice(t *testing.T) {
+	b := newBench(t, nil)
+	b.settle = false
+	b.add("m1", "order", 9)
+	b.step(5 * ms)
+	b.add("m2", "order", 9)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.step(3 * time.Second) // the first one's time is up, with its call out
+	require.True(t, b.calls[0].gaveUp)
+	require.NotEmpty(t, b.ended)
+	require.Equal(t, "m1", b.ended[0].ID)
+	b.add("m3", "order", 9)
+	b.step(500 * ms)
+	assert.Len(t, b.calls, 1, "not before the end is known")
+	for _, m := range b.ended {
+		b.c.Settled(m)
+	}
+	b.step(5 * ms)
+	require.Len(t, b.calls, 2)
+	assert.Equal(t, "m3", b.calls[1].m.ID)
+}
+
+// A target may leave its group between the decision and the sending.
+func TestNothingNewToATargetThatLeft(t *testing.T) {
+	b := newBench(t, nil)
+	b.add("m1", "status", 0)
+	b.c.Listed(0, true, nil)
+	b.step(5 * ms)
+	assert.Empty(t, b.calls)
+	assert.Equal(t, 1, b.left)
+	b.list(snowjunction.Ready, true)
+	b.step(5 * ms)
+	assert.Len(t, b.calls, 1, "back under the same name it is called again")
+	b.list(snowjunction.Draining, false)
+	assert.Equal(t, 2, b.left)
+}
+
+// One front's full list says nothing of another's targets.
+func TestListsOfTwoFronts(t *testing.T) {
+	b := newBench(t, nil)
+	b.c.Fronts = append(b.c.Fronts, b)
+	b.c.Listed(1, true, []Endpoint{{Name: "s-1", Addr: "127.0.0.1:2", Destination: 8, Phase: snowjunction.Ready}})
+	b.c.Listed(0, true, nil)
+	assert.Equal(t, 1, b.left)
+	assert.Len(t, b.c.routes.byName, 1)
+}
+
+// A call whose bytes never left proves that it did not run.
+func TestNeverConnected(t *testing.T) {
+	b := newBench(t, nil)
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	b.calls[0].left = false
+	b.step(time.Second)
+	assert.True(t, b.calls[0].gaveUp)
+	assert.EqualValues(t, 1, b.c.Counters.Results[snowjunction.ConnectFailed])
+	assert.False(t, b.calls[0].m.Ran)
+}
+
+func TestRestoredKeepsAttemptsAndWindow(t *testing.T) {
+	b := newBench(t, nil)
+	m := func(id string, since time.Duration) *store.Message {
+		m := &store.Message{ID: id, IdempotencyKey: id, Class: "order", Destination: 7, Deadline: b.now.Add(time.Minute)}
+		require.NoError(t, b.journal.Take(m))
+		require.NoError(t, b.journal.Sent(m, b.now.Add(-since)))
+		require.NoError(t, b.journal.Came(m, true))
+		return m
+	}
+	b.c.Restore([]*store.Message{m("inside", 2*time.Second), m("outside", 6*time.Second)})
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1, "past its window a keyed message never goes again")
+	assert.Equal(t, "inside", b.calls[0].m.ID)
+	assert.Equal(t, 2, b.calls[0].m.Attempts)
+	require.Len(t, b.ended, 1)
+	assert.Equal(t, store.Failed, b.ended[0].State)
+}
+
+func TestFreezeLeavesTheRestInTheJournal(t *testing.T) {
+	b := newBench(t, nil)
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	b.c.Drain()
+	got := b.add("m2", "status", 0)
+	assert.Equal(t, Fixed, (*got)[0].Verdict)
+	idle := false
+	b.c.Freeze(func() { idle = true })
+	assert.False(t, idle, "a call is out")
+	b.calls[0].done(Result{Outcome: snowjunction.Error})
+	assert.True(t, idle)
+	b.step(time.Minute)
+	assert.Empty(t, b.ended, "nothing is decided any more")
+}
--- /dev/null
+++ b/internal/net/net_test.go
@@ -0,0 +1,155 @@
+package net
+
+import (
+	"io"
+	"log/slog"
+	stdnet "net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// bench runs an engine on a loop of its own and keeps its log.
+type bench struct {
+	t      *testing.T
+	engine *Engine
+	work   chan func()
+	mu     sync.Mutex
+	log    strings.Builder
+}
+
+func (b *bench) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.log.Write(p)
+}
+
+func (b *bench) lines() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.log.String(), "connection ended")
+}
+
+func newBench(t *testing.T, most int) *bench {
+	b := &bench{t: t, work: make(chan func(), 1000)}
+	var err error
+	b.engine, err = New(Config{Post: func(f func()) { b.work <- f }, Log: slog.New(slog.NewTextHandler(b, nil)), MaxConns: most})
+	require.NoError(t, err)
+	t.Cleanup(b.engine.Stop)
+	return b
+}
+
+// until runs the loop up to the moment that done says so.
+func (b *bench) until(done func() bool) {
+	limit := time.After(20 * time.Second)
+	for !done() {
+		select {
+		case f := <-b.work:
+			f()
+		case <-limit:
+			b.t.Fatal("it does not happen")
+		}
+	}
+}
+
+type end struct {
+	opened bool
+	data   string
+	code   Code
+}
+
+func (e *end) Opened()          { e.opened = true }
+func (e *end) Data(b []byte)    { e.data += string(b) }
+func (e *end) Closed(code Code) { e.code = code }
+
+func TestTalkAndOneLineForEachEnd(t *testing.T) {
+	b := newBench(t, 10)
+	server, client := &end{}, &end{}
+	var accepted *Conn
+	addr, err := b.engine.Listen("test", "127.0.0.1:0", func(c *Conn) Handler {
+		accepted = c
+		return server
+	})
+	require.NoError(t, err)
+	conn := b.engine.Dial("test", addr, client)
+	assert.False(t, conn.Write([]byte("x")), "not up yet")
+	b.until(func() bool { return client.opened && accepted != nil })
+	require.True(t, conn.Write([]byte("hello")))
+	b.until(func() bool { return server.data == "hello" })
+	assert.Equal(t, 2, b.engine.Open())
+	accepted.Close(Finished)
+	accepted.Close(Idle)
+	b.until(func() bool { return client.code != "" })
+	assert.Equal(t, PeerClosed, client.code)
+	assert.Empty(t, server.code, "its own end is told to nobody")
+	assert.Equal(t, 2, b.lines())
+	assert.Zero(t, b.engine.Open())
+	assert.False(t, conn.Write([]byte("x")))
+}
+
+// The engine calls back alike for a refused connection and one that is up.
+func TestRefused(t *testing.T) {
+	b := newBench(t, 10)
+	l, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	client := &end{}
+	b.engine.Dial("test", addr, client)
+	b.until(func() bool { return client.code != "" })
+	assert.Equal(t, DialFailed, client.code)
+	assert.False(t, client.opened)
+	assert.Equal(t, 1, b.lines())
+}
+
+// Addresses other than 127.0.0.1 must be reached as they are.
+func TestDialsTheAddressItIsGiven(t *testing.T) {
+	b := newBench(t, 10)
+	l, err := stdnet.Listen("tcp", "127.8.1.2:0")
+	require.NoError(t, err)
+	defer l.Close()
+	client := &end{}
+	b.engine.Dial("test", l.Addr().String(), client)
+	b.until(func() bool { return client.opened })
+}
+
+func TestClosedWhileDialling(t *testing.T) {
+	b := newBench(t, 10)
+	l, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	client := &end{}
+	conn := b.engine.Dial("test", l.Addr().String(), client)
+	conn.Close(DialTimeout)
+	assert.Zero(t, b.engine.Open())
+	(<-b.work)()
+	assert.False(t, client.opened)
+	assert.Empty(t, client.code)
+	assert.Equal(t, 1, b.lines())
+}
+
+func TestLimit(t *testing.T) {
+	b := newBench(t, 1)
+	addr, err := b.engine.Listen("test", "127.0.0.1:0", func(*Conn) Handler { return &end{} })
+	require.NoError(t, err)
+	first, err := stdnet.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer first.Close()
+	b.until(func() bool { return b.engine.Open() == 1 })
+	assert.False(t, b.engine.Room())
+	second, err := stdnet.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer second.Close()
+	b.until(func() bool { return b.lines() == 1 })
+	_, err = second.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	client := &end{}
+	b.engine.Dial("test", addr, client)
+	b.until(func() bool { return client.code != "" })
+	assert.Equal(t, Limit, client.code)
+	assert.Equal(t, 1, b.engine.Open())
+}
--- a/internal/proto/h2/stream.go
+++ b/internal/proto/h2/stream.go
@@ -69,13 +69,13 @@
 		if c.seen = f.stream; c.leaving {
 			return nil // above the last stream of our GOAWAY: it never ran
 		}
-		c.lastPeer = f.stream
 		if c.peerOpen >= c.limits.Streams {
 			c.nuisance++
 			c.sendReset(f.stream, RefusedStream)
 			return nil
 		}
 		s = c.open(f.stream)
+		c.lastPeer = f.stream
 		c.peerOpen++
 	case s == nil:
 		return nil // a stream that we have given up
