Keep connections for targets, take accepts one at a time, refuse PING while draining

Checked by reading what a burst of clients does: accepted sockets that the loop had not seen yet counted against nothing, and clients could use up every descriptor. Listeners now get three quarters of the connections.

--- a/courier_test.go
+++ b/courier_test.go
@@ -728,3 +728,56 @@
 		t.Errorf("%d sends after a strike", n)
 	}
 }
+
+// A message restored after a restart keeps the attempts of its earlier life:
+// what may have run goes again only where its effect, its window, its attempts
+// and the ledger allow.
+func TestRestored(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		req  Request
+		send bool
+	}{
+		{"safe that ran", Request{Class: safe, Attempts: 1, Ran: true, RanFor: time.Minute}, true},
+		{"keyed inside its window", Request{Class: keyed, Attempts: 1, Ran: true, RanFor: 2 * time.Second}, true},
+		{"keyed past its window", Request{Class: keyed, Attempts: 1, Ran: true, RanFor: 6 * time.Second}, false},
+		{"keyed that never ran", Request{Class: keyed, Attempts: 1, RanFor: 6 * time.Second}, true},
+		{"unsafe that may have run", Request{Class: unsafe, Attempts: 1, Ran: true}, false},
+		{"unsafe that never ran", Request{Class: unsafe, Attempts: 1}, true},
+		{"attempts used up", Request{Class: safe, Attempts: 12}, false},
+	} {
+		g := newRig(t, nil, Endpoint{ID: 1, Destination: 7})
+		tc.req.ID, tc.req.Destination, tc.req.Deadline = 1, 7, 10*time.Second
+		acts := g.step(5*ms, tc.req)
+		_, sent := g.out[1]
+		if sent != tc.send {
+			t.Errorf("%s: sent %v", tc.name, sent)
+		}
+		if !tc.send && len(acts) == 0 {
+			t.Errorf("%s: no answer", tc.name)
+		}
+	}
+	// Where it ran is not known: a group narrower than the destination is out of reach.
+	for _, group := range []Group{GroupZone, GroupEndpoint} {
+		g := newRig(t, func(s *Settings) { s.Classes[keyed].Group = group }, Endpoint{ID: 1, Destination: 7})
+		g.step(5*ms, Request{ID: 1, Destination: 7, Class: keyed, Deadline: 10 * time.Second, Attempts: 1, Ran: true})
+		if len(g.out) > 0 {
+			t.Errorf("group %v: sent", group)
+		}
+	}
+	// The ledger: its floor is four of eight slots.
+	g := newRig(t, nil, Endpoint{ID: 1, Destination: 7})
+	var events []Event
+	for i := range 10 {
+		events = append(events, Request{ID: RequestID(i + 1), Destination: 7, Class: safe, Deadline: 10 * time.Second, Attempts: 1})
+	}
+	refused := 0
+	for _, a := range g.step(5*ms, events...) {
+		if _, ok := a.(Refuse); ok {
+			refused++
+		}
+	}
+	if refused != 6 {
+		t.Errorf("%d of 10 refused, want 6", refused)
+	}
+}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -7,12 +7,16 @@
 	"snowjunction/internal/store"
 )
 
+// drainAfter is when a client refused by a courier that ends may come back: by
+// then it reaches another.
+const drainAfter = 400 * time.Millisecond
+
 // admit asks the hook and the journal's room, then the module. The client is
 // answered after the module's first look, within about a tick: what it gives
 // up at once was never taken on.
 func (c *Core) admit(f *flow) {
 	if c.draining || c.frozen {
-		c.refuse(f, c.Settings.MaxRetry/2)
+		c.refuse(f, drainAfter)
 		return
 	}
 	if c.Hook != nil {
--- a/internal/front/platform/listener.go
+++ b/internal/front/platform/listener.go
@@ -64,8 +64,8 @@
 		c.say(resp.Error("BUSY"))
 	case name == "OUT.ADD":
 		c.add(args[1:])
-	case name == "PING" && !c.front.ready:
-		c.say(resp.Error("LOADING not ready yet"))
+	case name == "PING" && (!c.front.ready || c.front.draining):
+		c.say(resp.Error("LOADING not ready"))
 	case name == "PING" && len(args) == 1:
 		c.say(resp.Simple("PONG"))
 	case name == "PING" && len(args) == 2:
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -9,16 +9,17 @@
 
 // Conn is one connection. It belongs to the loop's goroutine.
 type Conn struct {
-	engine  *Engine
-	kind    string
-	peer    string
-	since   time.Time
-	handler Handler
-	nc      *nbio.Conn // nil until a dialled connection is up
-	up      bool
-	over    bool
-	in, out int
-	cancel  func() // calls off the dialling
+	engine   *Engine
+	kind     string
+	peer     string
+	since    time.Time
+	handler  Handler
+	nc       *nbio.Conn // nil until a dialled connection is up
+	up       bool
+	over     bool
+	accepted bool
+	in, out  int
+	cancel   func() // calls off the dialling
 }
 
 // Peer is the other side's address.
@@ -97,6 +98,9 @@
 func (c *Conn) end(code Code) {
 	c.over = true
 	c.engine.open--
+	if c.accepted {
+		c.engine.accepted--
+	}
 	c.engine.cfg.Log.Info("connection ended", "kind", c.kind, "peer", c.peer, "code", string(code),
 		"in", c.in, "out", c.out, "ms", time.Since(c.since).Milliseconds())
 }
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -56,9 +56,15 @@
 	cfg       Config
 	nb        *nbio.Engine
 	open      int
+	accepted  int // of these, by listeners
 	listeners []stdnet.Listener
+	stopped   chan struct{}
 }
 
+// acceptShare of the connections may be listeners'. The rest is kept for
+// targets and the platform, or clients could cut the courier off from both.
+const acceptShare = 0.75
+
 const (
 	readBuffer  = 16 << 10
 	writeBuffer = 1 << 20 // a peer that lets more pile up is too slow
@@ -69,7 +75,7 @@
 	logging.SetLevel(logging.LevelNone)
 	// The engine keeps a table of this size; its default is for two million.
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, cfg.MaxConns+4096)
-	e := &Engine{cfg: cfg, nb: nbio.NewEngine(nbio.Config{
+	e := &Engine{cfg: cfg, stopped: make(chan struct{}), nb: nbio.NewEngine(nbio.Config{
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: writeBuffer,
 	})}
 	e.nb.OnData(func(nc *nbio.Conn, data []byte) {
@@ -93,6 +99,12 @@
 
 // Stop closes the listeners; connections are their owners' to close.
 func (e *Engine) Stop() {
+	select {
+	case <-e.stopped:
+		return
+	default:
+		close(e.stopped)
+	}
 	for _, l := range e.listeners {
 		l.Close()
 	}
@@ -102,9 +114,6 @@
 // Open is the number of connections that are open or being opened.
 func (e *Engine) Open() int { return e.open }
 
-// Room tells whether one more connection may be opened.
-func (e *Engine) Room() bool { return e.open < e.cfg.MaxConns }
-
 // Listen accepts connections on addr; accept gives each its handler. It
 // returns the address, which tells the port where addr leaves it open.
 func (e *Engine) Listen(kind, addr string, accept func(*Conn) Handler) (string, error) {
@@ -123,23 +132,36 @@
 				time.Sleep(10 * time.Millisecond)
 				continue
 			}
-			e.cfg.Post(func() { e.accept(kind, raw, accept) })
+			// One at a time: in a burst those not looked at yet would hold
+			// descriptors that nothing counts.
+			seen := make(chan struct{})
+			e.cfg.Post(func() {
+				e.accept(kind, raw, accept)
+				close(seen)
+			})
+			select {
+			case <-seen:
+			case <-e.stopped:
+			}
 		}
 	}()
 	return l.Addr().String(), nil
 }
 
 func (e *Engine) accept(kind string, raw stdnet.Conn, accept func(*Conn) Handler) {
-	c := &Conn{engine: e, kind: kind, peer: raw.RemoteAddr().String(), since: time.Now()}
+	c := &Conn{engine: e, kind: kind, peer: raw.RemoteAddr().String(), since: time.Now(), accepted: true}
 	e.open++
-	if e.open > e.cfg.MaxConns {
+	e.accepted++
+	if e.open > e.cfg.MaxConns || float64(e.accepted) > acceptShare*float64(e.cfg.MaxConns) {
 		c.end(Limit)
 		raw.Close()
 		return
 	}
-	if c.attach(raw) {
-		c.handler = accept(c)
+	if !c.attach(raw) {
+		c.end(Limit)
+		return
 	}
+	c.handler = accept(c)
 }
 
 // Dial opens a connection. The handler learns of its fate later, never within
