--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -40,6 +40,7 @@
 // the process is gone before the platform would kill it.
 const (
 	listenFor = 500 * time.Millisecond
+	lookAgain = 20 * time.Millisecond
 	decideFor = 1800 * time.Millisecond
 	finishFor = 3200 * time.Millisecond
 )
@@ -215,7 +216,19 @@
 	c.core.Drain()
 	c.platform.Drain()
 	c.push.Drain()
-	c.loop.After(listenFor, c.engine.Stop)
+	c.loop.After(listenFor, func() {
+		c.engine.Stop()
+		c.endIfDone()
+	})
 	c.loop.After(decideFor, func() { c.core.Freeze(c.loop.End) })
 	c.loop.After(finishFor, c.loop.End)
 }
+
+// endIfDone ends a draining courier that owes nothing any more.
+func (c *courier) endIfDone() {
+	if c.core.Held() == 0 && c.platform.Quiet() {
+		c.loop.End()
+		return
+	}
+	c.loop.After(lookAgain, c.endIfDone)
+}
--- a/internal/front/push/listener.go
+++ b/internal/front/push/listener.go
@@ -243,7 +243,7 @@
 }
 
 func (c *client) created(stream uint32, m *store.Message) {
-	left := max(0, int(m.Deadline.Sub(c.front.Loop.Now()).Seconds()))
+	left := max(0, int(math.Ceil(m.Deadline.Sub(c.front.Loop.Now()).Seconds())))
 	c.respond(stream, 201, nil,
 		h2.Field{Name: "location", Value: c.front.API.Status.Link(m.ID)},
 		h2.Field{Name: "ttl", Value: strconv.Itoa(left)})
