--- /dev/null
+++ b/internal/scenario/h2.go
@@ -0,0 +1,193 @@
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// h2 is one end of an HTTP/2 connection, on x/net's framing: an independent
+// peer of the courier's own. Its lines are
+//
+//	ADDRESS h2dial WHO, SERVER h2accept WHO
+//	WHO send "STREAM METHOD PATH NAME=VALUE ... |BODY"      a request
+//	WHO send "STREAM STATUS NAME=VALUE ... |BODY"           a response
+//	WHO send "RST STREAM CODE" or "GOAWAY STREAM" or "PING"
+//	WHO expect ...                 the same forms: the next that comes, with at
+//	                               least the headers named and just that body
+//
+// SETTINGS, WINDOW_UPDATE and acknowledgements are seen to unasked.
+type h2 struct {
+	conn    net.Conn
+	framer  *http2.Framer
+	enc     *hpack.Encoder
+	block   bytes.Buffer
+	partial map[uint32]*message
+}
+
+type message struct {
+	fields map[string]string
+	body   string
+}
+
+func newH2(c net.Conn, server bool) (*h2, error) {
+	a := &h2{conn: c, framer: http2.NewFramer(c, c), partial: map[uint32]*message{}}
+	a.framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	a.enc = hpack.NewEncoder(&a.block)
+	if server {
+		preface := make([]byte, len(http2.ClientPreface))
+		for n := 0; n < len(preface); {
+			m, err := c.Read(preface[n:])
+			if err != nil {
+				return nil, err
+			}
+			n += m
+		}
+		if string(preface) != http2.ClientPreface {
+			return nil, fmt.Errorf("no preface but %q", preface)
+		}
+	} else if _, err := c.Write([]byte(http2.ClientPreface)); err != nil {
+		return nil, err
+	}
+	return a, a.framer.WriteSettings()
+}
+
+func (a *h2) close() error { return a.conn.Close() }
+
+func (a *h2) send(text string) error {
+	head, body, hasBody := strings.Cut(text, "|")
+	words := strings.Fields(head)
+	switch words[0] {
+	case "PING":
+		return a.framer.WritePing(false, [8]byte{})
+	case "GOAWAY", "RST":
+		stream, err := strconv.ParseUint(words[1], 10, 31)
+		if err != nil {
+			return err
+		}
+		if words[0] == "GOAWAY" {
+			return a.framer.WriteGoAway(uint32(stream), http2.ErrCodeNo, nil)
+		}
+		for code := http2.ErrCode(0); code < 14; code++ {
+			if code.String() == words[2] {
+				return a.framer.WriteRSTStream(uint32(stream), code)
+			}
+		}
+		return fmt.Errorf("no error code %s", words[2])
+	}
+	stream, err := strconv.ParseUint(words[0], 10, 31)
+	if err != nil {
+		return err
+	}
+	fields, rest := []string{":status", words[1]}, words[2:]
+	if len(words) > 2 && strings.HasPrefix(words[2], "/") {
+		fields, rest = []string{":method", words[1], ":scheme", "http", ":path", words[2]}, words[3:]
+	}
+	for _, f := range rest {
+		name, value, _ := strings.Cut(f, "=")
+		fields = append(fields, name, value)
+	}
+	a.block.Reset()
+	for i := 0; i < len(fields); i += 2 {
+		if err := a.enc.WriteField(hpack.HeaderField{Name: fields[i], Value: fields[i+1]}); err != nil {
+			return err
+		}
+	}
+	err = a.framer.WriteHeaders(http2.HeadersFrameParam{
+		StreamID: uint32(stream), BlockFragment: a.block.Bytes(), EndHeaders: true, EndStream: !hasBody,
+	})
+	if err == nil && hasBody {
+		err = a.framer.WriteData(uint32(stream), true, []byte(body))
+	}
+	return err
+}
+
+func (a *h2) expect(want string) error {
+	if want == "EOF" {
+		got, err := a.next()
+		if err == nil {
+			return fmt.Errorf("got %s and no end", got)
+		}
+		return nil
+	}
+	got, err := a.next()
+	if err != nil {
+		return err
+	}
+	head, body, hasBody := strings.Cut(want, "|")
+	gotHead, gotBody, _ := strings.Cut(got, "|")
+	has := strings.Fields(gotHead)
+	for i, word := range strings.Fields(head) {
+		fixed := i < 2 || !strings.Contains(word, "=")
+		if fixed && (i >= len(has) || has[i] != word) || !fixed && !slices.Contains(has, word) {
+			return fmt.Errorf("got %s", got)
+		}
+	}
+	if hasBody && body != gotBody {
+		return fmt.Errorf("got %s", got)
+	}
+	return nil
+}
+
+// next renders what comes next, in the form of the lines.
+func (a *h2) next() (string, error) {
+	for {
+		f, err := a.framer.ReadFrame()
+		if err != nil {
+			return "", err
+		}
+		stream, ended := f.Header().StreamID, false
+		switch f := f.(type) {
+		case *http2.SettingsFrame:
+			if !f.IsAck() {
+				if err := a.framer.WriteSettingsAck(); err != nil {
+					return "", err
+				}
+			}
+		case *http2.PingFrame:
+			return "PING", nil
+		case *http2.GoAwayFrame:
+			return fmt.Sprintf("GOAWAY %d %s", f.LastStreamID, f.ErrCode), nil
+		case *http2.RSTStreamFrame:
+			return fmt.Sprintf("RST %d %s", stream, f.ErrCode), nil
+		case *http2.MetaHeadersFrame:
+			m := &message{fields: map[string]string{}}
+			for _, h := range f.Fields {
+				m.fields[h.Name] = h.Value
+			}
+			a.partial[stream], ended = m, f.StreamEnded()
+		case *http2.DataFrame:
+			if m := a.partial[stream]; m != nil {
+				m.body += string(f.Data())
+			}
+			ended = f.StreamEnded()
+		}
+		if m := a.partial[stream]; ended && m != nil {
+			delete(a.partial, stream)
+			return m.render(stream), nil
+		}
+	}
+}
+
+func (m *message) render(stream uint32) string {
+	words := []string{fmt.Sprint(stream)}
+	for _, name := range []string{":status", ":method", ":path"} {
+		if v := m.fields[name]; v != "" {
+			words = append(words, v)
+		}
+	}
+	var rest []string
+	for name, v := range m.fields {
+		if !strings.HasPrefix(name, ":") {
+			rest = append(rest, name+"="+v)
+		}
+	}
+	slices.Sort(rest)
+	return strings.Join(append(words, rest...), " ") + "|" + m.body
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -76,6 +76,9 @@
 		dir: o.Dir, log: o.Log, most: int64(float64(o.Bytes) * useOf), retain: o.Retain,
 		live: map[uint64]*entry{}, next: 1,
 	}
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return nil, nil, fmt.Errorf("open the journal: %w", err)
+	}
 	names, err := filepath.Glob(filepath.Join(o.Dir, "journal-*"))
 	if err != nil {
 		return nil, nil, fmt.Errorf("open the journal: %w", err)
