--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -71,11 +71,13 @@
 		return err
 	}
 	defer c.journal.Close()
+	// Before the fronts open: a signal that came in between would end the
+	// process there and then.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	if err := c.start(left); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	go func() {
 		for s := range signals {
 			c.loop.Post(func() { c.signal(s) })
