Forget endpoints a minute after they leave the list

Read in the code: every release of the targets left its endpoints in the module and the core for good, which a courier that runs for weeks cannot afford. One that comes back within the minute is still the same to the module.

--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	c.engine, err = net.New(net.Config{Post: c.loop.Post, Log: c.log, MaxConns: cfg.Limits.Sockets - descriptors})
+	c.engine, err = net.New(net.Config{Post: c.loop.Post, Log: c.log, MaxConns: max(cfg.Limits.Sockets-descriptors, cfg.Limits.Sockets/2)})
 	if err != nil {
 		return nil, nil, err
 	}
--- a/courier.go
+++ b/courier.go
@@ -64,6 +64,7 @@
 	reapSigns    = 2.0 // calls failed on idle connections, more than went well: they are dropped unseen
 	reapMemory   = 3   // ledger spans that these are kept
 	reuses       = 0.2 // of the fleet: uses of a connection before it idles out that make it worth its place
+	goneMemory   = 6   // spans for which an endpoint that left is remembered: it may be listed again
 	crowdMemory  = 6   // spans for which a kind is then taken to have small tables
 )
 
@@ -126,7 +127,9 @@
 	if ev.Kind != ListDelta {
 		for _, d := range c.order {
 			for _, e := range d.eps {
-				e.Phase = Gone
+				if e.Phase != Gone {
+					e.Phase, e.goneAt = Gone, c.now
+				}
 			}
 		}
 	}
@@ -137,11 +140,30 @@
 			c.eps[entry.ID] = e
 			c.place(e)
 		}
+		if entry.Phase == Gone && e.Phase != Gone {
+			e.goneAt = c.now
+		}
 		e.Phase, e.Weight = entry.Phase, entry.Weight
 		if c.s.WeightsAreLimits && entry.Weight > 0 {
 			e.route.limit = entry.Weight
 		}
 	}
+	c.forgetGone()
+}
+
+// forgetGone drops endpoints that left the list long ago. Each release of the
+// targets brings new ones: a courier that runs for weeks would keep them all.
+func (c *Courier) forgetGone() {
+	for id, e := range c.eps {
+		if e.Phase == Gone && c.now-e.goneAt >= goneMemory*ledgerSpan && len(e.calls) == 0 {
+			r := e.route
+			r.eps, r.dest.eps = remove(r.eps, e), remove(r.dest.eps, e)
+			if len(r.eps) == 0 {
+				r.dest.routes = remove(r.dest.routes, r)
+			}
+			delete(c.eps, id)
+		}
+	}
 }
 
 // take queues a new request.
--- a/courier_test.go
+++ b/courier_test.go
@@ -781,3 +781,32 @@
 		t.Errorf("%d of 10 refused, want 6", refused)
 	}
 }
+
+// Endpoints that left the list long ago are forgotten, those with a call out
+// only once it has ended.
+func TestGoneEndpointsAreForgotten(t *testing.T) {
+	g := newRig(t, nil, Endpoint{ID: 1, Destination: 7}, Endpoint{ID: 2, Destination: 7})
+	g.step(5*ms, Request{ID: 1, Destination: 7, Class: safe, Deadline: 5 * time.Minute})
+	on := g.out[1].Endpoint
+	next := Endpoint{ID: 3, Destination: 7, Phase: Ready}
+	g.step(5*ms, List{Kind: ListFull, Endpoints: []Endpoint{next}})
+	if len(g.c.eps) != 3 {
+		t.Fatalf("%d endpoints kept at first, want 3", len(g.c.eps))
+	}
+	g.step(goneMemory*ledgerSpan, List{Kind: ListDelta})
+	if len(g.c.eps) != 2 || g.c.eps[on] == nil {
+		t.Fatalf("%d endpoints kept, want the one listed and the one with a call out", len(g.c.eps))
+	}
+	g.step(5*ms, AttemptEnded{Request: 1, Endpoint: on, Outcome: OK, Done: true})
+	g.step(5*ms, List{Kind: ListDelta})
+	d := g.c.dests[7]
+	if len(g.c.eps) != 1 || len(d.eps) != 1 || len(d.routes) != 1 || len(d.routes[0].eps) != 1 {
+		t.Fatalf("%d endpoints kept, want 1", len(g.c.eps))
+	}
+	g.step(goneMemory*ledgerSpan, List{Kind: ListFull})
+	g.step(goneMemory*ledgerSpan, List{Kind: ListFull, Endpoints: []Endpoint{{ID: 4, Destination: 7, Phase: Ready}}})
+	g.step(5*ms, Request{ID: 2, Destination: 7, Class: safe, Deadline: time.Minute})
+	if g.out[2].Endpoint != 4 {
+		t.Error("a destination that had lost all endpoints is not served by a new one")
+	}
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -62,8 +62,13 @@
 	Endpoint
 	id     snowjunction.EndpointID
 	target Target // nil once it has left
+	goneAt time.Time
 }
 
+// goneKept is how long an endpoint that left keeps its number: listed again
+// within it, it is the same to the module.
+const goneKept = time.Minute
+
 func newRoutes() routes {
 	return routes{byID: map[snowjunction.EndpointID]*listed{}, byName: map[name]*listed{}}
 }
@@ -72,17 +77,20 @@
 // the full list. The module is told of changes only, as each front's full
 // list says nothing of another's.
 func (c *Core) Listed(front int, full bool, entries []Endpoint) {
+	for n, l := range c.routes.byName {
+		if l.Phase == snowjunction.Gone && c.Loop.Now().Sub(l.goneAt) >= goneKept {
+			c.routes.drop(n, l)
+		}
+	}
 	var news []snowjunction.Endpoint
 	named := map[string]bool{}
 	for _, e := range entries {
 		named[e.Name] = true
 		news = append(news, c.list(front, e)...)
 	}
-	if full {
-		for n, l := range c.routes.byName {
-			if n.front == front && !named[n.name] {
-				news = append(news, c.unlist(n, l))
-			}
+	for n, l := range c.routes.byName {
+		if full && l.Phase != snowjunction.Gone && n.front == front && !named[n.name] {
+			news = append(news, c.unlist(l))
 		}
 	}
 	if len(news) > 0 {
@@ -96,13 +104,16 @@
 	n := name{front, e.Name}
 	l := c.routes.byName[n]
 	if e.Phase == snowjunction.Gone {
-		if l == nil {
+		if l == nil || l.Phase == snowjunction.Gone {
 			return nil
 		}
-		return []snowjunction.Endpoint{c.unlist(n, l)}
+		return []snowjunction.Endpoint{c.unlist(l)}
 	}
 	if l != nil && l.Destination != e.Destination {
-		news = append(news, c.unlist(n, l))
+		if l.Phase != snowjunction.Gone {
+			news = append(news, c.unlist(l))
+		}
+		c.routes.drop(n, l)
 		l = nil
 	}
 	if l == nil {
@@ -121,17 +132,20 @@
 	return append(news, l.entry())
 }
 
-func (c *Core) unlist(n name, l *listed) snowjunction.Endpoint {
+func (c *Core) unlist(l *listed) snowjunction.Endpoint {
 	if l.target != nil {
 		l.target.Leave()
 		l.target = nil
 	}
-	l.Phase = snowjunction.Gone
-	delete(c.routes.byName, n)
-	delete(c.routes.byID, l.id)
+	l.Phase, l.goneAt = snowjunction.Gone, c.Loop.Now()
 	return l.entry()
 }
 
+func (r *routes) drop(n name, l *listed) {
+	delete(r.byName, n)
+	delete(r.byID, l.id)
+}
+
 func (l *listed) entry() snowjunction.Endpoint {
 	return snowjunction.Endpoint{
 		ID: l.id, Destination: l.Destination, Zone: l.Zone, Kind: l.Kind, Phase: l.Phase, Weight: l.Weight,
--- a/state.go
+++ b/state.go
@@ -320,6 +320,7 @@
 	since    time.Duration // its state was entered
 	failedAt time.Duration // first strike in the row
 	downFor  time.Duration // of the last outage seen here
+	goneAt   time.Duration // it left the list
 	vouched  bool          // while closed: a request sent as a trial is not lost
 	backoff  time.Duration
 	trialAt  time.Duration
