--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,7 +47,7 @@
 	Held       bool // there is a list
 	Generation uint64
 	Full       bool
-	Targets    []core.Endpoint
+	Targets    []core.Entry
 }
 
 // The limits taken where none is given.
@@ -176,8 +176,8 @@
 
 // target takes an unknown zone or kind for one past all that are known, and an
 // unknown state for draining: nothing new is sent where in doubt.
-func (n Names) target(t *fastjson.Value) (core.Endpoint, error) {
-	e := core.Endpoint{Name: text(t, "instanceId"), Addr: text(t, "hostPort"), Weight: t.GetFloat64("weight")}
+func (n Names) target(t *fastjson.Value) (core.Entry, error) {
+	e := core.Entry{Name: text(t, "instanceId"), Addr: text(t, "hostPort"), Weight: t.GetFloat64("weight")}
 	if e.Name == "" {
 		return e, errors.New("no instanceId")
 	}
--- a/internal/config/push.go
+++ b/internal/config/push.go
@@ -21,7 +21,7 @@
 	OpenAPI  string // paths of the descriptions
 	AsyncAPI string
 	Hooks    string // folder of the plug-ins; "": none
-	Targets  []core.Endpoint
+	Targets  []core.Entry
 }
 
 // The values taken where none is given.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,7 +36,7 @@
 // Front is a wire's own side: it brings targets and hears of ends.
 type Front interface {
 	// Target makes the target of an endpoint that the front has listed.
-	Target(e Endpoint) Target
+	Target(e Entry) Target
 	// Ended tells the end of a message that the front has taken in. Once
 	// those who handed it in know, the front calls Settled.
 	Ended(m *store.Message)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -48,7 +48,7 @@
 func (x testTarget) CloseIdle() {}
 func (x testTarget) Leave()     { x.b.left++ }
 
-func (b *bench) Target(Endpoint) Target { return testTarget{b} }
+func (b *bench) Target(Entry) Target { return testTarget{b} }
 
 func (b *bench) Ended(m *store.Message) {
 	b.ended = append(b.ended, m)
@@ -84,7 +84,7 @@
 }
 
 func (b *bench) list(phase snowjunction.Phase, full bool) {
-	b.c.Listed(0, full, []Endpoint{{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: phase}})
+	b.c.Listed(0, full, []Entry{{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: phase}})
 	b.step(10 * ms)
 }
 
@@ -215,7 +215,7 @@
 func TestListsOfTwoFronts(t *testing.T) {
 	b := newBench(t, nil)
 	b.c.Fronts = append(b.c.Fronts, b)
-	b.c.Listed(1, true, []Endpoint{{Name: "s-1", Addr: "127.0.0.1:2", Destination: 8, Phase: snowjunction.Ready}})
+	b.c.Listed(1, true, []Entry{{Name: "s-1", Addr: "127.0.0.1:2", Destination: 8, Phase: snowjunction.Ready}})
 	b.c.Listed(0, true, nil)
 	assert.Equal(t, 1, b.left)
 	assert.Nil(t, b.c.routes.byName[name{0, "s-1"}].target)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -7,8 +7,8 @@
 	"snowjunction/internal/store"
 )
 
-// Endpoint is one entry of a target group as a front lists it.
-type Endpoint struct {
+// Entry is one entry of a target group as a front lists it.
+type Entry struct {
 	Name        string // unique within its front
 	Addr        string
 	Destination snowjunction.DestinationID
@@ -59,7 +59,7 @@
 
 // listed is an endpoint in the list, under the number the module knows.
 type listed struct {
-	Endpoint
+	Entry
 	id     snowjunction.EndpointID
 	target Target // nil once it has left
 	goneAt time.Time
@@ -76,7 +76,7 @@
 // Listed takes news of a front's target group: the entries that changed, or
 // the full list. The module is told of changes only, as each front's full
 // list says nothing of another's.
-func (c *Core) Listed(front int, full bool, entries []Endpoint) {
+func (c *Core) Listed(front int, full bool, entries []Entry) {
 	for n, l := range c.routes.byName {
 		if l.Phase == snowjunction.Gone && c.Loop.Now().Sub(l.goneAt) >= goneKept {
 			c.routes.drop(n, l)
@@ -100,7 +100,7 @@
 
 // list takes one entry. An endpoint that moves to another destination is
 // another one to the module.
-func (c *Core) list(front int, e Endpoint) (news []snowjunction.Endpoint) {
+func (c *Core) list(front int, e Entry) (news []snowjunction.Endpoint) {
 	n := name{front, e.Name}
 	l := c.routes.byName[n]
 	if e.Phase == snowjunction.Gone {
@@ -118,14 +118,14 @@
 	}
 	if l == nil {
 		c.routes.last++
-		l = &listed{Endpoint: e, id: c.routes.last}
+		l = &listed{Entry: e, id: c.routes.last}
 		c.routes.byID[l.id], c.routes.byName[n] = l, l
 	}
 	if l.target != nil && (l.Addr != e.Addr || e.Phase != snowjunction.Ready) {
 		l.target.Leave()
 		l.target = nil
 	}
-	l.Endpoint = e
+	l.Entry = e
 	if l.target == nil && e.Phase == snowjunction.Ready {
 		l.target = c.Fronts[front].Target(e)
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -74,7 +74,7 @@
 func (f *Front) Addr() string { return f.addr }
 
 // Target makes the target of an endpoint.
-func (f *Front) Target(e core.Endpoint) core.Target { return &target{front: f, endpoint: e} }
+func (f *Front) Target(e core.Entry) core.Target { return &target{front: f, entry: e} }
 
 // Ended has a notice sent unless the end needs none.
 func (f *Front) Ended(m *store.Message) {
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -14,10 +14,10 @@
 
 // target is an endpoint with its connections. Each carries one call at a time.
 type target struct {
-	front    *Front
-	endpoint core.Endpoint
-	idle     []*link // the last used at the end
-	left     bool    // no longer in its group
+	front *Front
+	entry core.Entry
+	idle  []*link // the last used at the end
+	left  bool    // no longer in its group
 }
 
 // link is a connection to a target. It is a core.Call too, as it carries one
@@ -49,7 +49,7 @@
 	if m.IdempotencyKey != "" {
 		headers = append(headers, front.HeaderKey, m.IdempotencyKey)
 	}
-	out := http1.Request("POST", front.InboxPath, t.endpoint.Addr, m.Body, headers...)
+	out := http1.Request("POST", front.InboxPath, t.entry.Addr, m.Body, headers...)
 	t.expire()
 	if n := len(t.idle); n > 0 {
 		l := t.idle[n-1]
@@ -60,7 +60,7 @@
 	}
 	l := &link{target: t, parser: http1.Parser{MaxBody: maxAnswer}}
 	l.begin(out, done)
-	l.conn = t.front.Engine.Dial("target", t.endpoint.Addr, l)
+	l.conn = t.front.Engine.Dial("target", t.entry.Addr, l)
 	return l
 }
 
--- a/internal/front/push/push.go
+++ b/internal/front/push/push.go
@@ -77,10 +77,10 @@
 func (f *Front) Addr() string { return f.addr }
 
 // Relist takes the front's targets anew.
-func (f *Front) Relist(targets []core.Endpoint) { f.core.Listed(f.Number, true, targets) }
+func (f *Front) Relist(targets []core.Entry) { f.core.Listed(f.Number, true, targets) }
 
 // Target makes the target of an endpoint.
-func (f *Front) Target(e core.Endpoint) core.Target { return &target{front: f, endpoint: e} }
+func (f *Front) Target(e core.Entry) core.Target { return &target{front: f, entry: e} }
 
 // Ended lets those know who wait for the end. Whoever asks later is told as
 // long as it is kept.
--- a/internal/front/push/target.go
+++ b/internal/front/push/target.go
@@ -16,10 +16,10 @@
 
 // target is an endpoint that speaks HTTP/2. Calls share its connections.
 type target struct {
-	front    *Front
-	endpoint core.Endpoint
-	links    []*link // that may take further calls, the oldest first
-	left     bool    // no longer in its group
+	front *Front
+	entry core.Entry
+	links []*link // that may take further calls, the oldest first
+	left  bool    // no longer in its group
 }
 
 // link is a connection to a target.
@@ -55,7 +55,7 @@
 	lower := strings.ToLower
 	x := &call{done: done, body: m.Body, fields: []h2.Field{
 		{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"},
-		{Name: ":authority", Value: t.endpoint.Addr}, {Name: ":path", Value: front.InboxPath},
+		{Name: ":authority", Value: t.entry.Addr}, {Name: ":path", Value: front.InboxPath},
 		{Name: lower(front.HeaderID), Value: m.ID},
 		{Name: lower(front.HeaderTimeout), Value: strconv.FormatInt(max(timeout.Milliseconds(), 1), 10)},
 		{Name: "content-length", Value: strconv.Itoa(len(m.Body))},
@@ -86,7 +86,7 @@
 	}
 	l := &link{target: t, h2: h2.NewClient(limits(maxAnswer)), calls: map[uint32]*call{}, used: now}
 	t.links = append(t.links, l)
-	l.conn = t.front.Engine.Dial("push target", t.endpoint.Addr, l)
+	l.conn = t.front.Engine.Dial("push target", t.entry.Addr, l)
 	return l
 }
 
