Do not send on a decision over 50 ms old once its key's turn comes

Read in the code: a message that waits for the end of its key's last one to be confirmed could leave after its destination had told a wait.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -186,11 +186,13 @@
 	require.NotEmpty(t, b.ended)
 	require.Equal(t, "m1", b.ended[0].ID)
 	b.add("m3", "order", 9)
-	b.step(500 * ms)
+	b.step(5 * ms)
+	b.step(100 * ms)
 	assert.Len(t, b.calls, 1, "not before the end is known")
 	for _, m := range b.ended {
 		b.c.Settled(m)
 	}
+	assert.Len(t, b.calls, 1, "the decision is old: a wait may have been told since")
 	b.step(5 * ms)
 	require.Len(t, b.calls, 2)
 	assert.Equal(t, "m3", b.calls[1].m.ID)
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -18,6 +18,10 @@
 	call     Call   // nil while it waits for its key's turn
 }
 
+// parkMost is how old a decision to send may be when its key's turn comes. The
+// destination may have told a wait or shut since: the module decides anew.
+const parkMost = 50 * time.Millisecond
+
 // send carries out a Send. A flow's first one takes it on.
 func (c *Core) send(s snowjunction.Send) {
 	f := c.flows[s.Request]
@@ -57,8 +61,9 @@
 		c.unsent(a)
 		return
 	}
-	left := a.timeout - c.Loop.Now().Sub(a.began)
-	if left <= 0 {
+	waited := c.Loop.Now().Sub(a.began)
+	left := a.timeout - waited
+	if left <= 0 || waited > parkMost {
 		c.unsent(a)
 		return
 	}
