Count a call as answered from its first line on, and read all before an end

Read in PROTOCOL: a message is delivered once a first line with 200 has been written. An answer that broke off behind it was booked as a reset and went again; a long one whose sender closed at once could lose its end, as the engine reads three times 16 KiB before it closes.

--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -185,6 +185,34 @@
 	`)
 }
 
+// A long answer whose sender closes behind it, and one that breaks off behind
+// its first line: both messages are delivered and do not go again.
+func TestAnswersThatEndTheirConnection(t *testing.T) {
+	p := start(t)
+	p.Let("long", strings.Repeat("x", 60000))
+	p.Run(`
+		client dial c
+		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\nx\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "...\r\n\r\nx"
+		t send "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 60000\r\n\r\n$long"
+		t close
+		courier wait "code=finished"
+		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm2\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\ny\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "...\r\n\r\ny"
+		t send "HTTP/1.1 200 OK\r\nContent-Le"
+		t close
+		courier wait "code=peer_"
+		courier wait term
+		courier wait "msg=ended"
+		courier wait "n.sent=2 n.unsent=0 n.late=0 n.delivered=2"
+		courier wait exit
+	`)
+}
+
 func TestBadConfiguration(t *testing.T) {
 	c := scenario.NewCourier(t)
 	c.Settings["classes"] = []any{}
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -67,6 +67,7 @@
 
 const (
 	readBuffer  = 16 << 10
+	readTimes   = 8       // the engine drops what it has not read when the other side has closed: a whole answer must fit
 	writeBuffer = 1 << 20 // a peer that lets more pile up is too slow
 )
 
@@ -77,6 +78,7 @@
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, cfg.MaxConns+4096)
 	e := &Engine{cfg: cfg, stopped: make(chan struct{}), nb: nbio.NewEngine(nbio.Config{
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: writeBuffer,
+		MaxConnReadTimesPerEventLoop: readTimes,
 	})}
 	e.nb.OnData(func(nc *nbio.Conn, data []byte) {
 		c, ok := nc.Session().(*Conn)
--- a/internal/proto/http1/http1.go
+++ b/internal/proto/http1/http1.go
@@ -67,13 +67,18 @@
 // Begun tells that part of a response has come.
 func (p *Parser) Begun() bool { return len(p.buf) > 0 || p.at != head }
 
-// End takes the end of the stream: it completes a response that has no length
-// of its own.
+// End takes the end of the stream and returns what has come of a response that
+// has begun: all of one without a length of its own, a part of any other. Its
+// status stands from the first line on.
 func (p *Parser) End() *Response {
-	if p.at != untilClose {
-		return nil
+	if p.now != nil {
+		return p.done()
 	}
-	return p.done()
+	line, _, ok := strings.Cut(string(p.buf[:min(len(p.buf), maxHead)]), "\r\n")
+	if status, err := statusLine(line); ok && err == nil && status/100 != 1 {
+		return &Response{Status: status, Close: true}
+	}
+	return nil
 }
 
 // Next returns the next whole response, or nil until there is one.
@@ -176,13 +181,11 @@
 	if len(lines) > maxHeaders+1 {
 		return false, ErrTooBig
 	}
-	version, rest, _ := strings.Cut(lines[0], " ")
-	code, _, _ := strings.Cut(rest, " ")
-	status, err := strconv.Atoi(code)
-	if err != nil || len(code) != 3 || status < 100 || version != "HTTP/1.1" && version != "HTTP/1.0" {
-		return false, ErrSyntax
+	status, err := statusLine(lines[0])
+	if err != nil {
+		return false, err
 	}
-	r := &Response{Status: status, Close: version == "HTTP/1.0"}
+	r := &Response{Status: status, Close: strings.HasPrefix(lines[0], "HTTP/1.0")}
 	for _, l := range lines[1:] {
 		name, value, ok := strings.Cut(l, ":")
 		if !ok || name == "" || strings.ContainsAny(name, " \t") {
@@ -202,6 +205,16 @@
 	return true, p.frame()
 }
 
+func statusLine(line string) (int, error) {
+	version, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || len(code) != 3 || status < 100 || version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return 0, ErrSyntax
+	}
+	return status, nil
+}
+
 // frame finds out how the body ends.
 func (p *Parser) frame() error {
 	coding, length := p.now.Get("Transfer-Encoding"), p.now.Get("Content-Length")
--- a/internal/proto/http1/http1_test.go
+++ b/internal/proto/http1/http1_test.go
@@ -50,6 +50,29 @@
 	assert.True(t, r.Close)
 }
 
+// A message counts as delivered from the first line on, whatever comes of the rest.
+func TestCutShort(t *testing.T) {
+	for in, want := range map[string]int{
+		"":                            0,
+		"HTTP/1.1 20":                 0,
+		"HTTP/1.1 200 OK":             0,
+		"HTTP/1.1 200 OK\r\n":         200,
+		"HTTP/1.1 100 Continue\r\n":   0,
+		"HTTP/1.1 429 No\r\nA: b\r\n": 429,
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab": 200,
+	} {
+		p := Parser{MaxBody: 10}
+		p.Feed([]byte(in))
+		_, err := p.Next()
+		require.NoError(t, err, in)
+		got := 0
+		if r := p.End(); r != nil {
+			got = r.Status
+		}
+		assert.Equal(t, want, got, in)
+	}
+}
+
 func TestMalformed(t *testing.T) {
 	for in, want := range map[string]error{
 		"SSH-2.0":                                                          ErrSyntax,
