--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -27,6 +27,9 @@
 	c := scenario.NewCourier(t)
 	c.Targets = []scenario.Target{{Name: "s-1", Addr: c.Play.Server("target"), Cell: 7}}
 	c.Play.Let("ok", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	// $ADD id $STATUS byte: a message of one byte without a key.
+	c.Play.Let("ADD", "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\n")
+	c.Play.Let("STATUS", "\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\n")
 	require.NoError(t, c.Start())
 	return c.Play
 }
@@ -36,7 +39,7 @@
 		client dial c
 		c send "*1\r\n$4\r\nPING\r\n"
 		c expect "+PONG\r\n"
-		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$5\r\nhello\r\n"
+		c send "$ADDm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$5\r\nhello\r\n"
 		c expect "+OK\r\n"
 		target accept t
 		t expect "POST /inbox HTTP/1.1\r\n"
@@ -44,7 +47,7 @@
 		t expect "...Content-Length: 5\r\n\r\nhello"
 		t send "$ok"
 		# the next call uses the same connection
-		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm2\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$0\r\n\r\n"
+		c send "$ADDm2\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$0\r\n\r\n"
 		c expect "+OK\r\n"
 		t expect "...X-Request-ID: m2\r\n"
 		t expect "...\r\n\r\n"
@@ -73,7 +76,7 @@
 		p.Let("want", want)
 		p.Run(`
 			client dial c
-			c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$$n\r\n$bad\r\n$0\r\n\r\n"
+			c send "$ADDm1\r\n$$n\r\n$bad\r\n$0\r\n\r\n"
 			c expect "-ERR "
 			c expect "...$want"
 			c expect "...\r\n"
@@ -98,7 +101,7 @@
 	// its deadline, repeated until its 204.
 	start(t).Run(`
 		client dial c
-		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$27\r\nc=status,t=town,d=50,dest=9\r\n$0\r\n\r\n"
+		c send "$ADDm1\r\n$27\r\nc=status,t=town,d=50,dest=9\r\n$0\r\n\r\n"
 		c expect "+OK\r\n"
 		discovery accept d
 		d expect "GET /discovery/hosts?after=1&wait_ms=20000 HTTP/1.1\r\n"
@@ -145,7 +148,7 @@
 		idle send "*1\r\n$4\r\nPING\r\n"
 		idle expect "+PONG\r\n"
 		client dial c
-		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\nx\r\n"
+		c send "$ADDm1$STATUSx\r\n"
 		c expect "+OK\r\n"
 		target accept t
 		t expect "...\r\n\r\nx"
@@ -167,12 +170,12 @@
 	p.Let("size", strconv.Itoa(len(list)))
 	p.Run(`
 		client dial c
-		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\nx\r\n"
+		c send "$ADDm1$STATUSx\r\n"
 		c expect "+OK\r\n"
 		target accept t
 		t expect "...\r\n\r\nx"
 		t send "$ok"
-		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm2\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\ny\r\n"
+		c send "$ADDm2$STATUSy\r\n"
 		c expect "+OK\r\n"
 		t expect "...\r\n\r\ny"
 		discovery accept d
@@ -192,14 +195,14 @@
 	p.Let("long", strings.Repeat("x", 60000))
 	p.Run(`
 		client dial c
-		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\nx\r\n"
+		c send "$ADDm1$STATUSx\r\n"
 		c expect "+OK\r\n"
 		target accept t
 		t expect "...\r\n\r\nx"
 		t send "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 60000\r\n\r\n$long"
 		t close
 		courier wait "code=finished"
-		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm2\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\ny\r\n"
+		c send "$ADDm2$STATUSy\r\n"
 		c expect "+OK\r\n"
 		target accept t
 		t expect "...\r\n\r\ny"
