SIGHUP moves the watch and the notices to the platform's new address

The courier's log shows "targets read again" and no watch on the new address: main.go's relist read only the push front's file, so discovery and notices stayed with an agent that had closed.

Now SIGHUP reads both files; the address of discovery moves at once, the list is asked for whole there, and notices that had no 204 go there. A bad file is logged and changes nothing; what cannot change without a restart is named. A connection to discovery that does not come up is given up after 1 s, a list after 2 s; both had the watch's 23 s.

--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"snowjunction"
 	"snowjunction/internal/config"
 	"snowjunction/internal/core"
 	"snowjunction/internal/describe"
@@ -66,15 +67,15 @@
 }
 
 func run() error {
+	// First of all: a signal that came before would end the process there and
+	// then.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	c, left, err := build()
 	if err != nil {
 		return err
 	}
 	defer c.journal.Close()
-	// Before the fronts open: a signal that came in between would end the
-	// process there and then.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	if err := c.start(left); err != nil {
 		return err
 	}
@@ -184,22 +185,35 @@
 	case syscall.SIGUSR1:
 		c.count("counters")
 	case syscall.SIGHUP:
-		c.relist()
+		c.reload()
 	default:
 		c.drain()
 	}
 }
 
-// relist reads the push front's targets anew. A file that cannot be read
-// changes nothing.
-func (c *courier) relist() {
+// reload reads both files anew. The platform may have moved to another address
+// and the push front's targets may be others; what else differs waits for a
+// restart. Where either file is wrong, neither changes anything.
+func (c *courier) reload() {
+	cfg, err := config.Load(os.Getenv)
+	if err == nil {
+		_, err = snowjunction.New(cfg.Settings)
+	}
+	if err != nil {
+		c.log.Error("configuration not read again", "err", err)
+		return
+	}
 	p, err := config.LoadPush(c.pushPath, c.cfg.Names)
 	if err != nil {
-		c.log.Error("targets not read again", "err", err)
+		c.log.Error("configuration not read again", "err", err)
 		return
 	}
+	if later := c.cfg.Differs(cfg); len(later) > 0 {
+		c.log.Warn("these wait for a restart", "values", later)
+	}
+	c.platform.Move(cfg.Discovery)
 	c.push.Relist(p.Targets)
-	c.log.Info("targets read again", "targets", len(p.Targets))
+	c.log.Info("configuration read again", "discovery", cfg.Discovery, "targets", len(p.Targets))
 }
 
 func (c *courier) count(why string) {
--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -234,3 +234,59 @@
 		assert.Equal(t, 1, strings.Count(string(out), "\n"), "one line: %s", out)
 	}
 }
+
+// SIGHUP with another address: the list is asked for there, the notice that the
+// old agent has not answered goes there, and a flow that is held is delivered
+// to a target that only the new agent tells.
+func TestPlatformMoves(t *testing.T) {
+	p := start(t)
+	p.Server("other")
+	list := `{"generation":1,"reset":true,"instances":[{"instanceId":"s-2","hostPort":"` + p.Server("second") +
+		`","cell":7,"lifecycle":"Ready","zone":"a","machineType":"k"}]}`
+	p.Let("list", list)
+	p.Let("size", strconv.Itoa(len(list)))
+	p.Run(`
+		client dial c
+		c send "$ADDm1\r\n$27\r\nc=status,t=town,d=50,dest=9\r\n$0\r\n\r\n"
+		c expect "+OK\r\n"
+		discovery accept d
+		d expect "...\r\n\r\n"
+		discovery accept n
+		n expect "...{\"id\":\"m1\",\"state\":\""
+	`)
+	p.Let("discovery", p.Name("other"))
+	p.Run(`
+		courier wait hup
+		d expect EOF
+		other accept d2
+		d2 expect "GET /discovery/hosts HTTP/1.1\r\n"
+		other accept n2
+		n2 expect "...{\"id\":\"m1\",\"state\":\""
+		n2 send "HTTP/1.1 204 No Content\r\n\r\n"
+		d2 send "HTTP/1.1 200 OK\r\nContent-Length: $size\r\n\r\n$list"
+		d2 expect "...GET /discovery/hosts?after=1&wait_ms=20000 HTTP/1.1\r\n"
+		c send "$ADDm2$STATUSx\r\n"
+		c expect "+OK\r\n"
+		second accept t
+		t expect "...X-Request-ID: m2\r\n"
+		t send "$ok"
+	`)
+}
+
+// A configuration that cannot be read changes nothing and ends nothing.
+func TestBadConfigurationAtReload(t *testing.T) {
+	p := start(t)
+	p.Let("discovery", "nowhere")
+	p.Run(`
+		discovery accept d
+		d expect "GET /discovery/hosts?after=1"
+		courier wait hup
+		courier wait "configuration not read again"
+		client dial c
+		c send "$ADDm1$STATUSx\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "...X-Request-ID: m1\r\n"
+		t send "$ok"
+	`)
+}
--- a/cmd/snowjunction/push_test.go
+++ b/cmd/snowjunction/push_test.go
@@ -539,7 +539,7 @@
 	g.write([]pushTarget{{"p-1", p.Name("two"), 7, "Terminating", "a", "k"}, ready("p-2", p.Server("three"), 7)})
 	require.NoError(t, g.Signal(syscall.SIGHUP))
 	p.Run(`
-		courier wait "targets read again"
+		courier wait "configuration read again"
 		c send "3 POST /push/7 message-id=m2 $status |x"
 		c expect "3 201"
 		three h2accept b
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"github.com/valyala/fastjson"
@@ -126,6 +128,28 @@
 	return c, nil
 }
 
+// Differs names what c and another configuration do not agree on, but for the
+// address of discovery, the list and the seed, which are another each time.
+func (c *Config) Differs(other *Config) (names []string) {
+	settings := other.Settings
+	settings.Seed = c.Settings.Seed
+	for _, v := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == other.Name},
+		{"listen", c.Listen == other.Listen},
+		{"limits", c.Limits == other.Limits},
+		{"settings", reflect.DeepEqual(c.Settings, settings) && slices.Equal(c.Columns, other.Columns)},
+		{"dcs and models", reflect.DeepEqual(c.Names, other.Names)},
+	} {
+		if !v.same {
+			names = append(names, v.name)
+		}
+	}
+	return names
+}
+
 func positive[T int | float64](v, other T) T {
 	if v <= 0 {
 		return other
--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -25,6 +25,8 @@
 	watchFor     = 20 * time.Second
 	watchSlack   = 3 * time.Second // past which a watch without an answer is lost
 	watchAgain   = 50 * time.Millisecond
+	openWithin   = time.Second     // past which a connection will not come up
+	listWithin   = 2 * time.Second // past which a list asked for at once is lost
 	maxDiscovery = 4 << 20
 )
 
@@ -34,19 +36,28 @@
 	if d.closed {
 		return
 	}
-	d.limit.Stop()
-	d.limit = d.front.Loop.After(watchFor+watchSlack, func() { d.again(net.CallTimeout) })
 	if d.conn == nil {
 		d.parser = http1.Parser{MaxBody: maxDiscovery}
 		d.conn = d.front.Engine.Dial("discovery", d.front.Discovery, d)
+		d.await(openWithin, net.DialTimeout)
 		return
 	}
 	d.ask()
 }
 
+// await gives the connection up after a time. Each step has its own: a watch
+// may be silent for long, but a connection that does not come up would leave
+// the courier without a list for as long.
+func (d *discovery) await(t time.Duration, code net.Code) {
+	d.limit.Stop()
+	d.limit = d.front.Loop.After(t, func() { d.again(code) })
+}
+
 func (d *discovery) ask() {
 	path := "/discovery/hosts"
+	d.await(listWithin, net.CallTimeout)
 	if d.known {
+		d.await(watchFor+watchSlack, net.CallTimeout)
 		path += "?after=" + strconv.FormatUint(d.generation, 10) +
 			"&wait_ms=" + strconv.FormatInt(watchFor.Milliseconds(), 10)
 	}
@@ -72,6 +83,21 @@
 	d.limit = d.front.Loop.After(watchAgain, d.watch)
 }
 
+// move begins anew at another address. Its agent may count generations on its
+// own, so the whole list is asked for; the one held stays until it comes.
+func (d *discovery) move() {
+	if d.closed {
+		return
+	}
+	d.known = false
+	if d.conn != nil {
+		d.conn.Close(net.Moved)
+		d.conn = nil
+	}
+	d.limit.Stop()
+	d.watch()
+}
+
 // Data reads an answer and watches on.
 func (d *discovery) Data(b []byte) {
 	d.parser.Feed(b)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -70,6 +70,17 @@
 	return nil
 }
 
+// Move turns to the platform's new address: the watch begins anew there, and
+// the notices that are owed go there, also those that were on their way.
+func (f *Front) Move(discovery string) {
+	if discovery == f.Discovery {
+		return
+	}
+	f.Discovery = discovery
+	f.discovery.move()
+	f.notices.again(net.Moved)
+}
+
 // Addr is the address that clients reach.
 func (f *Front) Addr() string { return f.addr }
 
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -30,6 +30,7 @@
 	Idle        Code = "idle"         // unused for too long
 	Dropped     Code = "dropped"      // an idle one that the module no longer trusts
 	Drained     Code = "drained"      // its target leaves the target group
+	Moved       Code = "moved"        // the platform is at another address now
 	Finished    Code = "finished"     // one side had asked for an end after this exchange
 	Limit       Code = "limit"        // no room for another connection
 	Slow        Code = "slow"         // the other side does not read what it is sent
--- a/internal/scenario/courier.go
+++ b/internal/scenario/courier.go
@@ -28,7 +28,7 @@
 }
 
 // Courier is the program under test: a process of its own, with a folder that
-// outlasts it. Its steps are: wait ready, kill, term, start, exit, and any
+// outlasts it. Its steps are: wait kill, term, hup, start, exit, and any
 // text, which is then awaited in the log.
 type Courier struct {
 	Play     *Play
@@ -106,6 +106,8 @@
 		return c.Stop(syscall.SIGKILL)
 	case "term":
 		return c.Signal(syscall.SIGTERM)
+	case "hup":
+		return c.reconfigure()
 	case "exit":
 		return c.wait()
 	}
@@ -113,6 +115,15 @@
 	return err
 }
 
+// reconfigure writes the configuration anew, with what the test has changed,
+// and tells the courier.
+func (c *Courier) reconfigure() error {
+	if _, err := c.Config(); err != nil {
+		return err
+	}
+	return c.Signal(syscall.SIGHUP)
+}
+
 // Config writes the courier's configuration and returns its path.
 func (c *Courier) Config() (string, error) {
 	instances := []any{}
