Keep the pace's part of a told limit, and tell broken connections from outages

A probe of give-ups showed all of them late in queues of destinations whose told limit (x1) had been cut to a tenth for 8 s; after its return the pace grew from 7 to its 50 a second only in 5 s. A probe of gates showed them closed by resets of single connections. Ruled out: the ledger (4 give-ups of 960) and shedding (none).

- courier.go report: the pace is scaled with the limit, down and up.
- courier.go judge: a reset on a kept connection, or on a new one of an endpoint that answered within the shortest aim, is no strike; a connection refused at once beside a fresh answer is one strike, not three.
What the call really went on now comes from the wire (AttemptEnded.Fresh, Kept; core.Call.Kept).
- courier.go send, judge: calls to a sound sibling, and connections that were refused, no longer use up the fall budget and put off trials for 5 s and more; the quotas give a least capacity where nothing is known, as after a restart.
- A stop decides for 2.4 s of its 3.7, not 1.8.
- The push front keeps to the same about spoilt answers: a :status 200 stands.

--- a/api.go
+++ b/api.go
@@ -199,6 +199,11 @@
 		Wait     time.Duration // for Full: told wait; 0: none
 		Done     bool          // the request is over
 		Report   []float64     // in the order of Settings.Report
+
+		// Where it is known what the call went on: a new connection, or one
+		// that had been idle for so long. Neither: the module's guess stands.
+		Fresh bool
+		Kept  time.Duration
 	}
 	// ProbeEnded is the result of a Probe.
 	ProbeEnded struct {
--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -42,8 +42,8 @@
 const (
 	listenFor = 500 * time.Millisecond
 	lookAgain = 20 * time.Millisecond
-	decideFor = 1800 * time.Millisecond
-	finishFor = 3200 * time.Millisecond
+	decideFor = 2400 * time.Millisecond // the platform waits 3.7 s whatever this does: what is held is served meanwhile
+	finishFor = 3400 * time.Millisecond
 )
 
 // The fronts' numbers, which stand in the journal too.
--- a/cmd/snowjunction/push_test.go
+++ b/cmd/snowjunction/push_test.go
@@ -552,6 +552,37 @@
 	`)
 }
 
+// The same as for the platform's targets: a status 200 stands though the rest
+// is spoilt or never comes, any other answer that is not whole may have run.
+func TestPushSpoiltAnswers(t *testing.T) {
+	newGateway(t).play().Run(`
+		push h2dial c
+		c send "1 POST /push/7 message-id=m1 $status |x"
+		c expect "1 201"
+		two h2accept a
+		a expect "1 POST /inbox x-request-id=m1 |x"
+		a send "1 503 content-length=9 |short"
+		a expect "RST 1 PROTOCOL_ERROR"
+		a expect "3 POST /inbox x-request-id=m1 |x"
+		a send "3 200 content-length=9 |short"
+		a expect "RST 3 PROTOCOL_ERROR"
+		c send "3 POST /push/7 message-id=m2 $status |x"
+		c expect "3 201"
+		a expect "5 POST /inbox x-request-id=m2 |x"
+		a send "HEAD 5 200"
+		a expect "RST 5 CANCEL"
+		c send "5 POST /push/7 message-id=m3 $status |x"
+		c expect "5 201"
+		a expect "7 POST /inbox x-request-id=m3 |x"
+		a send "HEAD 7 200"
+		a send "RST 7 INTERNAL_ERROR"
+		courier wait term
+		courier wait "msg=ended"
+		courier wait "n.sent=4 n.unsent=0 n.late=0 n.delivered=3"
+		courier wait exit
+	`)
+}
+
 // A planned stop: a GOAWAY, the streams that are open are answered, the call
 // that is out is finished.
 func TestPushPlannedStop(t *testing.T) {
--- a/courier.go
+++ b/courier.go
@@ -75,6 +75,7 @@
 	paceGrowth = 0.2  // a second, while requests wait and none is refused
 	paceCut    = 0.75 // on a refusal, as another courier needs the room
 	peakOver   = 1.5  // capacity over the most served, where no limit is told
+	leastPart  = 0.25 // of the mean destination's part of the quotas: capacity where nothing is known
 	paceRest   = 1.0  // of the shortest aim: no growth after a refusal
 	shareLeast = 0.06 // of the fleet: calls of the even share in the shortest aim; below, refusals set a gap
 	gapMost    = 16   // shortest aims between calls to a route that refuses: it doubles up to this, from one
@@ -457,7 +458,9 @@
 			e.idle = e.idle[:len(e.idle)-1]
 		}
 	}
-	rt.coldSends.add(c.now, weight)
+	if e.state != up || e.fails > 0 { // what a sound sibling gets does not weigh on a cold one
+		rt.coldSends.add(c.now, weight)
+	}
 	rt.coldSends.drop(c.now - max(c.s.WarmUp, c.s.FallTime)) // bounds what is kept
 	b.size++
 	b.left++
@@ -488,6 +491,9 @@
 	}
 	b := r.call
 	r.call = nil
+	if ev.Fresh || ev.Kept > 0 {
+		b.idled = ev.Kept
+	}
 	c.report(b.ep.route, ev.Report)
 	if ev.Outcome == Full && ev.Wait > 0 { // of a bundle, any one may tell it
 		b.ep.route.waitUntil = max(b.ep.route.waitUntil, c.now+ev.Wait+c.s.Tick)
@@ -573,6 +579,9 @@
 		case c.s.Report[i] == AllowanceLeft:
 			r.left = v
 		case c.s.Report[i] == LimitRate && v > 0:
+			if r.limit > 0 { // the pace keeps its part of it: a limit may be cut, and restored, at once
+				r.pace *= v / r.limit
+			}
 			r.limit = v
 		}
 	}
@@ -623,6 +632,11 @@
 		}
 		if e.lastOK > b.sent {
 			weight, pause = 0, span(d.recent)
+		} else if ev.Took+2*c.s.Tick < c.s.ConnectTimeout && c.now-e.lastOK <= c.prompt && e.lastOK > 0 {
+			weight = 1 // it answered a moment ago: one connection may break alone
+		}
+		if !c.crowded(d) { // it reached nobody: what counts as sent would put off the next trial
+			e.route.coldSends.undo(b.sent, 1+bundleExtra*float64(b.size-1))
 		}
 		e.route.waitUntil = max(e.route.waitUntil, c.now+c.jitter(pause))
 		c.strike(e, weight, true)
@@ -643,10 +657,15 @@
 			c.observe(d, e, took)
 		}
 		c.strike(e, weight, false)
-	case Reset, Error: // an answer that breaks, like an error, may be one of many good ones
-		if c.strike(e, 1, false); ev.Outcome == Error {
-			e.idle = append(e.idle, c.now)
+	case Reset:
+		// A connection that breaks after use says little of its endpoint, nor
+		// does one among others that get through: new ones will tell.
+		if b.idled == 0 && max(0, b.sent-e.lastOK) > c.prompt {
+			c.strike(e, 1, false)
 		}
+	case Error: // may be one of many good answers
+		e.idle = append(e.idle, c.now)
+		c.strike(e, 1, false)
 	}
 	if len(d.queue) == 0 && c.crowded(d) {
 		c.dropIdle(e)
@@ -798,7 +817,7 @@
 	r := e.route
 	capacity := r.limit
 	if capacity <= 0 {
-		capacity = math.Max(peakOver*r.dest.peak*float64(c.s.Fleet), 1/seconds(max(c.s.FallTime, c.s.Tick)))
+		capacity = math.Max(peakOver*r.dest.peak*float64(c.s.Fleet), c.leastRate())
 	}
 	// The budget belongs to those who have seen the outage: each call that the
 	// fleet made while it lasted came from one of them.
@@ -823,6 +842,16 @@
 	return room
 }
 
+// leastRate is what a destination of which nothing is known is taken to bear:
+// after a restart in an outage, it would else be asked once in many seconds.
+func (c *Courier) leastRate() float64 {
+	total := 0.0
+	for _, t := range c.s.Tenants {
+		total += t.Quota
+	}
+	return math.Max(leastPart*total/float64(max(1, len(c.order))), 1/seconds(max(c.s.FallTime, c.s.Tick)))
+}
+
 // trial asks closed endpoints, one at a time on a route: a probe where allowed,
 // else the request that is cheapest to lose.
 func (c *Courier) trial(r *route) {
--- a/courier_test.go
+++ b/courier_test.go
@@ -729,6 +729,112 @@
 	}
 }
 
+// A destination that refuses connections is asked again soon, though nothing is
+// known of what it can bear: calls that reached nobody weigh nothing.
+func TestRefusedConnectionsDoNotPutOffTrials(t *testing.T) {
+	g := newRig(t, func(s *Settings) { s.WeightsAreLimits = false }, Endpoint{ID: 10, Destination: 1})
+	closeGate(g, ConnectFailed)
+	for id := RequestID(300); id < 330; id++ {
+		g.step(0, req(id, safe))
+	}
+	trials := 0
+	for range 500 {
+		for _, id := range sends(g.step(20 * ms)) {
+			trials++
+			g.step(0, g.end(id, ConnectFailed))
+		}
+	}
+	if trials < 8 { // one in 0.7 of the connect time-out, give or take a quarter
+		t.Errorf("%d trials in 10 s", trials)
+	}
+}
+
+// Kept connections that break are no outage: the gate stays open, and what the
+// wire tells of the connection stands over the module's guess. New ones that
+// break are one.
+func TestBrokenConnections(t *testing.T) {
+	for _, tc := range []struct {
+		kept time.Duration
+		want health
+	}{{time.Second, up}, {0, down}} {
+		g := newRig(t, nil, ep1)
+		for id := RequestID(1); id <= 4; id++ {
+			g.step(20*ms, req(id, safe))
+			if _, out := g.out[id]; out {
+				ev := g.end(id, Reset)
+				ev.Kept, ev.Fresh = tc.kept, tc.kept == 0
+				g.step(20*ms, ev)
+			}
+		}
+		want(t, fmt.Sprint("state with ", tc.kept), g.c.eps[10].state, tc.want)
+	}
+}
+
+// A new connection that breaks while others get through is no outage either,
+// be it before or after.
+func TestBrokenAmongGoodOnes(t *testing.T) {
+	g := newRig(t, nil, ep1)
+	g.step(0, req(1, safe), req(2, safe))
+	g.step(20*ms, g.end(1, OK))
+	for id := RequestID(2); id <= 5; id++ {
+		ev := g.end(id, Reset)
+		ev.Fresh = true
+		g.step(20*ms, ev, req(id+1, safe))
+		want(t, "strikes", g.c.eps[10].fails, 0)
+	}
+}
+
+// What an endpoint that is well gets does not put off the trials of its sibling.
+func TestSoundSiblingLeavesRoomForTrials(t *testing.T) {
+	g := newRig(t, nil, Endpoint{ID: 10, Destination: 1, Weight: 20}, Endpoint{ID: 11, Destination: 1, Weight: 20})
+	serve := func(d time.Duration, sick EndpointID) (trials int) {
+		for n := g.now; g.now < n+d; {
+			id := RequestID(g.now / ms)
+			g.step(20*ms, req(id, safe))
+			for x, s := range g.out {
+				if s.Endpoint == sick {
+					trials++
+					g.step(0, g.end(x, TimedOut))
+				} else {
+					g.step(0, g.end(x, OK))
+				}
+			}
+		}
+		return trials
+	}
+	serve(5*time.Second, 10)
+	want(t, "gate", g.c.eps[10].state, down)
+	if n := serve(10*time.Second, 10); n < 6 {
+		t.Errorf("%d trials in 10 s", n)
+	}
+}
+
+// The pace follows a limit that is cut or restored at once: growing back would
+// take many seconds.
+func TestPaceFollowsTheToldLimit(t *testing.T) {
+	g := newRig(t, nil, Endpoint{ID: 10, Destination: 1, Weight: 50})
+	g.step(0, req(1, safe))
+	ev := g.end(1, OK)
+	ev.Report = []float64{1, 50}
+	g.step(20*ms, ev, req(2, safe))
+	before := g.c.eps[10].route.pace
+	ev = g.end(2, OK)
+	ev.Report = []float64{1, 5}
+	g.step(20*ms, ev, req(3, safe))
+	if pace := g.c.eps[10].route.pace; pace > before/9 || pace < before/11 {
+		t.Errorf("pace %.2f of %.2f with a tenth of the limit", pace, before)
+	}
+}
+
+// Where nothing is known of a destination, the quotas tell what it bears at least.
+func TestLeastRate(t *testing.T) {
+	g := newRig(t, func(s *Settings) { s.Tenants = []Tenant{{Quota: 30}, {Quota: 10}} },
+		Endpoint{ID: 10, Destination: 1}, Endpoint{ID: 11, Destination: 2})
+	want(t, "least rate", g.c.leastRate(), leastPart*20)
+	g = newRig(t, nil, Endpoint{ID: 10, Destination: 1})
+	want(t, "without quotas", g.c.leastRate(), 0.5)
+}
+
 // A message restored after a restart keeps the attempts of its earlier life:
 // what may have run goes again only where its effect, its window, its attempts
 // and the ledger allow.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -32,11 +32,14 @@
 	done   func(Result)
 	left   bool
 	gaveUp bool
+	kept   time.Duration
 }
 
 func (x *testCall) Left() bool { return x.left }
 func (x *testCall) GiveUp()    { x.gaveUp = true }
 
+func (x *testCall) Kept() time.Duration { return x.kept }
+
 type testTarget struct{ b *bench }
 
 func (x testTarget) Call(m *store.Message, _ time.Duration, done func(Result)) Call {
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -28,10 +28,15 @@
 			c.Log.Error("journal", "err", err)
 		}
 	}
-	c.feed(snowjunction.AttemptEnded{
+	ev := snowjunction.AttemptEnded{
 		Request: f.id, Endpoint: a.endpoint, Attempt: a.no, Outcome: r.Outcome,
 		Took: c.Loop.Now().Sub(a.began), Wait: r.Wait, Done: f.ended, Report: r.Report,
-	})
+	}
+	if a.call != nil {
+		ev.Kept = a.call.Kept()
+		ev.Fresh = ev.Kept == 0
+	}
+	c.feed(ev)
 	c.forget(f)
 	c.checkIdle()
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -33,6 +33,9 @@
 type Call interface {
 	// Left tells whether its last byte may have left.
 	Left() bool
+	// Kept is how long the call's connection had been idle before; 0: it is a
+	// new one.
+	Kept() time.Duration
 	// GiveUp stops waiting. done is not called any more.
 	GiveUp()
 }
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -31,6 +31,7 @@
 	sent   bool        // the request may have left
 	rest   *core.Timer // runs while an answer has begun and is not whole
 	used   time.Time
+	kept   time.Duration // idle before the call that is out; 0: new
 }
 
 const (
@@ -58,6 +59,7 @@
 	if n := len(t.idle); n > 0 {
 		l := t.idle[n-1]
 		t.idle = t.idle[:n-1]
+		l.kept = max(t.front.Loop.Now().Sub(l.used), 1)
 		l.begin(out, done)
 		l.write()
 		return l
@@ -131,6 +133,9 @@
 // Left tells whether the request's last byte may have left.
 func (l *link) Left() bool { return l.sent }
 
+// Kept is how long the connection had been idle.
+func (l *link) Kept() time.Duration { return l.kept }
+
 // GiveUp ends the connection, which tells the target.
 func (l *link) GiveUp() {
 	l.done = nil
--- a/internal/front/push/target.go
+++ b/internal/front/push/target.go
@@ -40,6 +40,9 @@
 	fields []h2.Field
 	body   []byte
 	stream uint32 // 0: not on its way yet
+	status int    // of the answer that has begun; 0: none
+	rest   *core.Timer
+	kept   time.Duration // its connection had been idle; 0: a new one
 	done   func(core.Result)
 }
 
@@ -48,6 +51,8 @@
 	// reuseWithin is the share of the time a connection may sit idle within
 	// which it is used again.
 	reuseWithin = 0.85
+	// restWithin is how long the rest of an answer may take that has begun.
+	restWithin = 500 * time.Millisecond
 )
 
 // Call makes an attempt on a connection with room, or a new one.
@@ -65,6 +70,9 @@
 	}
 	l := t.link()
 	x.link = l
+	if l.up {
+		x.kept = max(t.front.Loop.Now().Sub(l.used), 1)
+	}
 	if l.queue = append(l.queue, x); l.up {
 		l.send()
 	}
@@ -171,11 +179,15 @@
 // Left tells whether the request may have left.
 func (x *call) Left() bool { return x.stream != 0 }
 
+// Kept is how long the connection had been idle.
+func (x *call) Kept() time.Duration { return x.kept }
+
 // GiveUp resets the stream, which tells the target. Other calls on the
 // connection go on.
 func (x *call) GiveUp() {
 	l := x.link
 	x.done = nil
+	x.rest.Stop()
 	if x.stream != 0 {
 		l.h2.Reset(x.stream, h2.Cancel)
 		delete(l.calls, x.stream)
@@ -198,6 +210,27 @@
 	}
 }
 
+// lost is the result of a call whose answer will not be whole. A status 200
+// that has come is true all the same; anything else may have run.
+func (x *call) lost() core.Result {
+	if x.status == 200 {
+		return core.Result{Outcome: snowjunction.OK}
+	}
+	return core.Result{Outcome: snowjunction.Reset}
+}
+
+// spoilt gives up the rest of an answer.
+func (x *call) spoilt() {
+	l := x.link
+	l.h2.Reset(x.stream, h2.Cancel)
+	delete(l.calls, x.stream)
+	l.conn.Write(l.h2.Output())
+	x.finish(x.lost())
+	if l.gone || l.target.left {
+		l.rest(net.Finished)
+	}
+}
+
 func (x *call) finish(r core.Result) {
 	if done := x.done; done != nil {
 		x.done = nil
@@ -218,15 +251,22 @@
 		x.finish(core.Result{Outcome: never})
 	}
 	for _, x := range calls {
-		x.finish(core.Result{Outcome: snowjunction.Reset})
+		x.rest.Stop()
+		x.finish(x.lost())
 	}
 }
 
 // Data reads answers.
 func (l *link) Data(b []byte) {
 	events, err := l.h2.Feed(l.target.front.Loop.Now(), b)
+	var begun []*call
 	for _, ev := range events {
 		switch ev := ev.(type) {
+		case h2.Head:
+			if x := l.calls[ev.Stream]; x != nil {
+				x.status, _ = strconv.Atoi(h2.Get(ev.Fields, ":status"))
+				begun = append(begun, x)
+			}
 		case h2.Message:
 			l.answer(ev)
 		case h2.Reset:
@@ -235,6 +275,15 @@
 			l.leave()
 		}
 	}
+	for _, x := range begun {
+		if l.calls[x.stream] != x { // it came whole
+			continue
+		}
+		x.rest = l.target.front.Loop.After(restWithin, x.spoilt)
+		if x.status == 200 {
+			x.finish(core.Result{Outcome: snowjunction.OK})
+		}
+	}
 	if out := l.h2.Output(); len(out) > 0 {
 		l.conn.Write(out)
 	}
@@ -259,6 +308,7 @@
 	if x == nil {
 		return
 	}
+	x.rest.Stop()
 	status, err := strconv.Atoi(h2.Get(m.Fields, ":status"))
 	if err != nil {
 		status = 500
@@ -276,12 +326,13 @@
 	if x == nil {
 		return
 	}
-	o := snowjunction.Reset
+	x.rest.Stop()
+	res := x.lost()
 	switch {
 	case r.NotRun && l.h2.Left(): // the connection ends, the target may be well: it counts for nothing
-		o = snowjunction.Moot
+		res.Outcome = snowjunction.Moot
 	case r.NotRun:
-		o = snowjunction.Full
+		res.Outcome = snowjunction.Full
 	}
-	x.finish(core.Result{Outcome: o})
+	x.finish(res)
 }
--- a/internal/proto/h2/conn.go
+++ b/internal/proto/h2/conn.go
@@ -30,6 +30,12 @@
 		Body   []byte
 		TooBig bool // headers or body over the limit: what is here is a part
 	}
+	// Head tells the client that an answer has begun: its status stands,
+	// whatever becomes of the rest.
+	Head struct {
+		Stream uint32
+		Fields []Field
+	}
 	// Reset tells that a stream has ended before its message was whole, or
 	// that the other side wants no answer. NotRun tells that the request on
 	// it had no effect.
@@ -43,6 +49,7 @@
 )
 
 func (Message) event()  {}
+func (Head) event()     {}
 func (Reset) event()    {}
 func (Farewell) event() {}
 
--- a/internal/proto/h2/stream.go
+++ b/internal/proto/h2/stream.go
@@ -87,6 +87,9 @@
 		return nil
 	}
 	s.headers, s.fields, s.tooBig = true, fields, tooBig
+	if c.client {
+		c.events = append(c.events, Head{Stream: s.id, Fields: fields})
+	}
 	length, ok := check(fields, c.client)
 	if !ok && !tooBig {
 		return c.malformed(s)
--- a/internal/scenario/h2.go
+++ b/internal/scenario/h2.go
@@ -18,6 +18,7 @@
 //	ADDRESS h2dial WHO, SERVER h2accept WHO
 //	WHO send "STREAM METHOD PATH NAME=VALUE ... |BODY"      a request
 //	WHO send "STREAM STATUS NAME=VALUE ... |BODY"           a response
+//	WHO send "HEAD STREAM STATUS NAME=VALUE ..."            one that goes on
 //	WHO send "RST STREAM CODE" or "GOAWAY STREAM" or "PING"
 //	WHO expect ...                 the same forms: the next that comes, with at
 //	                               least the headers named and just that body
@@ -81,6 +82,10 @@
 		}
 		return fmt.Errorf("no error code %s", words[2])
 	}
+	goesOn := words[0] == "HEAD"
+	if goesOn {
+		words = words[1:]
+	}
 	stream, err := strconv.ParseUint(words[0], 10, 31)
 	if err != nil {
 		return err
@@ -100,7 +105,7 @@
 		}
 	}
 	err = a.framer.WriteHeaders(http2.HeadersFrameParam{
-		StreamID: uint32(stream), BlockFragment: a.block.Bytes(), EndHeaders: true, EndStream: !hasBody,
+		StreamID: uint32(stream), BlockFragment: a.block.Bytes(), EndHeaders: true, EndStream: !hasBody && !goesOn,
 	})
 	if err == nil && hasBody {
 		err = a.framer.WriteData(uint32(stream), true, []byte(body))
--- a/state.go
+++ b/state.go
@@ -199,6 +199,17 @@
 	t.at, t.w = append(t.at, now), append(t.w, w)
 }
 
+// undo takes back what was added at that moment.
+func (t *trail) undo(at time.Duration, w float64) {
+	for i := len(t.at) - 1; i >= 0 && w > 0 && t.at[i] >= at; i-- {
+		if t.at[i] == at {
+			taken := math.Min(w, t.w[i])
+			t.w[i] -= taken
+			w -= taken
+		}
+	}
+}
+
 // drop forgets what lies before from.
 func (t *trail) drop(from time.Duration) {
 	for len(t.at) > 0 && t.at[0] < from {
