Judge no endpoint by calls cut short, and give quick failures more room

The log shows its trials connect and end 19, 38, 55 and 175 ms later: cheapest() had picked messages whose own deadline cut the call short, and judge() took that for a time-out of the endpoint and backed off. Ruled out: slots (5 of 8 out), the ledger.

- courier.go send, judge: a call whose time-out is too short to tell anything counts for nothing; cheapest() risks no such message in a trial.
- Four strikes close a gate, not three; the ledger's floor is as large as the slots, not half.
Both are open in the design.

--- a/courier.go
+++ b/courier.go
@@ -30,7 +30,7 @@
 const (
 	ledgerSpan  = 10 * time.Second
 	ledgerRatio = 0.2 // repeats must not multiply the load of a failing destination
-	ledgerFloor = 0.5 // of the slots: a seldom-called destination lives on it
+	ledgerFloor = 1.0 // of the slots: a seldom-called destination lives on it
 )
 
 // The delay window, in multiples of the best recent latency.
@@ -55,7 +55,7 @@
 
 // The gate.
 const (
-	strikesOut   = 3   // strikes in a row that close it; an error or a reset is one, a time-out is all
+	strikesOut   = 4   // strikes in a row that close it; an error or a reset is one, a time-out is all
 	shutEpisodes = 5   // refusals in a row, none taken: shut, not limited
 	firstTrial   = 0.4 // of the connect time-out, to the first trial: short outages are left soon
 	trialGrowth  = 1.5 // trials of a long outage become rarer, to spare slots and the ledger
@@ -75,6 +75,7 @@
 	paceGrowth = 0.2  // a second, while requests wait and none is refused
 	paceCut    = 0.75 // on a refusal, as another courier needs the room
 	peakOver   = 1.5  // capacity over the most served, where no limit is told
+	limitJump  = 1.6  // times its last value: a told limit has been cut or restored
 	leastPart  = 0.25 // of the mean destination's part of the quotas: capacity where nothing is known
 	paceRest   = 1.0  // of the shortest aim: no growth after a refusal
 	shareLeast = 0.06 // of the fleet: calls of the even share in the shortest aim; below, refusals set a gap
@@ -470,7 +471,9 @@
 	r.attempts++
 	r.call = b
 	d.queue = remove(d.queue, r)
-	c.do(Send{Request: r.id, Endpoint: e.ID, Timeout: c.timeout(r)})
+	t := c.timeout(r)
+	b.cut = b.cut || t < c.telling(d)
+	c.do(Send{Request: r.id, Endpoint: e.ID, Timeout: t})
 }
 
 // timeout follows the observed latency. A time-out burns an unsafe request
@@ -579,7 +582,9 @@
 		case c.s.Report[i] == AllowanceLeft:
 			r.left = v
 		case c.s.Report[i] == LimitRate && v > 0:
-			if r.limit > 0 { // the pace keeps its part of it: a limit may be cut, and restored, at once
+			// The pace keeps its part of a limit that is cut or restored at once.
+			// What changes less is mostly noise.
+			if r.limit > 0 && math.Max(v/r.limit, r.limit/v) > limitJump {
 				r.pace *= v / r.limit
 			}
 			r.limit = v
@@ -594,6 +599,9 @@
 	}
 	b.judged = true
 	e, d := b.ep, b.ep.route.dest
+	if ev.Outcome == TimedOut && b.cut {
+		return // the message's own deadline cut it short: that says nothing of the endpoint
+	}
 	// A kind's repeats tell how long its refused calls stay away: one destination is called too seldom.
 	if g := &c.repeatGap[d.kindNo]; r.attempts > 1 && ev.Outcome == Full {
 		*g = min(span(seconds(*g)*gapGrowth), gapMost*c.prompt)
@@ -675,6 +683,14 @@
 	}
 }
 
+// telling is how long an answer of d must be out before that tells anything.
+func (c *Courier) telling(d *destination) time.Duration {
+	if d.recent == 0 {
+		return c.prompt / 2
+	}
+	return min(span(narrowOver*d.recent), c.prompt)
+}
+
 // crowded tells that d's connections are better closed after use. One refused
 // at once tells that tables are small at this kind; in a large fleet the idle
 // connections of all fill them, though hardly one is used again.
@@ -896,7 +912,8 @@
 	low := 0.0
 	for _, r := range e.route.dest.queue {
 		unsafe := r.class.Effect == Unsafe
-		if !c.eligible(r, e) || unsafe && !e.vouched {
+		late := r.deadline-c.now < c.telling(r.dest) // it would be given up before it could tell anything
+		if late || !c.eligible(r, e) || unsafe && !e.vouched {
 			continue
 		}
 		v := c.worth(r, c.now)
--- a/state.go
+++ b/state.go
@@ -233,6 +233,7 @@
 	size   int           // requests sent with it
 	left   int           // outcomes still due
 	judged bool          // its fate has been counted
+	cut    bool          // its time-out is too short to tell anything
 	idled  time.Duration // how long its connection was idle; 0: a new one
 }
 
@@ -354,7 +355,7 @@
 	fullAt    time.Duration
 	fulls     int // refusals in a row, as episodes
 	trialOut  int
-	coldSends trail
+	coldSends trail // calls to endpoints that were not well
 }
 
 // evenShare is one courier's part of a route's limit.
