Let idle clients make room before new ones are turned away

A probe of answers shows clients that ask once, are answered within a millisecond and stay for one to three seconds; 128 connections, a third of the descriptors, is all that clients may hold, so 90 messages a second came of 117, and at a planned restart twice as many shared the limit. Ending silent ones sooner gained nothing.

- listener.go: with more clients than a quarter of the connections, each new one has the longest idle go: those that have said nothing sensible first, others from 100 ms on.
A request that crosses this is sent again; to turn a new client away fails its request.
- engine.go: clients may hold 0.7 of the connections, targets keep the rest.

The test with 40 sockets fails without sparing.

--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -22,9 +22,13 @@
 	os.Exit(m.Run())
 }
 
-// start starts a courier with one target for destination 7.
-func start(t *testing.T) *scenario.Play {
+// start starts a courier with one target for destination 7 and a silent one for
+// destination 9. A limit on sockets may be given.
+func start(t *testing.T, limits ...int) *scenario.Play {
 	c := scenario.NewCourier(t)
+	if len(limits) > 0 {
+		c.Limits["sockets"] = limits[0]
+	}
 	c.Targets = []scenario.Target{
 		{Name: "s-1", Addr: c.Play.Server("target"), Cell: 7}, {Name: "s-9", Addr: c.Play.Server("silent"), Cell: 9},
 	}
@@ -293,6 +297,25 @@
 	`)
 }
 
+// A flood of silent connections does not keep out those who have something to
+// say: with 40 sockets, 14 are for clients.
+func TestSilentFlood(t *testing.T) {
+	p := start(t, 40)
+	for n := range 30 {
+		p.Run("client dial silent" + strconv.Itoa(n))
+	}
+	p.Run(`
+		silent0 expect EOF
+		client dial c
+		c send "$ADDm1$STATUSx\r\n"
+		c expect "+OK\r\n"
+		silent1 expect EOF
+		target accept t
+		t expect "...X-Request-ID: m1\r\n"
+		courier wait "code=spared"
+	`)
+}
+
 func TestBadConfiguration(t *testing.T) {
 	c := scenario.NewCourier(t)
 	c.Settings["classes"] = []any{}
--- a/internal/front/platform/listener.go
+++ b/internal/front/platform/listener.go
@@ -40,9 +40,9 @@
 	senseWithin = 2 * time.Second        // from its opening, to the first command that makes sense
 	wholeWithin = 2 * time.Second        // from a command's first byte to its last
 	idleMost    = 10 * time.Second       // between commands
-	spareAfter  = 2 * time.Second        // between commands, where there is no room for another client
-	spareSilent = 500 * time.Millisecond // the same without any command: those who connect at need send at once
+	spareAfter  = 100 * time.Millisecond // between commands, where there is no room: to turn a new client away fails its request, this at most has one sent again
 	sweepEvery  = 250 * time.Millisecond
+	crowdShare  = 0.25 // of all connections: with more clients, idle ones make room already
 )
 
 // idle tells for how long a client has had no open request, and how long it
@@ -71,7 +71,9 @@
 }
 
 // spareClient makes room for another client: of those that can be spared the
-// one goes that is farthest over its time.
+// one goes that is farthest over its time. Who has sent nothing that makes sense
+// has no such time: those who connect at need send at once, and a flood of
+// silent ones would keep them out.
 func (f *Front) spareClient() bool {
 	now := f.Loop.Now()
 	var spare *client
@@ -79,7 +81,7 @@
 	for c := range f.clients {
 		idle, _ := c.idle(now)
 		if !c.served {
-			idle += spareAfter - spareSilent
+			idle += idleMost
 		}
 		if idle >= spareAfter && idle > over {
 			spare, over = c, idle
@@ -93,6 +95,11 @@
 }
 
 func (f *Front) accept(conn *net.Conn) net.Handler {
+	// Clients hold a third of the descriptors at most: those that ask once and
+	// stay for a while would use that up, and no further request could come.
+	if float64(len(f.clients)) >= crowdShare*float64(f.Engine.Most()) {
+		f.spareClient()
+	}
 	now := f.Loop.Now()
 	c := &client{front: f, conn: conn, opened: now, since: now}
 	f.clients[c] = true
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -70,7 +70,7 @@
 
 // acceptShare of the connections may be listeners'. The rest is kept for
 // targets and the platform, or clients could cut the courier off from both.
-const acceptShare = 0.6
+const acceptShare = 0.7
 
 // pendingMost bounds what has been read and not been looked at: a peer that
 // sends faster than the loop reads would have it pile up in memory.
@@ -150,6 +150,9 @@
 // Full tells that no further connection can be opened.
 func (e *Engine) Full() bool { return e.open >= e.cfg.MaxConns }
 
+// Most is the number of connections that may be open at once.
+func (e *Engine) Most() int { return e.cfg.MaxConns }
+
 // Open is the number of connections that are open or being opened.
 func (e *Engine) Open() int { return e.open }
 
