--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -54,6 +54,20 @@
 	assert.ErrorContains(t, err, "GW_STATE")
 }
 
+// A reload names what it cannot change. The platform's address, the list and
+// the seed are no such things.
+func TestDiffers(t *testing.T) {
+	c, err := Parse([]byte(good), env)
+	require.NoError(t, err)
+	moved := strings.NewReplacer("8500", "8501", "8c1f", "9c1f", `"cell":3`, `"cell":4`).Replace(good)
+	other, err := Parse([]byte(moved), env)
+	require.NoError(t, err)
+	assert.Empty(t, c.Differs(other))
+	other, err = Parse([]byte(strings.NewReplacer("6379", "6380", `"deadline-ms":5`, `"deadline-ms":6`).Replace(good)), env)
+	require.NoError(t, err)
+	assert.Equal(t, []string{"listen", "settings"}, c.Differs(other))
+}
+
 // What a list does not say clearly gets nothing new.
 func TestListInDoubt(t *testing.T) {
 	n := Names{Zones: map[string]int{"a": 0}, Kinds: map[string]int{}}
--- a/internal/front/platform/listener.go
+++ b/internal/front/platform/listener.go
@@ -40,7 +40,7 @@
 	senseWithin = 2 * time.Second        // from its opening, to the first command that makes sense
 	wholeWithin = 2 * time.Second        // from a command's first byte to its last
 	idleMost    = 10 * time.Second       // between commands
-	spareAfter  = 100 * time.Millisecond // between commands, where there is no room: to turn a new client away fails its request, this at most has one sent again
+	spareAfter  = 100 * time.Millisecond // between commands, where others need the room
 	sweepEvery  = 250 * time.Millisecond
 	crowdShare  = 0.25 // of all connections: with more clients, idle ones make room already
 )
@@ -71,9 +71,10 @@
 }
 
 // spareClient makes room for another client: of those that can be spared the
-// one goes that is farthest over its time. Who has sent nothing that makes sense
-// has no such time: those who connect at need send at once, and a flood of
-// silent ones would keep them out.
+// one goes that is farthest over its time. A request that crosses this is sent
+// again; to turn a new client away fails its request. Who has sent nothing that
+// makes sense has no such time: those who connect at need send at once, and a
+// flood of silent ones would keep them out.
 func (f *Front) spareClient() bool {
 	now := f.Loop.Now()
 	var spare *client
