A command line on kong with run, check and version; schemas for operator files

Need: operators can only find out by a start whether their files are right, and later commands (stand-ins, measurements, a demo) need a place.

Change: the wiring moves to internal/daemon, cmd/snowjunction parses the command line with kong; without arguments it stays the platform's courier. check reads all that a start would read and prints a line per mistake. The push front's file has a JSON Schema, held at start, at SIGHUP and by check.

--- /dev/null
+++ b/cmd/snowjunction/command_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/scenario"
+)
+
+// command runs the program with arguments and returns what it prints and its
+// exit code.
+func command(t *testing.T, env []string, args ...string) (string, int) {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(append(os.Environ(), scenario.RunAs+"=1"), env...)
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		require.IsType(t, &exec.ExitError{}, err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	push := filepath.Join(dir, "push.json")
+	require.NoError(t, os.WriteFile(push, []byte(`{"listen":7,"retain_s":"long"}`), 0o600))
+	good := []string{"GW_CONFIG=../../example/config.json", "GW_STATE=" + dir, "SNOWJUNCTION_PUSH=../../deploy/push.json"}
+	bad := append(good[:2:2], "SNOWJUNCTION_PUSH="+push)
+	for _, tc := range []struct {
+		env  []string
+		args []string
+		code int
+		want []string
+	}{
+		{nil, []string{"version"}, 0, []string{"snowjunction "}},
+		{nil, []string{"--help"}, 0, []string{"Exit codes", "check", "GW_CONFIG"}},
+		{nil, []string{"--bogus"}, exitUsage, []string{"unknown flag --bogus"}},
+		{nil, []string{"--log-level=loud"}, exitUsage, []string{"--log-level"}},
+		{[]string{"GW_CONFIG="}, nil, exitFailed, []string{"GW_CONFIG is not set"}},
+		{good, []string{"check"}, 0, []string{"no mistakes"}},
+		{bad, []string{"check"}, exitMistake, []string{push + ": /listen: ", push + ": /retain_s: "}},
+		{bad, nil, exitFailed, []string{"snowjunction: " + push + ": /listen: "}},
+	} {
+		out, code := command(t, tc.env, tc.args...)
+		assert.Equal(t, tc.code, code, "%v: %s", tc.args, out)
+		for _, want := range tc.want {
+			assert.Contains(t, out, want, "%v", tc.args)
+		}
+	}
+}
--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -1,250 +1,114 @@
 // Command snowjunction is the courier: it takes messages from clients, keeps
 // them in its journal and delivers them to targets, as the decision module
-// says.
+// says. Without arguments it runs as the deploy file starts it.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
-	"time"
-
-	"snowjunction"
-	"snowjunction/internal/config"
-	"snowjunction/internal/core"
-	"snowjunction/internal/describe"
-	"snowjunction/internal/front/platform"
-	"snowjunction/internal/front/push"
-	"snowjunction/internal/hook"
-	"snowjunction/internal/net"
-	"snowjunction/internal/store"
-)
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "snowjunction:", err)
-		os.Exit(1)
-	}
-}
+	"github.com/alecthomas/kong"
 
-const (
-	memoryShare = 0.6 // of the machine's memory, for the heap: the folder's files count too
-	descriptors = 32  // besides connections: journal, log, epoll, listeners
-	pushFile    = "deploy/push.json"
+	"snowjunction/internal/daemon"
 )
 
-// A planned stop: decisions go on for a while, calls out are waited for, and
-// the process is gone before the platform would kill it.
+// Exit codes; docs/commands.md lists them.
 const (
-	listenFor = 500 * time.Millisecond
-	lookAgain = 20 * time.Millisecond
-	decideFor = 2400 * time.Millisecond // the platform waits 3.7 s whatever this does: what is held is served meanwhile
-	finishFor = 3400 * time.Millisecond
+	exitFailed  = 1 // a start that failed, or a run that did not show what it should
+	exitUsage   = 2 // the command line is wrong
+	exitMistake = 3 // check found mistakes
 )
 
-// The fronts' numbers, which stand in the journal too.
-const (
-	platformFront = iota
-	pushFront
-)
+const about = `A courier daemon: takes messages, keeps them in a journal, delivers each once.
 
-// courier is the program's parts.
-type courier struct {
-	cfg      *config.Config
-	pushPath string
-	log      *slog.Logger
-	loop     *core.Loop
-	journal  *store.Journal
-	engine   *net.Engine
-	core     *core.Core
-	hooks    *hook.Hooks
-	platform *platform.Front
-	push     *push.Front
-}
+Without a command it runs the courier, told by GW_CONFIG (a file), GW_STATE (a
+folder that lasts) and the operator files under deploy/.
 
-func run() error {
-	// First of all: a signal that came before would end the process there and
-	// then.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	c, left, err := build()
-	if err != nil {
-		return err
-	}
-	defer c.journal.Close()
-	if err := c.start(left); err != nil {
-		return err
-	}
-	go func() {
-		for s := range signals {
-			c.loop.Post(func() { c.signal(s) })
-		}
-	}()
-	c.loop.Run()
-	c.platform.Close()
-	c.push.Close()
-	c.count("ended")
-	return nil
+Exit codes: 0 done, 1 failed, 2 wrong command line, 3 check found mistakes.`
+
+// globals are the flags of every command.
+type globals struct {
+	LogFormat string `enum:"text,json" default:"text" env:"SNOWJUNCTION_LOG_FORMAT" help:"Form of log lines: ${enum}."`
+	LogLevel  string `enum:"debug,info,warn,error" default:"info" env:"SNOWJUNCTION_LOG_LEVEL" help:"Least level of log lines: ${enum}."`
 }
 
-// build reads what the courier is told and makes its parts.
-func build() (*courier, []*store.Message, error) {
-	cfg, err := config.Load(os.Getenv)
-	if err != nil {
-		return nil, nil, err
-	}
-	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * memoryShare))
-	c := &courier{cfg: cfg, pushPath: os.Getenv("SNOWJUNCTION_PUSH"), loop: core.NewLoop(time.Now)}
-	c.log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("courier", cfg.Name)
-	if c.pushPath == "" {
-		c.pushPath = pushFile
-	}
-	pushCfg, err := config.LoadPush(c.pushPath, cfg.Names)
-	if err != nil {
-		return nil, nil, err
-	}
-	api, life, err := descriptions(pushCfg)
-	if err != nil {
-		return nil, nil, err
-	}
-	if pushCfg.Hooks != "" {
-		if c.hooks, err = hook.Load(pushCfg.Hooks, c.log); err != nil {
-			return nil, nil, err
-		}
-	}
-	var left []*store.Message
-	c.journal, left, err = store.Load(store.Options{
-		Dir: cfg.State, Bytes: int64(cfg.Limits.DiskMB * 1e6), Retain: pushCfg.Retain, Log: c.log,
-	})
-	if err != nil {
-		return nil, nil, err
-	}
-	c.engine, err = net.New(net.Config{Post: c.loop.Post, Log: c.log, MaxConns: max(cfg.Limits.Sockets-descriptors, cfg.Limits.Sockets/2)})
-	if err != nil {
-		return nil, nil, err
-	}
-	c.platform = platform.New(platform.Config{
-		Loop: c.loop, Engine: c.engine, Log: c.log, Number: platformFront, Listen: cfg.Listen,
-		Discovery: cfg.Discovery, Names: cfg.Names, Columns: cfg.Columns, Settings: cfg.Settings,
-	})
-	c.push = push.New(push.Config{
-		Loop: c.loop, Engine: c.engine, Log: c.log, Number: pushFront, Push: pushCfg, API: api, Life: life,
-		Columns: cfg.Columns, Settings: cfg.Settings,
-	})
-	coreCfg := core.Config{
-		Loop: c.loop, Log: c.log, Journal: c.journal, Settings: cfg.Settings,
-		Fronts: []core.Front{platformFront: c.platform, pushFront: c.push},
-	}
-	if c.hooks != nil {
-		coreCfg.Hook = c.hooks
-	}
-	c.core, err = core.New(coreCfg)
-	return c, left, err
+func (g globals) options() daemon.Options {
+	o := daemon.Options{Env: os.Getenv, Log: os.Stderr, LogFormat: g.LogFormat}
+	_ = o.LogLevel.UnmarshalText([]byte(g.LogLevel)) // kong has checked it
+	return o
 }
 
-// descriptions reads the push front's documents, if it is on.
-func descriptions(p *config.Push) (*describe.API, *describe.Life, error) {
-	if p.Listen == "" {
-		return nil, nil, nil
-	}
-	text, err := os.ReadFile(p.OpenAPI)
-	if err != nil {
-		return nil, nil, fmt.Errorf("read the OpenAPI document: %w", err)
-	}
-	api, err := describe.OpenAPI(p.OpenAPI, text)
-	if err != nil {
-		return nil, nil, err
-	}
-	if text, err = os.ReadFile(p.AsyncAPI); err != nil {
-		return nil, nil, fmt.Errorf("read the AsyncAPI document: %w", err)
-	}
-	life, err := describe.AsyncAPI(p.AsyncAPI, text)
-	return api, life, err
+type commandLine struct {
+	globals
+
+	Run     runCommand     `cmd:"" default:"1" help:"Run the courier; the default."`
+	Check   checkCommand   `cmd:"" help:"Read all configuration and operator files and print a line for each mistake."`
+	Version versionCommand `cmd:"" help:"Print what this program is built from."`
 }
 
-// start opens the fronts and takes up what an earlier process left.
-func (c *courier) start(left []*store.Message) error {
-	if err := c.push.Start(c.core, left); err != nil {
-		return err
+type runCommand struct{}
+
+func (runCommand) Run(g *globals) error { return daemon.Run(g.options()) }
+
+type checkCommand struct{}
+
+// exit is an end with a code and nothing more to say.
+type exit int
+
+func (e exit) Error() string { return fmt.Sprintf("exit %d", int(e)) }
+
+func (checkCommand) Run(g *globals) error {
+	o := g.options()
+	o.LogLevel = slog.LevelError
+	mistakes := daemon.Check(o)
+	for _, m := range mistakes {
+		fmt.Println(m)
 	}
-	if err := c.platform.Start(c.core, c.cfg.Known); err != nil {
-		return err
+	if len(mistakes) > 0 {
+		return exit(exitMistake)
 	}
-	c.core.Restore(left) // before the loop runs: nothing new comes in front of it
-	c.log.Info("started", "listen", c.platform.Addr(), "push", c.push.Addr(), "restored", c.core.Counters.Restored)
+	fmt.Println("no mistakes")
 	return nil
 }
 
-func (c *courier) signal(s os.Signal) {
-	switch s {
-	case syscall.SIGUSR1:
-		c.count("counters")
-	case syscall.SIGHUP:
-		c.reload()
-	default:
-		c.drain()
+type versionCommand struct{}
+
+func (versionCommand) Run() error {
+	revision, dirty := "unknown", ""
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			switch {
+			case s.Key == "vcs.revision":
+				revision = s.Value
+			case s.Key == "vcs.modified" && s.Value == "true":
+				dirty = " with changes"
+			}
+		}
 	}
+	fmt.Printf("snowjunction %s%s (%s %s/%s)\n", revision, dirty, runtime.Version(), runtime.GOOS, runtime.GOARCH)
+	return nil
 }
 
-// reload reads both files anew. The platform may have moved to another address
-// and the push front's targets may be others; what else differs waits for a
-// restart. Where either file is wrong, neither changes anything.
-func (c *courier) reload() {
-	cfg, err := config.Load(os.Getenv)
-	if err == nil {
-		_, err = snowjunction.New(cfg.Settings)
-	}
-	if err != nil {
-		c.log.Error("configuration not read again", "err", err)
-		return
-	}
-	p, err := config.LoadPush(c.pushPath, c.cfg.Names)
+func main() {
+	var c commandLine
+	parser := kong.Must(&c, kong.Name("snowjunction"), kong.Description(about), kong.UsageOnError(),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.Bind(&c.globals))
+	ctx, err := parser.Parse(os.Args[1:])
 	if err != nil {
-		c.log.Error("configuration not read again", "err", err)
-		return
-	}
-	if later := c.cfg.Differs(cfg); len(later) > 0 {
-		c.log.Warn("these wait for a restart", "values", later)
-	}
-	c.platform.Move(cfg.Discovery)
-	c.push.Relist(p.Targets)
-	c.log.Info("configuration read again", "discovery", cfg.Discovery, "targets", len(p.Targets))
-}
-
-func (c *courier) count(why string) {
-	var failed uint64
-	if c.hooks != nil {
-		failed = c.hooks.Failed
+		fmt.Fprintln(os.Stderr, "snowjunction:", err)
+		os.Exit(exitUsage)
 	}
-	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(),
-		"journal", c.journal.Size(), "plugin_failures", failed)
-}
-
-// drain ends the courier in order: it takes nothing more, lets its clients go,
-// finishes what it can and leaves the rest in the journal.
-func (c *courier) drain() {
-	c.log.Info("draining", "held", c.core.Held())
-	c.core.Drain()
-	c.platform.Drain()
-	c.push.Drain()
-	c.loop.After(listenFor, func() {
-		c.engine.Stop()
-		c.endIfDone()
-	})
-	c.loop.After(decideFor, func() { c.core.Freeze(c.loop.End) })
-	c.loop.After(finishFor, c.loop.End)
-}
-
-// endIfDone ends a draining courier that owes nothing any more.
-func (c *courier) endIfDone() {
-	if c.core.Held() == 0 && c.platform.Quiet() {
-		c.loop.End()
-		return
+	var code exit
+	switch err := ctx.Run(); {
+	case err == nil:
+	case errors.As(err, &code):
+		os.Exit(int(code))
+	default:
+		fmt.Fprintln(os.Stderr, "snowjunction:", err)
+		os.Exit(exitFailed)
 	}
-	c.loop.After(lookAgain, c.endIfDone)
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -89,7 +89,7 @@
 	for text, want := range map[string]string{
 		`{"listen":"x"}`:           "listen",
 		`{"listen":"127.0.0.1:1"}`: "openapi and asyncapi",
-		`{"targets":[{}]}`:         "targets[0]: no instanceId",
+		`{"targets":[{}]}`:         "/targets/0: missing property 'instanceId'",
 		`{"listen":`:               "push.json",
 	} {
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
--- a/internal/config/push.go
+++ b/internal/config/push.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fastjson"
 
 	"snowjunction/internal/core"
+	"snowjunction/internal/schema"
 )
 
 // Push is the file of the push front.
@@ -40,6 +41,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("read the push front's file: %w", err)
 	}
+	if err := schema.Check("push", b); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	p, err := parsePush(b, filepath.Dir(path), names)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
--- /dev/null
+++ b/internal/daemon/check.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"snowjunction"
+	"snowjunction/internal/config"
+	"snowjunction/internal/hook"
+	"snowjunction/internal/schema"
+)
+
+// Check reads everything that a start would read and returns a line for each
+// mistake; none: a start would not fail for what it is told. It opens no
+// socket and leaves the folder that lasts alone.
+func Check(o Options) (mistakes []string) {
+	add := func(file string, err error) {
+		var m schema.Mistakes
+		if errors.As(err, &m) {
+			for _, line := range m {
+				mistakes = append(mistakes, file+": "+line)
+			}
+		} else if err != nil {
+			mistakes = append(mistakes, err.Error())
+		}
+	}
+	names := config.Names{}
+	cfg, err := config.Load(o.Env)
+	if err == nil {
+		names = cfg.Names
+		if _, err = snowjunction.New(cfg.Settings); err != nil {
+			err = fmt.Errorf("configuration %s: %w", o.Env("GW_CONFIG"), err)
+		}
+	}
+	add("configuration", err)
+	file := path(o.Env, "SNOWJUNCTION_PUSH", pushFile)
+	push, err := config.LoadPush(file, names)
+	add(file, err)
+	if err == nil {
+		_, _, err = descriptions(push)
+		add(file, err)
+		if push.Hooks != "" {
+			if _, err := os.Stat(push.Hooks); err != nil {
+				add(file, err)
+			} else if _, err = hook.Load(push.Hooks, o.Logger()); err != nil {
+				add(file, err)
+			}
+		}
+	}
+	return mistakes
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,274 @@
+// Package daemon is the courier as a process: it reads what it is told, wires
+// the core, the journal, the engine and the fronts together, and answers
+// signals. What it does in between is the core's.
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/config"
+	"snowjunction/internal/core"
+	"snowjunction/internal/describe"
+	"snowjunction/internal/front/platform"
+	"snowjunction/internal/front/push"
+	"snowjunction/internal/hook"
+	"snowjunction/internal/net"
+	"snowjunction/internal/store"
+)
+
+const (
+	memoryShare = 0.6 // of the machine's memory, for the heap: the folder's files count too
+	descriptors = 32  // besides connections: journal, log, epoll, listeners
+	pushFile    = "deploy/push.json"
+)
+
+// A planned stop: decisions go on for a while, calls out are waited for, and
+// the process is gone before the platform would kill it.
+const (
+	listenFor = 500 * time.Millisecond
+	lookAgain = 20 * time.Millisecond
+	decideFor = 2400 * time.Millisecond // the platform waits 3.7 s whatever this does: what is held is served meanwhile
+	finishFor = 3400 * time.Millisecond
+)
+
+// The fronts' numbers, which stand in the journal too.
+const (
+	platformFront = iota
+	pushFront
+)
+
+// courier is the program's parts.
+type courier struct {
+	cfg      *config.Config
+	env      func(string) string
+	pushPath string
+	log      *slog.Logger
+	loop     *core.Loop
+	journal  *store.Journal
+	engine   *net.Engine
+	core     *core.Core
+	hooks    *hook.Hooks
+	platform *platform.Front
+	push     *push.Front
+}
+
+// Options are what the command line and the environment say.
+type Options struct {
+	Env       func(string) string // as os.Getenv
+	Log       io.Writer           // where log lines go
+	LogFormat string              // text or json; "": text
+	LogLevel  slog.Level
+	Signals   <-chan os.Signal // nil: the process's own
+}
+
+// Logger makes the log that the options name.
+func (o Options) Logger() *slog.Logger {
+	opts := &slog.HandlerOptions{Level: o.LogLevel}
+	if o.LogFormat == "json" {
+		return slog.New(slog.NewJSONHandler(o.Log, opts))
+	}
+	return slog.New(slog.NewTextHandler(o.Log, opts))
+}
+
+// Run is the courier from its start to its end. An error means that it could
+// not start; it is one line.
+func Run(o Options) error {
+	// First of all: a signal that came before would end the process there and
+	// then.
+	signals := o.Signals
+	if signals == nil {
+		own := make(chan os.Signal, 4)
+		signal.Notify(own, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+		signals = own
+	}
+	c, left, err := build(o)
+	if err != nil {
+		return err
+	}
+	defer c.journal.Close()
+	if err := c.start(left); err != nil {
+		return err
+	}
+	go func() {
+		for s := range signals {
+			c.loop.Post(func() { c.signal(s) })
+		}
+	}()
+	c.loop.Run()
+	c.platform.Close()
+	c.push.Close()
+	c.count("ended")
+	return nil
+}
+
+// build reads what the courier is told and makes its parts.
+func build(o Options) (*courier, []*store.Message, error) {
+	cfg, err := config.Load(o.Env)
+	if err != nil {
+		return nil, nil, err
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * memoryShare))
+	c := &courier{cfg: cfg, env: o.Env, pushPath: path(o.Env, "SNOWJUNCTION_PUSH", pushFile), loop: core.NewLoop(time.Now)}
+	c.log = o.Logger().With("courier", cfg.Name)
+	pushCfg, err := config.LoadPush(c.pushPath, cfg.Names)
+	if err != nil {
+		return nil, nil, err
+	}
+	api, life, err := descriptions(pushCfg)
+	if err != nil {
+		return nil, nil, err
+	}
+	if pushCfg.Hooks != "" {
+		if c.hooks, err = hook.Load(pushCfg.Hooks, c.log); err != nil {
+			return nil, nil, err
+		}
+	}
+	var left []*store.Message
+	c.journal, left, err = store.Load(store.Options{
+		Dir: cfg.State, Bytes: int64(cfg.Limits.DiskMB * 1e6), Retain: pushCfg.Retain, Log: c.log,
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	c.engine, err = net.New(net.Config{Post: c.loop.Post, Log: c.log, MaxConns: max(cfg.Limits.Sockets-descriptors, cfg.Limits.Sockets/2)})
+	if err != nil {
+		return nil, nil, err
+	}
+	c.platform = platform.New(platform.Config{
+		Loop: c.loop, Engine: c.engine, Log: c.log, Number: platformFront, Listen: cfg.Listen,
+		Discovery: cfg.Discovery, Names: cfg.Names, Columns: cfg.Columns, Settings: cfg.Settings,
+	})
+	c.push = push.New(push.Config{
+		Loop: c.loop, Engine: c.engine, Log: c.log, Number: pushFront, Push: pushCfg, API: api, Life: life,
+		Columns: cfg.Columns, Settings: cfg.Settings,
+	})
+	coreCfg := core.Config{
+		Loop: c.loop, Log: c.log, Journal: c.journal, Settings: cfg.Settings,
+		Fronts: []core.Front{platformFront: c.platform, pushFront: c.push},
+	}
+	if c.hooks != nil {
+		coreCfg.Hook = c.hooks
+	}
+	c.core, err = core.New(coreCfg)
+	return c, left, err
+}
+
+// path is the file that a variable names, or where it lies by default.
+func path(env func(string) string, name, other string) string {
+	if p := env(name); p != "" {
+		return p
+	}
+	return other
+}
+
+// descriptions reads the push front's documents, if it is on.
+func descriptions(p *config.Push) (*describe.API, *describe.Life, error) {
+	if p.Listen == "" {
+		return nil, nil, nil
+	}
+	text, err := os.ReadFile(p.OpenAPI)
+	if err != nil {
+		return nil, nil, fmt.Errorf("read the OpenAPI document: %w", err)
+	}
+	api, err := describe.OpenAPI(p.OpenAPI, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	if text, err = os.ReadFile(p.AsyncAPI); err != nil {
+		return nil, nil, fmt.Errorf("read the AsyncAPI document: %w", err)
+	}
+	life, err := describe.AsyncAPI(p.AsyncAPI, text)
+	return api, life, err
+}
+
+// start opens the fronts and takes up what an earlier process left.
+func (c *courier) start(left []*store.Message) error {
+	if err := c.push.Start(c.core, left); err != nil {
+		return err
+	}
+	if err := c.platform.Start(c.core, c.cfg.Known); err != nil {
+		return err
+	}
+	c.core.Restore(left) // before the loop runs: nothing new comes in front of it
+	c.log.Info("started", "listen", c.platform.Addr(), "push", c.push.Addr(), "restored", c.core.Counters.Restored)
+	return nil
+}
+
+func (c *courier) signal(s os.Signal) {
+	switch s {
+	case syscall.SIGUSR1:
+		c.count("counters")
+	case syscall.SIGHUP:
+		c.reload()
+	default:
+		c.drain()
+	}
+}
+
+// reload reads both files anew. The platform may have moved to another address
+// and the push front's targets may be others; what else differs waits for a
+// restart. Where either file is wrong, neither changes anything.
+func (c *courier) reload() {
+	cfg, err := config.Load(c.env)
+	if err == nil {
+		_, err = snowjunction.New(cfg.Settings)
+	}
+	if err != nil {
+		c.log.Error("configuration not read again", "err", err)
+		return
+	}
+	p, err := config.LoadPush(c.pushPath, c.cfg.Names)
+	if err != nil {
+		c.log.Error("configuration not read again", "err", err)
+		return
+	}
+	if later := c.cfg.Differs(cfg); len(later) > 0 {
+		c.log.Warn("these wait for a restart", "values", later)
+	}
+	c.platform.Move(cfg.Discovery)
+	c.push.Relist(p.Targets)
+	c.log.Info("configuration read again", "discovery", cfg.Discovery, "targets", len(p.Targets))
+}
+
+func (c *courier) count(why string) {
+	var failed uint64
+	if c.hooks != nil {
+		failed = c.hooks.Failed
+	}
+	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(),
+		"journal", c.journal.Size(), "plugin_failures", failed)
+}
+
+// drain ends the courier in order: it takes nothing more, lets its clients go,
+// finishes what it can and leaves the rest in the journal.
+func (c *courier) drain() {
+	c.log.Info("draining", "held", c.core.Held())
+	c.core.Drain()
+	c.platform.Drain()
+	c.push.Drain()
+	c.loop.After(listenFor, func() {
+		c.engine.Stop()
+		c.endIfDone()
+	})
+	c.loop.After(decideFor, func() { c.core.Freeze(c.loop.End) })
+	c.loop.After(finishFor, c.loop.End)
+}
+
+// endIfDone ends a draining courier that owes nothing any more.
+func (c *courier) endIfDone() {
+	if c.core.Held() == 0 && c.platform.Quiet() {
+		c.loop.End()
+		return
+	}
+	c.loop.After(lookAgain, c.endIfDone)
+}
