Target groups in compact tables; the module knows only destinations called for

Need: every listed destination cost 1.4 KB in the module plus targets and maps in the core, every change of the list walked all that is known, and a full list was decoded and applied in one turn of the loop.

Change: internal/groups keeps a front's list in pointerless tables, under 80 bytes an endpoint; internal/proto/listing reads a list of any size piece by piece as it comes; a full list is staged, then takes the place of the one held, which costs what is awake. The core tells the module of a destination when a flow calls for it (Wake) and has it handed out again when idle (Sleep, Asleep); internal/dormancy decides when and with what caution, internal/memento writes what is kept. A turn of the loop leaves posted work after 2 ms. Lists with duplicate names, two Ready endpoints at one address, a weight that is no number or over their bounds are refused; what they say of draining is heeded.

--- a/api.go
+++ b/api.go
@@ -166,6 +166,23 @@
 	List struct {
 		Kind      ListKind
 		Endpoints []Endpoint
+
+		// Destinations is how many are listed, where the program tells the
+		// module only of those that requests have come for; 0: all are told.
+		Destinations int
+	}
+	// Sleep has the module hand out what it knows of a destination that has
+	// neither a request nor a call, and forget it. Asleep is the answer.
+	Sleep struct{ Destination DestinationID }
+	// Wake brings a destination back, before its first request: its endpoints
+	// and what was handed out, weighed by its age.
+	Wake struct {
+		Destination  DestinationID
+		Endpoints    []Endpoint
+		State        *State        // nil: nothing is known of it
+		Slept        time.Duration // since State was handed out
+		Caution      Caution
+		Destinations int // as in List
 	}
 	// Request is a message this courier now owes a final answer.
 	Request struct {
@@ -219,6 +236,8 @@
 )
 
 func (List) event()          {}
+func (Sleep) event()         {}
+func (Wake) event()          {}
 func (Request) event()       {}
 func (StreamStarted) event() {}
 func (AttemptEnded) event()  {}
@@ -261,6 +280,12 @@
 		Token uint64
 		After time.Duration
 	}
+	// Asleep answers a Sleep. With Busy nothing was handed out or forgotten.
+	Asleep struct {
+		Destination DestinationID
+		State       *State
+		Busy        bool
+	}
 	// Log is a line for on-call staff.
 	Log struct{ Text string }
 )
@@ -273,4 +298,61 @@
 func (CloseIdle) action() {}
 func (Watch) action()     {}
 func (SetTimer) action()  {}
+func (Asleep) action()    {}
 func (Log) action()       {}
+
+// State is what the module knows of a destination. All times are relative to
+// the moment at which it was handed out, latencies are in seconds and rates in
+// calls a second.
+type State struct {
+	Recent, Best  float64 // latency: smoothed, and the best of late
+	Peak          float64 // most successes a second
+	Window        float64 // calls that may be out
+	First         float64 // first sends in the ledger's window
+	Repeats       float64 // repeats in it
+	Routes        []RouteState
+	EndpointsSeen []EndpointState
+}
+
+// RouteState is the state of what has a limit of its own.
+type RouteState struct {
+	Limit, Left float64 // limit of all couriers, 0: none known; share of it left
+	Pace        float64 // this courier's own
+	Gap         time.Duration
+	Wait        time.Duration // still to be kept; a told one binds
+	Fulls       int
+	FullAgo     time.Duration
+	ColdSends   float64 // calls of late to endpoints that were not well
+}
+
+// Condition is how an endpoint does.
+type Condition int
+
+// The conditions.
+const (
+	Serving Condition = iota
+	Held              // it failed and is asked now and then
+	Warming           // back from an outage
+)
+
+// EndpointState is the state of one endpoint.
+type EndpointState struct {
+	ID        EndpointID
+	Route     int // its number in State.Routes
+	Latency   float64
+	Condition Condition
+	For       time.Duration // since when
+	Failed    time.Duration // how long ago its failures began
+	DownFor   time.Duration // length of the outage before
+	Backoff   time.Duration
+	Trial     time.Duration // until the next trial; negative: it is due
+	Fails     int
+	Vouched   bool
+}
+
+// Caution is how a destination is sent to after it has slept.
+type Caution struct {
+	Window  float64       // calls out to start with; 0: as known
+	Cold    bool          // endpoints that served count as just back from an outage
+	Careful time.Duration // the pace stays under the even share for so long
+}
--- a/courier.go
+++ b/courier.go
@@ -70,22 +70,23 @@
 
 // Pacing, as shares of limit / fleet.
 const (
-	paceStart  = 1.15 // a little over the even share: traffic is seldom even
-	paceFloor  = 0.5  // one refusal after another must not starve this courier
-	paceGrowth = 0.2  // a second, while requests wait and none is refused
-	paceCut    = 0.75 // on a refusal, as another courier needs the room
-	peakOver   = 1.5  // capacity over the most served, where no limit is told
-	limitJump  = 1.6  // times its last value: a told limit has been cut or restored
-	leastPart  = 0.25 // of the mean destination's part of the quotas: capacity where nothing is known
-	paceRest   = 1.0  // of the shortest aim: no growth after a refusal
-	shareLeast = 0.06 // of the fleet: calls of the even share in the shortest aim; below, refusals set a gap
-	gapMost    = 16   // shortest aims between calls to a route that refuses: it doubles up to this, from one
-	gapGrowth  = 1.25 // of the first gap of a kind, a refused repeat; as much less a successful one
-	paceLeft   = 0.15 // no growth while less of the limit is reported left
-	paceBurst  = 0.3  // seconds of pace that may go at once
-	trialPart  = 0.9  // of the outage so far: the longest time between trials for the fall budget's sake
-	tries      = 2.0  // of the capacity: what the fleet sends meanwhile, with repeats and clients' own
-	coldSafety = 1.1  // of the fall budget: a limit is set below what the destination can do
+	paceStart   = 1.15 // a little over the even share: traffic is seldom even
+	paceFloor   = 0.5  // one refusal after another must not starve this courier
+	paceGrowth  = 0.2  // a second, while requests wait and none is refused
+	paceCut     = 0.75 // on a refusal, as another courier needs the room
+	peakOver    = 1.5  // capacity over the most served, where no limit is told
+	limitJump   = 1.6  // times its last value: a told limit has been cut or restored
+	leastPart   = 0.25 // of the mean destination's part of the quotas: capacity where nothing is known
+	paceRest    = 1.0  // of the shortest aim: no growth after a refusal
+	shareLeast  = 0.06 // of the fleet: calls of the even share in the shortest aim; below, refusals set a gap
+	gapMost     = 16   // shortest aims between calls to a route that refuses: it doubles up to this, from one
+	gapGrowth   = 1.25 // of the first gap of a kind, a refused repeat; as much less a successful one
+	paceLeft    = 0.15 // no growth while less of the limit is reported left
+	paceBurst   = 0.3  // seconds of pace that may go at once
+	paceCareful = 0.85 // of the even share, at a destination woken a moment ago: with a call in hand it stays under
+	trialPart   = 0.9  // of the outage so far: the longest time between trials for the fall budget's sake
+	tries       = 2.0  // of the capacity: what the fleet sends meanwhile, with repeats and clients' own
+	coldSafety  = 1.1  // of the fall budget: a limit is set below what the destination can do
 )
 
 // Shedding.
@@ -129,12 +130,11 @@
 	if ev.Kind != ListDelta {
 		for _, d := range c.order {
 			for _, e := range d.eps {
-				if e.Phase != Gone {
-					e.Phase, e.goneAt = Gone, c.now
-				}
+				c.leave(e)
 			}
 		}
 	}
+	c.listed = max(ev.Destinations, len(c.order))
 	for _, entry := range ev.Endpoints {
 		e := c.eps[entry.ID]
 		if e == nil {
@@ -142,8 +142,8 @@
 			c.eps[entry.ID] = e
 			c.place(e)
 		}
-		if entry.Phase == Gone && e.Phase != Gone {
-			e.goneAt = c.now
+		if entry.Phase == Gone {
+			c.leave(e)
 		}
 		e.Phase, e.Weight = entry.Phase, entry.Weight
 		if c.s.WeightsAreLimits && entry.Weight > 0 {
@@ -153,21 +153,6 @@
 	c.forgetGone()
 }
 
-// forgetGone drops endpoints that left the list long ago. Each release of the
-// targets brings new ones: a courier that runs for weeks would keep them all.
-func (c *Courier) forgetGone() {
-	for id, e := range c.eps {
-		if e.Phase == Gone && c.now-e.goneAt >= goneMemory*ledgerSpan && len(e.calls) == 0 {
-			r := e.route
-			r.eps, r.dest.eps = remove(r.eps, e), remove(r.dest.eps, e)
-			if len(r.eps) == 0 {
-				r.dest.routes = remove(r.dest.routes, r)
-			}
-			delete(c.eps, id)
-		}
-	}
-}
-
 // take queues a new request.
 func (c *Courier) take(ev Request) {
 	if c.reqs[ev.ID] != nil {
@@ -322,16 +307,22 @@
 	}
 	// The more couriers share a limit, the more uneven is their traffic.
 	start := share * paceStart * math.Sqrt(math.Max(1, float64(c.s.Fleet)/2))
+	burst := paceBurst
+	if c.now < r.carefulUntil { // woken a moment ago: its limit is an old one, or may be cut
+		start, burst = share*paceCareful, 0
+		r.pace = math.Min(r.pace, start)
+	}
 	switch {
 	case r.pace == 0:
 		r.pace = start
+	case c.now < r.carefulUntil:
 	case r.wanting && c.now-r.fullAt > span(paceRest*seconds(c.prompt)) && r.left > paceLeft:
 		r.pace = math.Min(r.limit, r.pace+dt*paceGrowth*share)
 	case !r.wanting:
 		r.pace += (start - r.pace) * math.Min(1, dt/seconds(ledgerSpan))
 	}
 	r.wanting = false
-	r.bucket.fill(c.now, r.pace, math.Max(1, r.pace*paceBurst))
+	r.bucket.fill(c.now, r.pace, math.Max(1, r.pace*burst))
 }
 
 // warm drops connections that have idled out and tells whether one is left.
@@ -865,7 +856,7 @@
 	for _, t := range c.s.Tenants {
 		total += t.Quota
 	}
-	return math.Max(leastPart*total/float64(max(1, len(c.order))), 1/seconds(max(c.s.FallTime, c.s.Tick)))
+	return math.Max(leastPart*total/float64(max(1, c.listed, len(c.order))), 1/seconds(max(c.s.FallTime, c.s.Tick)))
 }
 
 // trial asks closed endpoints, one at a time on a route: a probe where allowed,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"reflect"
@@ -16,6 +17,7 @@
 
 	"snowjunction"
 	"snowjunction/internal/core"
+	"snowjunction/internal/groups"
 )
 
 // Config is what a courier is told at its start.
@@ -52,6 +54,9 @@
 	Targets    []core.Entry
 }
 
+// News is the list in the form that the core takes.
+func (l List) News() (*groups.List, error) { return groups.ListOf(l.Full, false, l.Targets) }
+
 // The limits taken where none is given.
 const (
 	defaultMemoryMB = 192
@@ -185,7 +190,7 @@
 	}
 	out := List{Held: true, Generation: v.GetUint64("generation"), Full: v.GetBool("reset")}
 	for i, t := range v.GetArray("instances") {
-		e, err := n.target(t)
+		e, err := n.Target(t)
 		if err != nil {
 			return List{}, fmt.Errorf("instances[%d]: %w", i, err)
 		}
@@ -198,10 +203,10 @@
 	"Ready": snowjunction.Ready, "Terminating": snowjunction.Draining, "Gone": snowjunction.Gone,
 }
 
-// target takes an unknown zone or kind for one past all that are known, and an
+// Target decodes an entry of discovery's list. It takes an unknown zone or kind for one past all that are known, and an
 // unknown state for draining: nothing new is sent where in doubt.
-func (n Names) target(t *fastjson.Value) (core.Entry, error) {
-	e := core.Entry{Name: text(t, "instanceId"), Addr: text(t, "hostPort"), Weight: t.GetFloat64("weight")}
+func (n Names) Target(t *fastjson.Value) (core.Entry, error) {
+	e := core.Entry{Name: text(t, "instanceId"), Addr: text(t, "hostPort")}
 	if e.Name == "" {
 		return e, errors.New("no instanceId")
 	}
@@ -222,8 +227,16 @@
 		return e, fmt.Errorf("hostPort: %q is not an address with a port", e.Addr)
 	}
 	cell, err := t.Get("cell").Uint()
-	if err != nil {
+	switch {
+	case err != nil:
 		return e, fmt.Errorf("cell: %w", err)
+	case uint64(cell) > math.MaxUint32:
+		return e, fmt.Errorf("cell: %d is too large", cell)
+	}
+	if w := t.Get("weight"); w != nil {
+		if e.Weight, err = w.Float64(); err != nil {
+			return e, fmt.Errorf("weight: %w", err)
+		}
 	}
 	e.Destination = snowjunction.DestinationID(cell)
 	return e, nil
--- a/internal/config/push.go
+++ b/internal/config/push.go
@@ -76,7 +76,7 @@
 		}
 	}
 	for i, t := range v.GetArray("targets") {
-		e, err := names.target(t)
+		e, err := names.Target(t)
 		if err != nil {
 			return nil, fmt.Errorf("targets[%d]: %w", i, err)
 		}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -28,12 +28,20 @@
 	}
 	// No list has ever named such a destination: a message for it could only
 	// wait for its deadline.
-	unheard := !c.routes.heard[snowjunction.DestinationID(f.msg.Destination)]
+	dest := snowjunction.DestinationID(f.msg.Destination)
+	unheard := c.routes.awake[dest] == nil && !c.routes.listedAnywhere(dest) && !c.routes.heard.has(dest, c.Loop.Now())
 	full := c.Settings.MaxHeld > 0 && c.held >= c.Settings.MaxHeld
 	if full || unheard || !c.Journal.Room(len(f.msg.Body)+len(f.msg.ID)+len(f.msg.IdempotencyKey)) {
 		c.refuse(f, c.Settings.MaxRetry/2)
 		return
 	}
+	if c.routes.awake[dest] == nil {
+		if room, after := c.book.Room(c.since()); !room { // all that is kept of others binds
+			c.Counters.Crowded++
+			c.refuse(f, min(after, c.Settings.MaxRetry))
+			return
+		}
+	}
 	c.fresh = append(c.fresh, f)
 	c.hand(f)
 }
@@ -44,6 +52,7 @@
 	f.id = snowjunction.RequestID(c.Counters.serial)
 	c.flows[f.id], c.ids[f.name()] = f, f
 	c.held++
+	c.hold(f)
 	m, now := f.msg, c.Loop.Now()
 	ev := snowjunction.Request{
 		ID: f.id, Destination: snowjunction.DestinationID(m.Destination), Class: c.classes[m.Class],
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -16,6 +16,7 @@
 	Taken     uint64 // taken on
 	Refused   uint64 // fixed responses
 	Hooked    uint64 // of these, by a plug-in
+	Crowded   uint64 // of the refused: too many destinations are awake or bind
 	Gone      uint64 // taken on, but the client had gone
 	Restored  uint64 // taken up from the journal at the start
 	Sent      uint64 // attempts that left
@@ -42,7 +43,7 @@
 func (n *Counters) LogValue() slog.Value {
 	attrs := []slog.Attr{
 		slog.Uint64("in", n.In), slog.Uint64("malformed", n.Malformed), slog.Uint64("taken", n.Taken),
-		slog.Uint64("refused", n.Refused), slog.Uint64("hooked", n.Hooked), slog.Uint64("gone", n.Gone),
+		slog.Uint64("refused", n.Refused), slog.Uint64("hooked", n.Hooked), slog.Uint64("crowded", n.Crowded), slog.Uint64("gone", n.Gone),
 		slog.Uint64("restored", n.Restored), slog.Uint64("sent", n.Sent), slog.Uint64("unsent", n.Unsent),
 		slog.Uint64("late", n.Late), slog.Uint64("delivered", n.Delivered),
 		slog.Uint64("withdrawn", n.Withdrawn), slog.Uint64("failed", n.Failed),
@@ -147,8 +148,9 @@
 
 // forget removes a flow that has its end and no attempt out.
 func (c *Core) forget(f *flow) {
-	if f.ended && f.attempt == nil {
+	if f.ended && f.attempt == nil && c.flows[f.id] == f {
 		delete(c.flows, f.id)
+		c.release(f)
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"snowjunction"
+	"snowjunction/internal/dormancy"
 	"snowjunction/internal/store"
 )
 
@@ -58,6 +59,7 @@
 	Settings snowjunction.Settings
 	Hook     Hook // nil: none
 	Fronts   []Front
+	Dormancy *dormancy.Config // nil: its defaults
 }
 
 // Core owns the courier, the flows and the target groups.
@@ -82,6 +84,8 @@
 	tenants  map[string]int
 	draining bool
 	frozen   bool
+	book     *dormancy.Book
+	resting  *Timer // until destinations may go to sleep
 	idle     func() // called once frozen and no call is out
 }
 
@@ -110,12 +114,16 @@
 	if err != nil {
 		return nil, err
 	}
+	sleep := dormancy.Default(cfg.Settings)
+	if cfg.Dormancy != nil {
+		sleep = *cfg.Dormancy
+	}
 	c := &Core{
-		Config: cfg, courier: courier, start: cfg.Loop.Now(),
+		Config: cfg, book: dormancy.New(sleep), courier: courier, start: cfg.Loop.Now(),
 		flows: map[snowjunction.RequestID]*flow{}, ids: map[name]*flow{},
 		owing: map[uint64][]*flow{}, unknown: map[uint64]int{},
 		classes: map[string]int{}, tenants: map[string]int{},
-		routes: newRoutes(),
+		routes: newRoutes(len(cfg.Fronts)),
 	}
 	for i, cl := range cfg.Settings.Classes {
 		c.classes[cl.Name] = i
@@ -173,6 +181,8 @@
 		}
 	case snowjunction.Log:
 		c.Log.Info("decision", "text", a.Text)
+	case snowjunction.Asleep:
+		c.asleep(a)
 	case snowjunction.Watch: // the fronts watch their lists unasked
 	default:
 		c.Log.Error("the module asked for what this program does not do", "action", fmt.Sprintf("%T", a))
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"snowjunction"
+	"snowjunction/internal/groups"
 	"snowjunction/internal/store"
 )
 
@@ -79,7 +80,7 @@
 		change(&s)
 	}
 	b.c, err = New(Config{
-		Loop: NewLoop(func() time.Time { return b.now }), Log: log, Journal: b.journal, Settings: s, Fronts: []Front{b},
+		Loop: NewLoop(func() time.Time { return b.now }), Log: log, Journal: b.journal, Settings: s, Fronts: []Front{b, b},
 	})
 	require.NoError(t, err)
 	b.list(snowjunction.Ready, true)
@@ -87,10 +88,16 @@
 }
 
 func (b *bench) list(phase snowjunction.Phase, full bool) {
-	b.c.Listed(0, full, []Entry{{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: phase}})
+	b.listed(0, full, Entry{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: phase})
 	b.step(10 * ms)
 }
 
+func (b *bench) listed(front int, full bool, entries ...Entry) {
+	l, err := groups.ListOf(full, false, entries)
+	require.NoError(b.t, err)
+	require.NoError(b.t, b.c.Listed(front, l))
+}
+
 func (b *bench) step(d time.Duration) {
 	b.c.Loop.Turn()
 	b.now = b.now.Add(d)
@@ -239,7 +246,7 @@
 func TestNothingNewToATargetThatLeft(t *testing.T) {
 	b := newBench(t, nil)
 	b.add("m1", "status", 0)
-	b.c.Listed(0, true, nil)
+	b.listed(0, true)
 	b.step(5 * ms)
 	assert.Empty(t, b.calls)
 	assert.Equal(t, 1, b.left)
@@ -253,25 +260,28 @@
 // One front's full list says nothing of another's targets.
 func TestListsOfTwoFronts(t *testing.T) {
 	b := newBench(t, nil)
-	b.c.Fronts = append(b.c.Fronts, b)
-	b.c.Listed(1, true, []Entry{{Name: "s-1", Addr: "127.0.0.1:2", Destination: 8, Phase: snowjunction.Ready}})
-	b.c.Listed(0, true, nil)
+	b.listed(1, true, Entry{Name: "s-1", Addr: "127.0.0.1:2", Destination: 7, Phase: snowjunction.Ready})
+	b.add("m1", "status", 0)
+	b.listed(0, true)
 	assert.Equal(t, 1, b.left)
-	assert.Nil(t, b.c.routes.byName[name{0, "s-1"}].target)
-	assert.NotNil(t, b.c.routes.byName[name{1, "s-1"}].target)
+	g := b.c.routes.awake[7]
+	assert.Nil(t, g.find(0, "s-1").target)
+	assert.NotNil(t, g.find(1, "s-1").target)
 }
 
 // An endpoint that leaves and soon comes back is the same to the module; one
 // that stays away is forgotten, as releases bring new ones for ever.
 func TestGoneEndpointsAreForgotten(t *testing.T) {
 	b := newBench(t, nil)
+	b.add("m1", "status", 0)
+	g := b.c.routes.awake[7]
 	b.list(snowjunction.Gone, false)
 	b.list(snowjunction.Ready, false)
-	assert.EqualValues(t, 1, b.c.routes.byName[name{0, "s-1"}].id)
+	assert.EqualValues(t, 1, g.find(0, "s-1").id)
 	b.list(snowjunction.Gone, false)
 	b.step(goneKept)
 	b.list(snowjunction.Ready, false)
-	assert.EqualValues(t, 2, b.c.routes.byName[name{0, "s-1"}].id)
+	assert.EqualValues(t, 2, g.find(0, "s-1").id)
 	assert.Len(t, b.c.routes.byID, 1)
 }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -15,12 +15,25 @@
 	timers timers
 	serial uint64
 	ended  bool
+	work   []func() // taken from the inbox, to be run from next on
+	next   int
+	turns  Turns
 
 	mu    sync.Mutex
 	inbox []func()
 	spare []func()
 }
 
+// Turns tell how long the loop's turns took: what comes meanwhile has to wait.
+type Turns struct {
+	Count   uint64
+	Longest time.Duration
+}
+
+// turnMost is when a turn leaves what is posted for the next, so that neither
+// timers nor other work wait for a long row of it.
+const turnMost = 2 * time.Millisecond
+
 // NewLoop returns a loop that tells the time by clock.
 func NewLoop(clock func() time.Time) *Loop {
 	return &Loop{clock: clock, wake: make(chan struct{}, 1)}
@@ -66,24 +79,7 @@
 
 // Turn runs all that is due and returns when the next timer is, if any.
 func (l *Loop) Turn() (next time.Time, waiting bool) {
-	for {
-		l.mu.Lock()
-		work := l.inbox
-		l.inbox, l.spare = l.spare[:0], work
-		l.mu.Unlock()
-		for i, f := range work {
-			f()
-			work[i] = nil
-		}
-		now, ran := l.clock(), len(work) > 0
-		for len(l.timers) > 0 && !l.timers[0].at.After(now) {
-			t := heap.Pop(&l.timers).(*Timer)
-			t.run()
-			ran = true
-		}
-		if !ran || l.ended {
-			break
-		}
+	for l.turn() && !l.ended {
 	}
 	if len(l.timers) == 0 {
 		return time.Time{}, false
@@ -91,6 +87,54 @@
 	return l.timers[0].at, true
 }
 
+// turn runs what has been posted and the timers that are due, each for
+// turnMost at the longest, and tells whether there was any.
+func (l *Loop) turn() (ran bool) {
+	if l.next == len(l.work) {
+		l.mu.Lock()
+		l.work, l.inbox, l.spare = l.inbox, l.spare[:0], l.work
+		l.mu.Unlock()
+		l.next = 0
+	}
+	begun := l.clock()
+	now := begun
+	for l.next < len(l.work) && now.Sub(begun) < turnMost {
+		f := l.work[l.next]
+		l.work[l.next] = nil
+		l.next++
+		f()
+		now, ran = l.clock(), true
+	}
+	due, limit := now, now.Add(turnMost)
+	for len(l.timers) > 0 && !l.timers[0].at.After(due) && now.Before(limit) {
+		t := heap.Pop(&l.timers).(*Timer)
+		t.run()
+		now, ran = l.clock(), true
+	}
+	if ran {
+		l.turns.Count++
+		l.turns.Longest = max(l.turns.Longest, now.Sub(begun))
+	}
+	return ran
+}
+
+// Turns returns how long turns took since it was last asked for.
+func (l *Loop) Turns() Turns {
+	t := l.turns
+	l.turns = Turns{}
+	return t
+}
+
+// Slices runs step again and again, with everything else between, until it
+// returns false: for what would take too long at once.
+func (l *Loop) Slices(step func() (more bool)) {
+	l.After(0, func() {
+		if step() {
+			l.Slices(step)
+		}
+	})
+}
+
 // Run turns the loop until End is called.
 func (l *Loop) Run() {
 	clock := time.NewTimer(time.Hour)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -1,21 +1,16 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"snowjunction"
+	"snowjunction/internal/groups"
 	"snowjunction/internal/store"
 )
 
 // Entry is one entry of a target group as a front lists it.
-type Entry struct {
-	Name        string // unique within its front
-	Addr        string
-	Destination snowjunction.DestinationID
-	Zone, Kind  int
-	Phase       snowjunction.Phase
-	Weight      float64
-}
+type Entry = groups.Entry
 
 // Target is an endpoint that can be called.
 type Target interface {
@@ -48,110 +43,232 @@
 	Report  []float64
 }
 
-// routes is the target groups.
+// routes is the target groups. What is listed stands in compact tables, one for
+// each front; only destinations that flows have called for are more than that.
 type routes struct {
+	tables []*groups.Table
 	byID   map[snowjunction.EndpointID]*listed
-	byName map[name]*listed
-	heard  map[snowjunction.DestinationID]bool // destinations that a list has named
+	awake  map[snowjunction.DestinationID]*group
+	heard  heard
 	last   snowjunction.EndpointID
 }
 
-type name struct {
-	front int
-	name  string
+// group is a destination that flows have called for: the module knows of it.
+type group struct {
+	dest    snowjunction.DestinationID
+	flows   int // that the module holds
+	members []*listed
+	leaving bool // the module has been asked to hand it out
 }
 
-// listed is an endpoint in the list, under the number the module knows.
+// listed is an endpoint of an awake destination, under the number the module
+// knows.
 type listed struct {
 	Entry
+	front  int
 	id     snowjunction.EndpointID
 	target Target // nil once it has left
 	goneAt time.Time
 }
 
+type name struct {
+	front int
+	name  string
+}
+
 // goneKept is how long an endpoint that left keeps its number: listed again
 // within it, it is the same to the module.
 const goneKept = time.Minute
 
-func newRoutes() routes {
-	return routes{
-		byID: map[snowjunction.EndpointID]*listed{}, byName: map[name]*listed{},
-		heard: map[snowjunction.DestinationID]bool{},
+func newRoutes(fronts int) routes {
+	r := routes{byID: map[snowjunction.EndpointID]*listed{}, awake: map[snowjunction.DestinationID]*group{}}
+	for range fronts {
+		r.tables = append(r.tables, groups.New())
+	}
+	return r
+}
+
+// listedAnywhere tells whether any front lists endpoints of a destination.
+func (r *routes) listedAnywhere(d snowjunction.DestinationID) bool {
+	for _, t := range r.tables {
+		if t.Has(d) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *routes) destinations() (n int) {
+	for _, t := range r.tables {
+		n += t.Destinations()
 	}
+	return n
 }
 
-// Listed takes news of a front's target group: the entries that changed, or
-// the full list. The module is told of changes only, as each front's full
-// list says nothing of another's.
-func (c *Core) Listed(front int, full bool, entries []Entry) {
-	for n, l := range c.routes.byName {
-		if l.Phase == snowjunction.Gone && c.Loop.Now().Sub(l.goneAt) >= goneKept {
-			c.routes.drop(n, l)
+// Listed takes news of a front's target group: what changed, or the full list.
+// Only what concerns destinations that are awake goes further than the table.
+// An error says why the news cannot be taken: what it says of endpoints that
+// drain or go is heeded even so, and everything else stays as it was.
+func (c *Core) Listed(front int, l *groups.List) error {
+	table := c.routes.tables[front]
+	if err := table.Fits(l); err != nil {
+		c.Heed(front, l)
+		return err
+	}
+	var news []snowjunction.Endpoint
+	if l.Full {
+		news = c.replace(front, l)
+	} else {
+		for e := range l.Entries.From(0) {
+			news = append(news, c.list(front, e)...)
 		}
 	}
+	c.changed(news)
+	return nil
+}
+
+// Heed takes from news that are not taken else what they say of endpoints that
+// drain or are gone: those get nothing more.
+func (c *Core) Heed(front int, l *groups.List) {
 	var news []snowjunction.Endpoint
-	named := map[string]bool{}
-	for _, e := range entries {
-		named[e.Name] = true
-		news = append(news, c.list(front, e)...)
-	}
-	for n, l := range c.routes.byName {
-		if full && l.Phase != snowjunction.Gone && n.front == front && !named[n.name] {
-			news = append(news, c.unlist(l))
+	for _, n := range l.Leaving {
+		if e, ok := c.routes.tables[front].Get(n); ok && e.Phase == snowjunction.Ready {
+			e.Phase = snowjunction.Draining
+			news = append(news, c.list(front, e)...)
 		}
 	}
+	c.changed(news)
+}
+
+func (c *Core) changed(news []snowjunction.Endpoint) {
 	if len(news) > 0 {
-		c.feed(snowjunction.List{Kind: snowjunction.ListDelta, Endpoints: news})
+		c.feed(snowjunction.List{
+			Kind: snowjunction.ListDelta, Endpoints: news, Destinations: c.routes.destinations(),
+		})
 	}
 }
 
-// list takes one entry. An endpoint that moves to another destination is
-// another one to the module.
+// list takes one changed entry.
 func (c *Core) list(front int, e Entry) (news []snowjunction.Endpoint) {
-	n := name{front, e.Name}
-	l := c.routes.byName[n]
+	table := c.routes.tables[front]
+	var old Entry
+	var was bool
 	if e.Phase == snowjunction.Gone {
-		if l == nil || l.Phase == snowjunction.Gone {
-			return nil
+		old, was = table.Remove(e.Name)
+	} else {
+		old, was = table.Set(e)
+	}
+	if was && (e.Phase == snowjunction.Gone || old.Destination != e.Destination) {
+		if !table.Has(old.Destination) {
+			c.routes.heard.add(old.Destination, c.Loop.Now())
+		}
+		if g := c.routes.awake[old.Destination]; g != nil {
+			news = c.unlist(g, front, e.Name, news)
 		}
-		return []snowjunction.Endpoint{c.unlist(l)}
 	}
-	c.routes.heard[e.Destination] = true
-	if l != nil && l.Destination != e.Destination {
-		if l.Phase != snowjunction.Gone {
-			news = append(news, c.unlist(l))
+	if g := c.routes.awake[e.Destination]; g != nil && e.Phase != snowjunction.Gone {
+		news = append(news, c.member(g, front, e)...)
+	}
+	return news
+}
+
+// replace puts a front's full list in the place of the one held. It costs what
+// is awake; the rest of the old list is looked through in slices.
+func (c *Core) replace(front int, l *groups.List) (news []snowjunction.Endpoint) {
+	old := c.routes.tables[front]
+	for _, n := range l.Leaving {
+		if e, ok := l.Entries.Get(n); ok && e.Phase == snowjunction.Gone {
+			l.Entries.Remove(n)
 		}
-		c.routes.drop(n, l)
-		l = nil
 	}
-	if l == nil {
+	table := l.Entries
+	c.routes.tables[front] = table
+	for _, g := range c.routes.awake {
+		for _, m := range g.members {
+			if e, ok := table.Get(m.Name); m.front == front && (!ok || e.Destination != g.dest) {
+				news = c.unlist(g, front, m.Name, news)
+			}
+		}
+		for e := range table.Of(g.dest) {
+			news = append(news, c.member(g, front, e)...)
+		}
+	}
+	at := 0
+	c.Loop.Slices(func() bool {
+		for d := range old.DestinationsFrom(at, at+sliceOf) {
+			if !c.routes.tables[front].Has(d) {
+				c.routes.heard.add(d, c.Loop.Now())
+			}
+		}
+		at += sliceOf
+		return at < old.Len()
+	})
+	return news
+}
+
+// sliceOf is how many entries are looked through at once.
+const sliceOf = 2048
+
+// member takes what a front says of an endpoint of an awake destination. One
+// that is not Ready and that the module has not heard of need not be told.
+func (c *Core) member(g *group, front int, e Entry) []snowjunction.Endpoint {
+	m := g.find(front, e.Name)
+	if m == nil {
+		if e.Phase != snowjunction.Ready {
+			return nil
+		}
 		c.routes.last++
-		l = &listed{Entry: e, id: c.routes.last}
-		c.routes.byID[l.id], c.routes.byName[n] = l, l
+		m = &listed{front: front, id: c.routes.last}
+		g.members = append(g.members, m)
+		c.routes.byID[m.id] = m
 	}
-	if l.target != nil && (l.Addr != e.Addr || e.Phase != snowjunction.Ready) {
-		l.target.Leave()
-		l.target = nil
+	if m.target != nil && (m.Addr != e.Addr || e.Phase != snowjunction.Ready) {
+		m.target.Leave()
+		m.target = nil
 	}
-	l.Entry = e
-	if l.target == nil && e.Phase == snowjunction.Ready {
-		l.target = c.Fronts[front].Target(e)
+	same := m.Phase == e.Phase && m.Zone == e.Zone && m.Kind == e.Kind && m.Weight == e.Weight && m.Name != ""
+	m.Entry = e
+	if m.target == nil && e.Phase == snowjunction.Ready {
+		m.target = c.Fronts[front].Target(e)
+	}
+	if same {
+		return nil
 	}
-	return append(news, l.entry())
+	return []snowjunction.Endpoint{m.entry()}
 }
 
-func (c *Core) unlist(l *listed) snowjunction.Endpoint {
-	if l.target != nil {
-		l.target.Leave()
-		l.target = nil
+func (g *group) find(front int, name string) *listed {
+	for _, m := range g.members {
+		if m.front == front && m.Name == name {
+			return m
+		}
 	}
-	l.Phase, l.goneAt = snowjunction.Gone, c.Loop.Now()
-	return l.entry()
+	return nil
 }
 
-func (r *routes) drop(n name, l *listed) {
-	delete(r.byName, n)
-	delete(r.byID, l.id)
+// unlist takes an endpoint out of an awake destination's group.
+func (c *Core) unlist(g *group, front int, name string, news []snowjunction.Endpoint) []snowjunction.Endpoint {
+	m := g.find(front, name)
+	if m == nil || m.Phase == snowjunction.Gone {
+		return news
+	}
+	if m.target != nil {
+		m.target.Leave()
+		m.target = nil
+	}
+	m.Phase, m.goneAt = snowjunction.Gone, c.Loop.Now()
+	c.Loop.After(goneKept, func() {
+		if m.Phase == snowjunction.Gone && c.Loop.Now().Sub(m.goneAt) >= goneKept {
+			c.lose(g, m)
+		}
+	})
+	return append(news, m.entry())
+}
+
+// lose forgets an endpoint that has been gone for long.
+func (c *Core) lose(g *group, m *listed) {
+	delete(c.routes.byID, m.id)
+	g.members = slices.DeleteFunc(g.members, func(x *listed) bool { return x == m })
 }
 
 func (l *listed) entry() snowjunction.Endpoint {
@@ -169,3 +286,33 @@
 	}
 	return l.target
 }
+
+// heard remembers destinations that no list names any more: for a while their
+// messages may wait for new endpoints.
+type heard struct {
+	now, before map[snowjunction.DestinationID]struct{}
+	since       time.Time
+}
+
+// How long and how many destinations are remembered, in each of two parts.
+const (
+	heardFor  = 5 * time.Minute
+	heardMost = 16384
+)
+
+func (h *heard) add(d snowjunction.DestinationID, now time.Time) {
+	if now.Sub(h.since) >= heardFor || len(h.now) >= heardMost {
+		h.before, h.now, h.since = h.now, nil, now
+	}
+	if h.now == nil {
+		h.now = map[snowjunction.DestinationID]struct{}{}
+	}
+	h.now[d] = struct{}{}
+}
+
+func (h *heard) has(d snowjunction.DestinationID, now time.Time) bool {
+	age := now.Sub(h.since)
+	_, late := h.now[d]
+	_, early := h.before[d]
+	return late && age < 2*heardFor || early && age < heardFor
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -235,8 +235,11 @@
 	if later := c.cfg.Differs(cfg); len(later) > 0 {
 		c.log.Warn("these wait for a restart", "values", later)
 	}
+	if err := c.push.Relist(p.Targets); err != nil {
+		c.log.Error("configuration not read again", "err", err)
+		return
+	}
 	c.platform.Move(cfg.Discovery)
-	c.push.Relist(p.Targets)
 	c.log.Info("configuration read again", "discovery", cfg.Discovery, "targets", len(p.Targets))
 }
 
--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -4,9 +4,13 @@
 	"strconv"
 	"time"
 
+	"github.com/valyala/fastjson"
+
 	"snowjunction/internal/core"
+	"snowjunction/internal/groups"
 	"snowjunction/internal/net"
 	"snowjunction/internal/proto/http1"
+	"snowjunction/internal/proto/listing"
 )
 
 // discovery watches the target group. One watch is always open: the next
@@ -19,15 +23,18 @@
 	parser     http1.Parser
 	limit      *core.Timer
 	closed     bool
+	reader     *listing.Reader // of the answer that comes
+	news       *groups.List
+	bad        int // lists in a row that could not be taken
 }
 
 const (
-	watchFor     = 20 * time.Second
-	watchSlack   = 3 * time.Second // past which a watch without an answer is lost
-	watchAgain   = 50 * time.Millisecond
-	openWithin   = time.Second     // past which a connection will not come up
-	listWithin   = 2 * time.Second // past which a list asked for at once is lost
-	maxDiscovery = 4 << 20
+	watchFor   = 20 * time.Second
+	watchSlack = 3 * time.Second // past which a watch without an answer is lost
+	watchAgain = 50 * time.Millisecond
+	openWithin = time.Second     // past which a connection will not come up
+	listWithin = 2 * time.Second // past which a list asked for at once is lost
+	badMost    = 5 * time.Second // between lists that cannot be taken, at most: it doubles up to this
 )
 
 // watch asks for what is newer than the list held, on the connection there is
@@ -37,7 +44,7 @@
 		return
 	}
 	if d.conn == nil {
-		d.parser = http1.Parser{MaxBody: maxDiscovery}
+		d.parser = http1.Parser{MaxBody: maxAnswer, Sink: d.piece}
 		d.conn = d.front.Engine.Dial("discovery", d.front.Discovery, d)
 		d.await(openWithin, net.DialTimeout)
 		return
@@ -54,6 +61,7 @@
 }
 
 func (d *discovery) ask() {
+	d.expect()
 	path := "/discovery/hosts"
 	d.await(listWithin, net.CallTimeout)
 	if d.known {
@@ -98,15 +106,38 @@
 	d.watch()
 }
 
+// expect makes ready for an answer.
+func (d *discovery) expect() {
+	news, limits := groups.NewList(false), d.front.Lists
+	d.news = news
+	d.reader = &listing.Reader{MaxSize: limits.Bytes, MaxList: limits.Entries, Entry: func(v *fastjson.Value) error {
+		e, err := d.front.Names.Target(v)
+		if err != nil {
+			return err
+		}
+		return news.Add(e)
+	}}
+}
+
+// piece reads a part of an answer's body. However long the list is, what is
+// read of it lies in a table of its own until it has come whole.
+func (d *discovery) piece(b []byte) error { return d.reader.Feed(b) }
+
 // Data reads an answer and watches on.
 func (d *discovery) Data(b []byte) {
 	d.parser.Feed(b)
 	r, err := d.parser.Next()
-	if err != nil {
+	switch {
+	case err != nil && d.reader.Size() > 0:
+		d.refuse(err)
+		return
+	case err != nil:
 		d.again(net.Protocol)
 		return
-	}
-	if r == nil {
+	case r == nil:
+		if d.reader.Size() > 0 { // it comes: what is long may take long
+			d.await(listWithin, net.CallTimeout)
+		}
 		return
 	}
 	if r.Close {
@@ -118,19 +149,36 @@
 		d.again(net.Finished)
 		return
 	}
-	list, err := d.front.Names.List(r.Body)
-	if err != nil {
-		d.front.Log.Warn("discovery's list cannot be read", "err", err)
-		d.known = false
-		d.again(net.Protocol)
+	if err := d.reader.End(); err != nil {
+		d.refuse(err)
+		return
+	}
+	d.news.Full = d.reader.Full
+	if err := d.front.core.Listed(d.front.Number, d.news); err != nil {
+		d.refuse(err)
 		return
 	}
-	d.generation, d.known = list.Generation, true
-	d.front.core.Listed(d.front.Number, list.Full, list.Targets)
+	d.generation, d.known, d.bad = d.reader.Generation, true, 0
 	d.front.ready = true
 	d.watch()
 }
 
+// refuse leaves a list that cannot be taken: the one held stays, but for what
+// the other says of endpoints that drain or go. The whole list is asked for
+// next, less and less often while that is no better.
+func (d *discovery) refuse(err error) {
+	d.front.Log.Warn("discovery's list cannot be read", "err", err, "entries", d.reader.Entries, "bytes", d.reader.Size())
+	d.front.core.Heed(d.front.Number, d.news)
+	d.known = false
+	d.bad++
+	if d.conn != nil {
+		d.conn.Close(net.Protocol)
+		d.conn = nil
+	}
+	d.limit.Stop()
+	d.limit = d.front.Loop.After(min(watchAgain<<min(d.bad-1, 10), badMost), d.watch)
+}
+
 func (d *discovery) close() {
 	d.closed = true
 	d.limit.Stop()
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -25,8 +25,18 @@
 	Names     config.Names
 	Columns   []string // of the load report
 	Settings  snowjunction.Settings
+	Lists     ListLimits
 }
 
+// ListLimits bound a list that discovery may send.
+type ListLimits struct {
+	Bytes, Entries int
+}
+
+// DefaultLists are the bounds where no operator file names others: a list of
+// so many entries takes about 5 MB.
+var DefaultLists = ListLimits{Bytes: 16 << 20, Entries: 65536}
+
 // Front is the platform's front.
 type Front struct {
 	Config
@@ -42,6 +52,9 @@
 
 // New returns a front that does nothing yet.
 func New(cfg Config) *Front {
+	if cfg.Lists == (ListLimits{}) {
+		cfg.Lists = DefaultLists
+	}
 	f := &Front{Config: cfg, clients: map[*client]bool{}, targets: map[*target]bool{}}
 	f.discovery.front = f
 	f.notices.front = f
@@ -62,7 +75,17 @@
 	f.addr = addr
 	f.sweep()
 	if known.Held {
-		c.Listed(f.Number, true, known.Targets)
+		news, err := known.News()
+		if err == nil {
+			news.Full = true
+			err = c.Listed(f.Number, news)
+		}
+		if err != nil { // it costs what is known, not the start
+			f.Log.Warn("the known list cannot be taken", "err", err)
+			known = config.List{}
+		}
+	}
+	if known.Held {
 		f.ready = true
 	} else {
 		f.Loop.After(readyAfter, func() { f.ready = true })
--- a/internal/front/push/push.go
+++ b/internal/front/push/push.go
@@ -5,6 +5,7 @@
 package push
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -12,6 +13,7 @@
 	"snowjunction/internal/config"
 	"snowjunction/internal/core"
 	"snowjunction/internal/describe"
+	"snowjunction/internal/groups"
 	"snowjunction/internal/net"
 	"snowjunction/internal/proto/h2"
 	"snowjunction/internal/store"
@@ -64,7 +66,9 @@
 			}
 		}
 	}
-	f.Relist(f.Push.Targets)
+	if err := f.Relist(f.Push.Targets); err != nil {
+		return err
+	}
 	if f.Push.Listen == "" {
 		return nil
 	}
@@ -76,8 +80,18 @@
 // Addr is the address that clients reach; "": none.
 func (f *Front) Addr() string { return f.addr }
 
-// Relist takes the front's targets anew.
-func (f *Front) Relist(targets []core.Entry) { f.core.Listed(f.Number, true, targets) }
+// Relist takes the front's targets anew. Where they cannot be taken those held
+// stay.
+func (f *Front) Relist(targets []core.Entry) error {
+	news, err := groups.ListOf(true, true, targets)
+	if err == nil {
+		err = f.core.Listed(f.Number, news)
+	}
+	if err != nil {
+		return fmt.Errorf("the push front's targets: %w", err)
+	}
+	return nil
+}
 
 // Target makes the target of an endpoint.
 func (f *Front) Target(e core.Entry) core.Target { return &target{front: f, entry: e} }
--- /dev/null
+++ b/internal/memento/memento.go
@@ -0,0 +1,193 @@
+// Package memento writes what is kept of a destination in a compact binary form
+// and reads it back. It does no I/O.
+//
+// The form is versioned: a byte with the version, then the fields in order.
+// Numbers are 32-bit floats, big-endian; times are signed varints in
+// milliseconds; counts are varints. An endpoint is known by the 64-bit hash of
+// its name, as numbers change each time a destination wakes. A reader refuses
+// versions that it does not know, what is cut short and what is left over.
+package memento
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"snowjunction"
+)
+
+// Version is the one that Encode writes.
+const Version = 1
+
+// Bounds of what Decode takes; Encode leaves out what is beyond them.
+const (
+	RoutesMost    = 64
+	EndpointsMost = 64
+)
+
+// ErrForm wraps what is wrong with a memento.
+var ErrForm = errors.New("no memento")
+
+// Name is an endpoint's name in a memento.
+type Name uint64
+
+// NameOf returns that of an endpoint's name in its list.
+func NameOf(name string) Name { return Name(xxhash.Sum64String(name)) }
+
+// Memento is a destination's state with its endpoints' names, in the order of
+// State.EndpointsSeen, whose numbers mean nothing here.
+type Memento struct {
+	State snowjunction.State
+	Names []Name
+}
+
+type writer []byte
+
+func (w *writer) float(v float64) {
+	*w = binary.BigEndian.AppendUint32(*w, math.Float32bits(float32(v)))
+}
+func (w *writer) count(n int) { *w = binary.AppendUvarint(*w, uint64(max(n, 0))) }
+func (w *writer) time(d time.Duration) {
+	*w = binary.AppendVarint(*w, int64(d.Round(time.Millisecond)/time.Millisecond))
+}
+
+// wait rounds up: a told one must not end early.
+func (w *writer) wait(d time.Duration) {
+	*w = binary.AppendVarint(*w, int64((d+time.Millisecond-1)/time.Millisecond))
+}
+
+// Encode appends the form of m to b.
+func Encode(b []byte, m *Memento) []byte {
+	w, s := writer(b), &m.State
+	w = append(w, Version)
+	for _, v := range []float64{s.Recent, s.Best, s.Peak, s.Window, s.First, s.Repeats} {
+		w.float(v)
+	}
+	routes := s.Routes[:min(len(s.Routes), RoutesMost)]
+	w.count(len(routes))
+	for _, r := range routes {
+		for _, v := range []float64{r.Limit, r.Left, r.Pace, r.ColdSends} {
+			w.float(v)
+		}
+		w.time(r.Gap)
+		w.wait(r.Wait)
+		w.count(r.Fulls)
+		w.time(r.FullAgo)
+	}
+	eps := s.EndpointsSeen[:min(len(s.EndpointsSeen), len(m.Names), EndpointsMost)]
+	w.count(len(eps))
+	for i, e := range eps {
+		w = binary.BigEndian.AppendUint64(w, uint64(m.Names[i]))
+		flags := byte(e.Condition) & 3
+		if e.Vouched {
+			flags |= 4
+		}
+		plain := e.Condition == snowjunction.Serving && e.Fails == 0
+		if plain {
+			flags |= 8 // nothing more to tell
+		}
+		w = append(w, flags)
+		w.count(e.Route)
+		w.float(e.Latency)
+		if plain {
+			continue
+		}
+		w.count(e.Fails)
+		for _, t := range []time.Duration{e.For, e.Failed, e.DownFor, e.Backoff, e.Trial} {
+			w.time(t)
+		}
+	}
+	return w
+}
+
+type reader struct {
+	b  []byte
+	ok bool
+}
+
+func (r *reader) take(n int) []byte {
+	if !r.ok || len(r.b) < n {
+		r.ok = false
+		return make([]byte, n)
+	}
+	b := r.b[:n]
+	r.b = r.b[n:]
+	return b
+}
+
+func (r *reader) float() float64 {
+	v := float64(math.Float32frombits(binary.BigEndian.Uint32(r.take(4))))
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		r.ok = false
+	}
+	return v
+}
+
+func (r *reader) count(most int) int {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 || v > uint64(most) {
+		r.ok = false
+		return 0
+	}
+	r.take(n)
+	return int(v)
+}
+
+// timeMost bounds the times that are believed: ten years.
+const timeMost = 10 * 365 * 24 * time.Hour
+
+func (r *reader) time() time.Duration {
+	v, n := binary.Varint(r.b)
+	if n <= 0 || v > int64(timeMost/time.Millisecond) || v < -int64(timeMost/time.Millisecond) {
+		r.ok = false
+		return 0
+	}
+	r.take(n)
+	return time.Duration(v) * time.Millisecond
+}
+
+// Decode reads what Encode has written. Its errors wrap ErrForm.
+func Decode(b []byte) (*Memento, error) {
+	if len(b) == 0 || b[0] != Version {
+		return nil, fmt.Errorf("%w: unknown version", ErrForm)
+	}
+	r, m := &reader{b: b[1:], ok: true}, &Memento{}
+	s := &m.State
+	for _, v := range []*float64{&s.Recent, &s.Best, &s.Peak, &s.Window, &s.First, &s.Repeats} {
+		*v = r.float()
+	}
+	for n := r.count(RoutesMost); n > 0 && r.ok; n-- {
+		var x snowjunction.RouteState
+		for _, v := range []*float64{&x.Limit, &x.Left, &x.Pace, &x.ColdSends} {
+			*v = r.float()
+		}
+		x.Gap, x.Wait, x.Fulls, x.FullAgo = r.time(), r.time(), r.count(math.MaxInt32), r.time()
+		s.Routes = append(s.Routes, x)
+	}
+	for n := r.count(EndpointsMost); n > 0 && r.ok; n-- {
+		m.Names = append(m.Names, Name(binary.BigEndian.Uint64(r.take(8))))
+		flags := r.take(1)[0]
+		e := snowjunction.EndpointState{
+			Condition: snowjunction.Condition(flags & 3), Vouched: flags&4 != 0,
+			Route: r.count(RoutesMost), Latency: r.float(),
+		}
+		if e.Condition > snowjunction.Warming || flags > 15 {
+			r.ok = false
+		}
+		if flags&8 == 0 {
+			e.Fails = r.count(math.MaxInt32)
+			for _, t := range []*time.Duration{&e.For, &e.Failed, &e.DownFor, &e.Backoff, &e.Trial} {
+				*t = r.time()
+			}
+		}
+		s.EndpointsSeen = append(s.EndpointsSeen, e)
+	}
+	if !r.ok || len(r.b) > 0 {
+		return nil, fmt.Errorf("%w: cut short or spoilt", ErrForm)
+	}
+	return m, nil
+}
--- a/internal/proto/http1/http1.go
+++ b/internal/proto/http1/http1.go
@@ -55,11 +55,14 @@
 // Parser takes responses out of a stream. MaxBody bounds a body.
 type Parser struct {
 	MaxBody int
-	buf     []byte
-	at      state
-	left    int // of the body or chunk
-	now     *Response
-	status  int // of the first line of the response that has begun; 0: not whole yet
+	// Sink, if set, gets the bodies of answers with status 200 piece by piece
+	// as they come; their bounds are its own. An error of it is Next's.
+	Sink   func(b []byte) error
+	buf    []byte
+	at     state
+	left   int // of the body or chunk
+	now    *Response
+	status int // of the first line of the response that has begun; 0: not whole yet
 }
 
 // Feed adds what has come.
@@ -103,10 +106,16 @@
 			if p.at != untilClose {
 				n = min(n, p.left)
 			}
-			if len(p.now.Body)+n > p.MaxBody {
-				return nil, ErrTooBig
+			if p.Sink != nil && p.now.Status == 200 {
+				if err := p.Sink(p.buf[:n]); err != nil {
+					return nil, err
+				}
+			} else {
+				if len(p.now.Body)+n > p.MaxBody {
+					return nil, ErrTooBig
+				}
+				p.now.Body = append(p.now.Body, p.buf[:n]...)
 			}
-			p.now.Body = append(p.now.Body, p.buf[:n]...)
 			p.take(n)
 			p.left -= n
 			switch {
--- a/state.go
+++ b/state.go
@@ -17,6 +17,8 @@
 	eps       map[EndpointID]*endpoint
 	dests     map[DestinationID]*destination
 	order     []*destination // in order of first sight
+	listed    int            // destinations that there are, here and elsewhere
+	left      []*endpoint    // gone ones, in order of their going
 	reqs      map[RequestID]*request
 	classes   []class    // and one for what is out of range
 	held      []*request // not answered yet, in order of arrival
@@ -88,6 +90,10 @@
 		switch ev := ev.(type) {
 		case List:
 			c.list(ev)
+		case Sleep:
+			c.sleep(ev)
+		case Wake:
+			c.awaken(ev)
 		case Request:
 			c.take(ev)
 		case AttemptEnded:
@@ -343,19 +349,20 @@
 // route is what has a limit, a pace and waits of its own: all endpoints of
 // a destination together or, where routes are apart, each alone.
 type route struct {
-	dest      *destination
-	eps       []*endpoint
-	waitUntil time.Duration
-	limit     float64       // calls a second from all couriers; 0: none known
-	left      float64       // share of it last reported left
-	gap       time.Duration // least time between calls while it refuses, in large fleets
-	pace      float64       // this courier's own calls a second
-	bucket    bucket
-	wanting   bool // a request waited for a token
-	fullAt    time.Duration
-	fulls     int // refusals in a row, as episodes
-	trialOut  int
-	coldSends trail // calls to endpoints that were not well
+	dest         *destination
+	eps          []*endpoint
+	waitUntil    time.Duration
+	carefulUntil time.Duration // it has slept: its pace stays under the even share
+	limit        float64       // calls a second from all couriers; 0: none known
+	left         float64       // share of it last reported left
+	gap          time.Duration // least time between calls while it refuses, in large fleets
+	pace         float64       // this courier's own calls a second
+	bucket       bucket
+	wanting      bool // a request waited for a token
+	fullAt       time.Duration
+	fulls        int // refusals in a row, as episodes
+	trialOut     int
+	coldSends    trail // calls to endpoints that were not well
 }
 
 // evenShare is one courier's part of a route's limit.
@@ -511,3 +518,39 @@
 		c.due = t
 	}
 }
+
+// leave marks an endpoint as gone from the list.
+func (c *Courier) leave(e *endpoint) {
+	if e.Phase != Gone {
+		e.Phase, e.goneAt = Gone, c.now
+		c.left = append(c.left, e)
+	}
+}
+
+// forgetGone drops endpoints that left the list long ago. Each release of the
+// targets brings new ones: a courier that runs for weeks would keep them all.
+func (c *Courier) forgetGone() {
+	for range len(c.left) {
+		e := c.left[0]
+		if c.now-e.goneAt < goneMemory*ledgerSpan {
+			return
+		}
+		c.left = c.left[1:]
+		switch {
+		case e.Phase != Gone || c.eps[e.ID] != e: // listed again, or asleep
+		case len(e.calls) > 0:
+			c.left = append(c.left, e)
+		default:
+			c.forget(e)
+		}
+	}
+}
+
+func (c *Courier) forget(e *endpoint) {
+	r := e.route
+	r.eps, r.dest.eps = remove(r.eps, e), remove(r.dest.eps, e)
+	if len(r.eps) == 0 {
+		r.dest.routes = remove(r.dest.routes, r)
+	}
+	delete(c.eps, e.ID)
+}
