--- a/cmd/snowjunction/command_test.go
+++ b/cmd/snowjunction/command_test.go
@@ -52,3 +52,11 @@
 		}
 	}
 }
+
+// The newcomer's command: every message has its one end, or it says so by its
+// exit code.
+func TestDemo(t *testing.T) {
+	out, code := command(t, nil, "demo", "--messages=120", "--over=2s")
+	assert.Zero(t, code, out)
+	assert.Contains(t, out, "every one taken on its one end")
+}
--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -10,10 +10,13 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"snowjunction/internal/daemon"
+	"snowjunction/internal/demo"
+	"snowjunction/internal/standin"
 )
 
 // Exit codes; docs/commands.md lists them.
@@ -47,6 +50,8 @@
 
 	Run     runCommand     `cmd:"" default:"1" help:"Run the courier; the default."`
 	Check   checkCommand   `cmd:"" help:"Read all configuration and operator files and print a line for each mistake."`
+	Demo    demoCommand    `cmd:"" help:"Play a courier against stand-in partners on loopback; exit 0 only if every message has its one end."`
+	Standin standinCommand `cmd:"" help:"Serve stand-in partners and a directory on loopback until told to end."`
 	Version versionCommand `cmd:"" help:"Print what this program is built from."`
 }
 
@@ -75,6 +80,26 @@
 	return nil
 }
 
+type demoCommand struct {
+	Messages int           `default:"400" help:"How many messages are handed in."`
+	Over     time.Duration `default:"8s" help:"In how long."`
+	Seed     uint64        `default:"1" help:"Decides what is drawn."`
+}
+
+func (d demoCommand) Run() error {
+	exe, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	return demo.Run(demo.Options{Exe: exe, Messages: d.Messages, Over: d.Over, Seed: d.Seed, Out: os.Stdout})
+}
+
+type standinCommand struct {
+	standin.Population
+}
+
+func (s standinCommand) Run() error { return standin.Serve(s.Population, os.Stdin, os.Stdout) }
+
 type versionCommand struct{}
 
 func (versionCommand) Run() error {
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -42,7 +42,7 @@
 			return
 		}
 	}
-	c.fresh = append(c.fresh, f)
+	f.fresh = true
 	c.hand(f)
 }
 
@@ -52,7 +52,21 @@
 	f.id = snowjunction.RequestID(c.Counters.serial)
 	c.flows[f.id], c.ids[f.name()] = f, f
 	c.held++
-	c.hold(f)
+	if g := c.hold(f); g.waiting {
+		g.parked = append(g.parked, f)
+		return
+	}
+	c.submit(f)
+}
+
+// submit gives the module a flow whose destination it knows.
+func (c *Core) submit(f *flow) {
+	if f.ended {
+		return
+	}
+	if f.fresh {
+		c.fresh = append(c.fresh, f)
+	}
 	m, now := f.msg, c.Loop.Now()
 	ev := snowjunction.Request{
 		ID: f.id, Destination: snowjunction.DestinationID(m.Destination), Class: c.classes[m.Class],
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,7 @@
 	Hook     Hook // nil: none
 	Fronts   []Front
 	Dormancy *dormancy.Config // nil: its defaults
+	Beyond   Beyond           // nil: mementos live in memory only
 }
 
 // Core owns the courier, the flows and the target groups.
@@ -85,6 +86,7 @@
 	draining bool
 	frozen   bool
 	book     *dormancy.Book
+	updates  updates
 	resting  *Timer // until destinations may go to sleep
 	idle     func() // called once frozen and no call is out
 }
@@ -96,6 +98,7 @@
 	class   *snowjunction.Class
 	answer  AnswerFunc // nil once answered
 	attempt *attempt   // the one that is out
+	fresh   bool       // the module is yet to look at it for the first time
 	ended   bool
 }
 
@@ -202,6 +205,11 @@
 		c.refuse(f, 0)
 	}
 	c.fresh = nil
+	for _, g := range c.routes.awake {
+		for _, f := range g.parked {
+			c.refuse(f, 0)
+		}
+	}
 	c.checkIdle()
 }
 
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -58,7 +58,9 @@
 	dest    snowjunction.DestinationID
 	flows   int // that the module holds
 	members []*listed
-	leaving bool // the module has been asked to hand it out
+	leaving bool    // the module has been asked to hand it out
+	waiting bool    // its memento is yet to come from beyond memory
+	parked  []*flow // until then
 }
 
 // listed is an endpoint of an awake destination, under the number the module
@@ -118,12 +120,16 @@
 	var news []snowjunction.Endpoint
 	if l.Full {
 		news = c.replace(front, l)
-	} else {
-		for e := range l.Entries.From(0) {
-			news = append(news, c.list(front, e)...)
-		}
+		c.changed(news)
+		return nil
+	}
+	begun := c.Loop.Now()
+	for e := range l.Entries.From(0) {
+		news = append(news, c.list(front, e)...)
 	}
 	c.changed(news)
+	c.updates.n++
+	c.updates.took += c.Loop.Now().Sub(begun)
 	return nil
 }
 
@@ -166,7 +172,7 @@
 			news = c.unlist(g, front, e.Name, news)
 		}
 	}
-	if g := c.routes.awake[e.Destination]; g != nil && e.Phase != snowjunction.Gone {
+	if g := c.routes.awake[e.Destination]; g != nil && !g.waiting && e.Phase != snowjunction.Gone {
 		news = append(news, c.member(g, front, e)...)
 	}
 	return news
@@ -184,6 +190,9 @@
 	table := l.Entries
 	c.routes.tables[front] = table
 	for _, g := range c.routes.awake {
+		if g.waiting {
+			continue
+		}
 		for _, m := range g.members {
 			if e, ok := table.Get(m.Name); m.front == front && (!ok || e.Destination != g.dest) {
 				news = c.unlist(g, front, m.Name, news)
--- a/internal/core/sleep.go
+++ b/internal/core/sleep.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"log/slog"
 	"time"
 
 	"snowjunction"
@@ -8,6 +9,20 @@
 	"snowjunction/internal/memento"
 )
 
+// Beyond keeps mementos for which there is no memory, or that are to outlast the
+// process. None of its calls wait.
+type Beyond interface {
+	Put(dest uint32, at time.Time, text []byte)
+	Has(dest uint32) bool
+	// Take has done called on the loop's goroutine, later, unless it returns
+	// false.
+	Take(dest uint32, done func(text []byte, at time.Time, ok bool)) bool
+}
+
+// beyondWithin is how long flows wait for a memento from beyond memory. After
+// it they go on without: it is knowledge, nothing more.
+const beyondWithin = 50 * time.Millisecond
+
 // wake has the module know a destination that a flow calls for.
 func (c *Core) wake(d snowjunction.DestinationID) *group {
 	g := c.routes.awake[d]
@@ -17,10 +32,44 @@
 	}
 	g = &group{dest: d}
 	c.routes.awake[d] = g
-	c.waken(g, c.book.Wake(d, c.since()))
+	if c.Beyond == nil || c.book.Keeping(d) || !c.Beyond.Has(uint32(d)) {
+		c.waken(g, c.book.Wake(d, c.since()))
+		return g
+	}
+	g.waiting = true
+	limit := c.Loop.After(beyondWithin, func() { c.recalled(g, nil, time.Time{}) })
+	asked := c.Beyond.Take(uint32(d), func(text []byte, at time.Time, ok bool) {
+		limit.Stop()
+		c.recalled(g, text, at)
+	})
+	if !asked {
+		limit.Stop()
+		c.recalled(g, nil, time.Time{})
+	}
 	return g
 }
 
+// recalled goes on with the flows that have waited for a memento. One that
+// cannot be read is none.
+func (c *Core) recalled(g *group, text []byte, at time.Time) {
+	if !g.waiting {
+		return
+	}
+	g.waiting = false
+	w := dormancy.Woken{}
+	if m, err := memento.Decode(text); err == nil {
+		w = c.book.WakeWith(m, c.Loop.Now().Sub(at))
+	} else {
+		w = c.book.Wake(g.dest, c.since())
+	}
+	c.waken(g, w)
+	parked := g.parked
+	g.parked = nil
+	for _, f := range parked {
+		c.submit(f)
+	}
+}
+
 // waken tells the module of a destination, with what was kept of it.
 func (c *Core) waken(g *group, w dormancy.Woken) {
 	ev := snowjunction.Wake{
@@ -60,7 +109,7 @@
 }
 
 // hold counts a flow that the module holds; release one that it holds no more.
-func (c *Core) hold(f *flow) {
+func (c *Core) hold(f *flow) *group {
 	g := c.wake(snowjunction.DestinationID(f.msg.Destination))
 	g.flows++
 	c.book.Busy(g.dest)
@@ -69,6 +118,7 @@
 		c.resting = nil
 		c.rest()
 	}
+	return g
 }
 
 func (c *Core) release(f *flow) {
@@ -153,10 +203,36 @@
 		delete(c.routes.byID, l.id)
 	}
 	delete(c.routes.awake, g.dest)
-	for _, e := range c.book.Keep(g.dest, m, c.since()) {
-		c.evicted(e)
+	text := c.book.Keep(g.dest, m, c.since())
+	if c.Beyond != nil {
+		c.Beyond.Put(uint32(g.dest), c.Loop.Now(), text)
 	}
 }
 
-// evicted passes on a memento for which there is no room.
-func (c *Core) evicted(dormancy.Evicted) {}
+// Dormant tells of the target groups and the destinations that sleep.
+func (c *Core) Dormant() slog.Value {
+	n, endpoints, bytes := c.book.Counts, 0, 0
+	for _, t := range c.routes.tables {
+		endpoints += t.Len()
+		bytes += t.Bytes()
+	}
+	u := c.updates
+	c.updates = updates{}
+	mean := int64(0)
+	if u.n > 0 {
+		mean = u.took.Microseconds() / int64(u.n)
+	}
+	return slog.GroupValue(
+		slog.Int("listed", endpoints), slog.Int("destinations", c.routes.destinations()), slog.Int("table_bytes", bytes),
+		slog.Int("awake", c.book.Awake()), slog.Int("mementos", c.book.Asleep()), slog.Int("memento_bytes", c.book.Bytes()),
+		slog.Uint64("slept", n.Slept), slog.Uint64("woke", n.Woke), slog.Uint64("known", n.Known),
+		slog.Uint64("dropped", n.Dropped), slog.Uint64("full", n.Full),
+		slog.Int("changes", u.n), slog.Int64("change_us", mean),
+	)
+}
+
+// updates are the changes of lists, but full ones, since they were last told.
+type updates struct {
+	n    int
+	took time.Duration
+}
--- a/internal/daemon/check.go
+++ b/internal/daemon/check.go
@@ -25,10 +25,10 @@
 			mistakes = append(mistakes, err.Error())
 		}
 	}
-	names := config.Names{}
+	names, settings := config.Names{}, snowjunction.Settings{}
 	cfg, err := config.Load(o.Env)
 	if err == nil {
-		names = cfg.Names
+		names, settings = cfg.Names, cfg.Settings
 		if _, err = snowjunction.New(cfg.Settings); err != nil {
 			err = fmt.Errorf("configuration %s: %w", o.Env("GW_CONFIG"), err)
 		}
@@ -48,5 +48,8 @@
 			}
 		}
 	}
+	file = path(o.Env, "SNOWJUNCTION_IDLE", idleFile)
+	_, err = config.LoadIdle(file, settings)
+	add(file, err)
 	return mistakes
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	"snowjunction/internal/front/platform"
 	"snowjunction/internal/front/push"
 	"snowjunction/internal/hook"
+	"snowjunction/internal/idlestore"
 	"snowjunction/internal/net"
 	"snowjunction/internal/store"
 )
@@ -29,6 +31,7 @@
 	memoryShare = 0.6 // of the machine's memory, for the heap: the folder's files count too
 	descriptors = 32  // besides connections: journal, log, epoll, listeners
 	pushFile    = "deploy/push.json"
+	idleFile    = "deploy/idle.json"
 )
 
 // A planned stop: decisions go on for a while, calls out are waited for, and
@@ -57,6 +60,8 @@
 	engine   *net.Engine
 	core     *core.Core
 	hooks    *hook.Hooks
+	idle     *config.Idle
+	store    *idlestore.Store // nil: none
 	platform *platform.Front
 	push     *push.Front
 }
@@ -87,7 +92,7 @@
 	signals := o.Signals
 	if signals == nil {
 		own := make(chan os.Signal, 4)
-		signal.Notify(own, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+		signal.Notify(own, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
 		signals = own
 	}
 	c, left, err := build(o)
@@ -106,6 +111,9 @@
 	c.loop.Run()
 	c.platform.Close()
 	c.push.Close()
+	if c.store != nil {
+		c.store.Close()
+	}
 	c.count("ended")
 	return nil
 }
@@ -128,6 +136,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if c.idle, err = config.LoadIdle(path(o.Env, "SNOWJUNCTION_IDLE", idleFile), cfg.Settings); err != nil {
+		return nil, nil, err
+	}
 	if pushCfg.Hooks != "" {
 		if c.hooks, err = hook.Load(pushCfg.Hooks, c.log); err != nil {
 			return nil, nil, err
@@ -147,6 +158,7 @@
 	c.platform = platform.New(platform.Config{
 		Loop: c.loop, Engine: c.engine, Log: c.log, Number: platformFront, Listen: cfg.Listen,
 		Discovery: cfg.Discovery, Names: cfg.Names, Columns: cfg.Columns, Settings: cfg.Settings,
+		Lists: platform.ListLimits{Bytes: c.idle.ListBytes, Entries: c.idle.ListEntries},
 	})
 	c.push = push.New(push.Config{
 		Loop: c.loop, Engine: c.engine, Log: c.log, Number: pushFront, Push: pushCfg, API: api, Life: life,
@@ -154,7 +166,19 @@
 	})
 	coreCfg := core.Config{
 		Loop: c.loop, Log: c.log, Journal: c.journal, Settings: cfg.Settings,
-		Fronts: []core.Front{platformFront: c.platform, pushFront: c.push},
+		Fronts:   []core.Front{platformFront: c.platform, pushFront: c.push},
+		Dormancy: &c.idle.Dormancy,
+	}
+	if c.idle.Store != "" {
+		c.store, err = idlestore.Open(idlestore.Options{
+			Path: c.idle.Store, Bytes: c.idle.StoreBytes, Forget: c.idle.Dormancy.Forget,
+			Post: c.loop.Post, Log: c.log, Now: time.Now,
+		})
+		if err != nil { // it costs what is known, not the start
+			c.log.Warn("no idle store", "err", err)
+		} else {
+			coreCfg.Beyond = c.store
+		}
 	}
 	if c.hooks != nil {
 		coreCfg.Hook = c.hooks
@@ -208,6 +232,10 @@
 	switch s {
 	case syscall.SIGUSR1:
 		c.count("counters")
+	case syscall.SIGUSR2:
+		runtime.GC()
+		debug.FreeOSMemory()
+		c.count("counters")
 	case syscall.SIGHUP:
 		c.reload()
 	default:
@@ -248,8 +276,17 @@
 	if c.hooks != nil {
 		failed = c.hooks.Failed
 	}
+	t := c.loop.Turns()
 	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(),
-		"journal", c.journal.Size(), "plugin_failures", failed)
+		"journal", c.journal.Size(), "plugin_failures", failed, "idle", c.core.Dormant(), "heap", heap(),
+		"turns", t.Count, "longest_turn_us", t.Longest.Microseconds())
+}
+
+// heap is the bytes that were in use after the last collection of garbage.
+func heap() uint64 {
+	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(live)
+	return live[0].Value.Uint64()
 }
 
 // drain ends the courier in order: it takes nothing more, lets its clients go,
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,238 @@
+// Package demo is the newcomer's one command: stand-in partners with faults, a
+// directory and a courier, all on loopback, a few hundred messages over both
+// fronts, and an account of what became of each.
+package demo
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"snowjunction/internal/rig"
+	"snowjunction/internal/standin"
+	"snowjunction/internal/standin/load"
+	"snowjunction/internal/standin/partner"
+)
+
+// Options of a run.
+type Options struct {
+	Exe      string // the program, to be run as the courier
+	Messages int
+	Over     time.Duration // in which they are handed in
+	Seed     uint64
+	Out      io.Writer
+}
+
+// settleWithin is how long the last messages may take to end: an order lives
+// for 20 s.
+const settleWithin = 25 * time.Second
+
+// role is a partner with its part in the demonstration.
+type role struct {
+	name string
+	spec standin.Spec
+}
+
+func cast(seed uint64) []role {
+	plain := partner.Profile{
+		Latency: 40 * time.Millisecond, Capacity: 60, Queue: 40, Tells: 0.8, Report: true, Refresh: 200 * time.Millisecond,
+		ColdShare: 0.2, WarmUp: 14 * time.Second, FallMultiple: 2, FallTime: 1500 * time.Millisecond,
+	}
+	with := func(change func(p *partner.Profile)) partner.Profile {
+		p := plain
+		if change != nil {
+			change(&p)
+		}
+		return p
+	}
+	roles := []role{
+		{"quiet, HTTP/1.1", standin.Spec{Endpoints: 2, Profile: plain}},
+		{"quiet, HTTP/2", standin.Spec{Endpoints: 2, HTTP2: true, Profile: plain}},
+		{"6 a second", standin.Spec{Endpoints: 1, Profile: with(func(p *partner.Profile) { p.Limit = 6 })}},
+		{"8 in each second", standin.Spec{Endpoints: 2, HTTP2: true, Profile: with(func(p *partner.Profile) {
+			p.Limit, p.Span, p.Counting = 8, time.Second, true
+		})}},
+		{"quick errors for 3 s", standin.Spec{Endpoints: 2, Profile: plain}},
+		{"shut for 3 s", standin.Spec{Endpoints: 2, HTTP2: true, Profile: plain}},
+		{"resets for 3 s", standin.Spec{Endpoints: 2, Profile: plain}},
+		{"silent for 3 s, back cold", standin.Spec{Endpoints: 1, Profile: plain}},
+		{"one endpoint drained", standin.Spec{Endpoints: 2, Profile: plain}},
+	}
+	for i := range roles {
+		roles[i].spec.Destination, roles[i].spec.Seed = uint32(i+1), seed+uint64(i)
+	}
+	return roles
+}
+
+// faults puts the script's faults on the partners, from a time on.
+func faults(f *standin.Farm, from time.Duration) error {
+	for destination, x := range map[uint32]partner.Fault{
+		5: {Kind: partner.Error, Share: 0.4},
+		6: {Kind: partner.Shut},
+		7: {Kind: partner.Reset, Share: 0.5},
+		8: {Kind: partner.Silent, Cold: true},
+	} {
+		x.From, x.Until = from, from+3*time.Second
+		if err := f.With(destination, func(p *partner.Partner) { p.Add(x) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Run plays the demonstration and prints its account. It returns an error if a
+// message has not exactly one end, or if a rule was broken.
+func Run(o Options) error {
+	dir, err := os.MkdirTemp("", "snowjunction-demo-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	roles := cast(o.Seed)
+	var specs []standin.Spec
+	for _, r := range roles {
+		specs = append(specs, r.spec)
+	}
+	farm, err := standin.NewFarm(specs)
+	if err != nil {
+		return err
+	}
+	defer farm.Close()
+	var listed, pushed []standin.Endpoint
+	for _, e := range farm.Endpoints() {
+		if e.HTTP2 {
+			pushed = append(pushed, e)
+		} else {
+			listed = append(listed, e)
+		}
+	}
+	directory, err := standin.NewDirectory(standin.List(listed))
+	if err != nil {
+		return err
+	}
+	defer directory.Close()
+	push, err := rig.PushFile(dir, standin.List(pushed))
+	if err != nil {
+		return err
+	}
+	settings := rig.Settings()
+	settings["family-info"].(map[string]any)["max-calls"] = 32
+	settings["limits"].(map[string]any)["most-held"] = 400
+	courier, err := rig.Start(o.Exe, rig.Config{
+		Dir: dir, Discovery: directory.Addr(), Settings: settings, MemoryMB: 64, Sockets: 512, Push: push,
+	})
+	if err != nil {
+		return err
+	}
+	defer courier.Kill()
+	fmt.Fprintf(o.Out, "courier on %s (RESP2) and %s (HTTP/2), %d partners, directory on %s\n",
+		courier.Addr, courier.Push, len(roles), directory.Addr())
+	if err := faults(farm, farm.Now()+o.Over/4); err != nil {
+		return err
+	}
+	drained := time.AfterFunc(o.Over/2, func() {
+		for _, x := range standin.List(listed) {
+			if x.Cell == 9 && x.InstanceID == "p9-0" {
+				x.Lifecycle = "Terminating"
+				directory.Change(x)
+			}
+		}
+	})
+	defer drained.Stop()
+	client := load.New(courier.Addr, courier.Push)
+	defer client.Close()
+	handIn(client, o, len(roles))
+	delivered := func(d uint32, id string) (seen bool) {
+		_ = farm.With(d, func(p *partner.Partner) { seen = p.Seen(id) })
+		return seen
+	}
+	all := func(load.Message) bool { return true }
+	for limit := time.Now().Add(settleWithin); time.Now().Before(limit); time.Sleep(200 * time.Millisecond) {
+		if e := client.Account(delivered, directory.Notices(), all); e.Open == 0 {
+			break
+		}
+	}
+	return report(o.Out, roles, farm, client, delivered, directory.Notices())
+}
+
+// handIn plays the clients: half of the messages carry keys, each key's one
+// after another, and a few come as a clump. A refused one comes again once,
+// when it was told to.
+func handIn(client *load.Client, o Options, partners int) {
+	const lanes = 24
+	rng := rand.New(rand.NewPCG(o.Seed, 2))
+	var wg sync.WaitGroup
+	each := o.Messages / lanes
+	for lane := range lanes {
+		plan := rand.New(rand.NewPCG(rng.Uint64(), uint64(lane)))
+		count := each
+		if lane < o.Messages%lanes {
+			count++
+		}
+		wg.Go(func() { handLane(client, o, plan, lane, count, partners) })
+	}
+	wg.Wait()
+}
+
+func handLane(client *load.Client, o Options, plan *rand.Rand, lane, count, partners int) {
+	m := load.Message{Tenant: "town", Destination: uint32(lane%partners + 1), Push: lane%3 == 2}
+	m.Class, m.Left = "status", 8*time.Second
+	if lane%2 == 0 {
+		m.Class, m.Left, m.Keyed, m.Key = "order", 20*time.Second, true, uint64(lane+1)
+	}
+	pause := o.Over / time.Duration(max(count, 1))
+	for n := range count {
+		if !(lane%8 == 0 && n > 0 && n < 6) { // the first of some lanes come at once
+			time.Sleep(time.Duration(float64(pause) * (0.5 + plan.Float64())))
+		}
+		m.ID, m.Seq = fmt.Sprintf("m%d-%d", lane, n), uint64(2*n+1)
+		if v, after, _ := client.Add(m); v == load.Refused {
+			time.Sleep(max(after, 50*time.Millisecond))
+			m.ID, m.Seq = m.ID+"r", m.Seq+1
+			_, _, _ = client.Add(m)
+		}
+	}
+}
+
+func report(out io.Writer, roles []role, farm *standin.Farm, client *load.Client, delivered func(uint32, string) bool, notices map[string][]standin.Notice) error {
+	w := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "partner\thanded in\ttaken\trefused\tfailed\tunheard\tdelivered\treturned\tgiven up\topen\tdoubled\tcalls\tlate\tcopies\tout of order\tin a wait\tfell")
+	var sum load.Ends
+	var broken, calls int
+	row := func(name string, e load.Ends, n partner.Counts) {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", name, e.Handed, e.Taken, e.Refused,
+			e.Failed, e.Unheard, e.Delivered, e.Returned, e.Given, e.Open, e.Doubled, n.Calls, n.Late, n.Copies, n.OutOfOrder, n.InWait, n.Fell)
+	}
+	var all partner.Counts
+	for _, r := range roles {
+		e := client.Account(delivered, notices, func(m load.Message) bool { return m.Destination == r.spec.Destination })
+		var n partner.Counts
+		if err := farm.With(r.spec.Destination, func(p *partner.Partner) { n = p.Counts }); err != nil {
+			return err
+		}
+		row(r.name, e, n)
+		sum.Add(e)
+		calls += n.Calls
+		broken += n.Copies + n.OutOfOrder + n.InWait + n.Fell
+		all.Calls, all.Late, all.Copies = all.Calls+n.Calls, all.Late+n.Late, all.Copies+n.Copies
+		all.OutOfOrder, all.InWait, all.Fell = all.OutOfOrder+n.OutOfOrder, all.InWait+n.InWait, all.Fell+n.Fell
+	}
+	row("all", sum, all)
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	switch {
+	case sum.Open+sum.Doubled+sum.Unheard > 0:
+		return fmt.Errorf("%d messages have no end, %d more than one, %d no answer", sum.Open, sum.Doubled, sum.Unheard)
+	case broken > 0:
+		return fmt.Errorf("%d times a rule was broken", broken)
+	case sum.Delivered == 0:
+		return fmt.Errorf("nothing was delivered")
+	}
+	fmt.Fprintln(out, "every message has its one answer, and every one taken on its one end")
+	return nil
+}
--- a/internal/dormancy/dormancy.go
+++ b/internal/dormancy/dormancy.go
@@ -8,7 +8,7 @@
 // has the decision module hand out its state, and Keep holds that as a memento.
 // Mementos take a bounded memory. What a rule still needs, a told wait, a ledger
 // in use, an outage or a cold return, binds: it is never dropped. Of the others
-// those that say least go first; they are handed back to whoever can hold more.
+// those that have slept longest go first.
 package dormancy
 
 import (
@@ -51,41 +51,41 @@
 
 // Book is the record of who is awake, idle or asleep.
 type Book struct {
-	cfg    Config
-	awake  int
-	idle   *list.List // of Destination, the longest idle first
-	spot   map[Destination]*list.Element
-	since  map[Destination]time.Duration
-	kept   map[Destination]*keep
-	order  *list.List // of *keep, the longest asleep first
-	bytes  int
-	Counts Counts
+	cfg              Config
+	awake            int
+	idle             *list.List // of Destination, the longest idle first
+	spot             map[Destination]*list.Element
+	since            map[Destination]time.Duration
+	kept             map[Destination]*keep
+	oldest, youngest *keep // in the order of falling asleep
+	bytes            int
+	Counts           Counts
 }
 
 // Counts tell what the book has done.
 type Counts struct {
 	Slept, Woke, Known uint64 // Known: wakings with a memento
-	Dropped            uint64 // mementos that were dropped or handed on
+	Dropped            uint64 // mementos for which there was no room
 	Full               uint64 // destinations kept awake as all mementos bind
 }
 
 type keep struct {
-	dest  Destination
-	at    time.Duration
-	binds time.Duration // until then it binds
-	text  []byte
-	spot  *list.Element
+	dest       Destination
+	at         time.Duration
+	binds      time.Duration // until then it binds
+	text       []byte
+	prev, next *keep
 }
 
 // keepCost is what a memento takes besides its text: its record, its places in
 // map and order.
-const keepCost = 176
+const keepCost = 128
 
 // New returns an empty book.
 func New(cfg Config) *Book {
 	return &Book{
 		cfg: cfg, idle: list.New(), spot: map[Destination]*list.Element{}, since: map[Destination]time.Duration{},
-		kept: map[Destination]*keep{}, order: list.New(),
+		kept: map[Destination]*keep{},
 	}
 }
 
@@ -142,8 +142,7 @@
 		return true, 0
 	}
 	first := time.Duration(math.MaxInt64)
-	for e := b.order.Front(); e != nil; e = e.Next() {
-		k := e.Value.(*keep)
+	for k := b.oldest; k != nil; k = k.next {
 		if k.binds <= now {
 			return true, 0
 		}
@@ -169,43 +168,50 @@
 	return false, max(at-now, time.Second)
 }
 
-// Evicted is a memento that the book holds no longer, for whoever can.
-type Evicted struct {
-	Destination Destination
-	At          time.Duration // when it was handed out
-	Text        []byte
-}
-
-// Keep holds the state of a destination that has gone to sleep. What no longer
-// fits is returned.
-func (b *Book) Keep(d Destination, m *memento.Memento, now time.Duration) (out []Evicted) {
+// Keep holds the state of a destination that has gone to sleep, and returns what
+// it holds, for whoever keeps a copy. What no longer fits is dropped.
+func (b *Book) Keep(d Destination, m *memento.Memento, now time.Duration) (text []byte) {
 	b.Busy(d)
 	b.awake--
 	b.Counts.Slept++
-	b.put(&keep{dest: d, at: now, binds: now + b.binds(&m.State), text: memento.Encode(nil, m)})
-	for e := b.order.Front(); e != nil && b.bytes > b.cfg.Memory; {
-		k := e.Value.(*keep)
-		e = e.Next()
+	text = memento.Encode(nil, m)
+	b.put(&keep{dest: d, at: now, binds: now + b.binds(&m.State), text: text})
+	for k := b.oldest; k != nil && b.bytes > b.cfg.Memory; {
+		next := k.next
 		if k.binds <= now {
 			b.remove(k)
 			b.Counts.Dropped++
-			out = append(out, Evicted{k.dest, k.at, k.text})
 		}
+		k = next
 	}
-	return out
+	return text
 }
 
 func (b *Book) put(k *keep) {
 	if old := b.kept[k.dest]; old != nil {
 		b.remove(old)
 	}
-	k.spot = b.order.PushBack(k)
+	if k.prev = b.youngest; k.prev != nil {
+		k.prev.next = k
+	} else {
+		b.oldest = k
+	}
+	b.youngest = k
 	b.kept[k.dest] = k
 	b.bytes += len(k.text) + keepCost
 }
 
 func (b *Book) remove(k *keep) {
-	b.order.Remove(k.spot)
+	if k.prev != nil {
+		k.prev.next = k.next
+	} else {
+		b.oldest = k.next
+	}
+	if k.next != nil {
+		k.next.prev = k.prev
+	} else {
+		b.youngest = k.prev
+	}
 	delete(b.kept, k.dest)
 	b.bytes -= len(k.text) + keepCost
 }
@@ -326,11 +332,10 @@
 // whether there may be more.
 func (b *Book) Stale(now time.Duration, n int) bool {
 	for ; n > 0; n-- {
-		e := b.order.Front()
-		if e == nil {
+		k := b.oldest
+		if k == nil {
 			return false
 		}
-		k := e.Value.(*keep)
 		if now-k.at < b.cfg.Forget || k.binds > now {
 			return false
 		}
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,265 @@
+// Package rig starts the courier as a process of its own, with a configuration
+// made for the occasion, and reads what it tells of itself: for demonstrations,
+// measurements and tests.
+package rig
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"snowjunction/deploy"
+	"snowjunction/internal/standin"
+)
+
+// Settings are those of a small deployment: class order is keyed and in order,
+// class status safe. They are in the platform's form.
+func Settings() map[string]any {
+	class := func(name, semantics string, inOrder bool, aim, deadline, worth float64) map[string]any {
+		return map[string]any{
+			"name": name, "semantics": semantics, "key-scope": "all", "in-order": inOrder, "promise-ms": aim,
+			"deadline-ms": deadline, "importance": worth, "late-share": 0.3, "window-ms": 5000,
+		}
+	}
+	return map[string]any{
+		"fleet-size": 1, "quantum-ms": 5, "dcs": []string{"a"}, "models": []string{"k"},
+		"classes":     []any{class("order", "token", true, 3000, 20000, 1), class("status", "pure", false, 1500, 8000, 2)},
+		"tenants":     []any{map[string]any{"name": "town", "quota-rps": 100}},
+		"family-info": map[string]any{"bundle-max": []int{1}, "max-calls": 8, "routes-apart": []bool{false}, "late": "linear"},
+		"limits": map[string]any{
+			"cancelling": true, "conn-idle-ms": 15000, "connect-timeout-ms": 1500, "max-attempts": 6,
+			"max-retry-after-ms": 3000, "most-held": 100, "retry-after": true, "streams-per-conn": 8,
+		},
+		"contract": map[string]any{
+			"answer-slack-ms": 20, "cold-share": 0.2, "warm-up-ms": 14000, "fall-ms": 1500, "fall-multiple": 2,
+			"order-settle-ms": 100, "stop-sending-within-ms": 1000,
+		},
+		"report": map[string]any{"columns": []string{"x0", "x1"}},
+	}
+}
+
+// Config is what a courier is started with.
+type Config struct {
+	Dir       string // where its files go; it must exist
+	Discovery string
+	Settings  map[string]any
+	MemoryMB  int
+	Sockets   int
+	Known     []standin.Instance // nil: no list is known at the start
+	Push      map[string]any     // the push front's file; nil: off
+	Idle      map[string]any     // the file for idle destinations; nil: its defaults
+}
+
+// Courier is a running courier.
+type Courier struct {
+	Addr, Push string // where its fronts listen
+
+	cmd    *exec.Cmd
+	mu     sync.Mutex
+	tail   []string
+	counts chan map[string]any
+	up     chan map[string]any
+	exited chan error
+}
+
+const (
+	startWithin = 20 * time.Second
+	tailMost    = 50
+)
+
+// Start starts the program at exe as a courier. An error holds the last lines
+// of its log.
+func Start(exe string, cfg Config) (*Courier, error) {
+	state := filepath.Join(cfg.Dir, "state")
+	if err := os.MkdirAll(state, 0o700); err != nil {
+		return nil, err
+	}
+	write := func(name string, v any) (string, error) {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return "", err
+		}
+		path := filepath.Join(cfg.Dir, name)
+		return path, os.WriteFile(path, b, 0o600)
+	}
+	whole := map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "discovery": cfg.Discovery, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"memory_mb": cfg.MemoryMB, "sockets": cfg.Sockets, "disk_mb": 3}, "settings": cfg.Settings,
+	}
+	if cfg.Known != nil {
+		whole["known"] = map[string]any{"generation": 1, "reset": true, "instances": cfg.Known}
+	}
+	if cfg.Push == nil {
+		cfg.Push = map[string]any{}
+	}
+	if cfg.Idle == nil {
+		cfg.Idle = map[string]any{}
+	}
+	config, err := write("config.json", whole)
+	push, err2 := write("push.json", cfg.Push)
+	idle, err3 := write("idle.json", cfg.Idle)
+	if err := errors.Join(err, err2, err3); err != nil {
+		return nil, err
+	}
+	c := &Courier{
+		cmd: exec.Command(exe, "run", "--log-format=json"), counts: make(chan map[string]any, 16),
+		up: make(chan map[string]any, 1), exited: make(chan error, 1),
+	}
+	c.cmd.Env = append(os.Environ(), "GW_CONFIG="+config, "GW_STATE="+state, "SNOWJUNCTION_PUSH="+push, "SNOWJUNCTION_IDLE="+idle)
+	out, err := c.cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := c.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go c.read(out)
+	select {
+	case line := <-c.up:
+		c.Addr, _ = line["listen"].(string)
+		c.Push, _ = line["push"].(string)
+		return c, nil
+	case err := <-c.exited:
+		return nil, fmt.Errorf("the courier did not start: %v\n%s", err, c.Tail())
+	case <-time.After(startWithin):
+		_ = c.cmd.Process.Kill()
+		return nil, fmt.Errorf("the courier did not start in %v\n%s", startWithin, c.Tail())
+	}
+}
+
+func (c *Courier) read(out io.Reader) {
+	lines := bufio.NewScanner(out)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		text := lines.Text()
+		c.mu.Lock()
+		c.tail = append(c.tail, text)
+		c.tail = c.tail[max(0, len(c.tail)-tailMost):]
+		c.mu.Unlock()
+		var line map[string]any
+		if json.Unmarshal([]byte(text), &line) != nil {
+			continue
+		}
+		switch line["msg"] {
+		case "started":
+			c.up <- line
+		case "counters", "ended":
+			select {
+			case c.counts <- line:
+			default:
+			}
+		}
+	}
+	c.exited <- c.cmd.Wait()
+}
+
+// Tail is the last lines of its log.
+func (c *Courier) Tail() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return strings.Join(c.tail, "\n")
+}
+
+// Counters asks for its counters; collect has it collect its garbage before, so
+// that its heap and resident memory tell what is in use.
+func (c *Courier) Counters(collect bool) (map[string]any, error) {
+	s := syscall.SIGUSR1
+	if collect {
+		s = syscall.SIGUSR2
+	}
+	if err := c.cmd.Process.Signal(s); err != nil {
+		return nil, err
+	}
+	select {
+	case line := <-c.counts:
+		return line, nil
+	case <-time.After(startWithin):
+		return nil, fmt.Errorf("the courier tells no counters\n%s", c.Tail())
+	}
+}
+
+// Number is a number in what Counters returns, by its path.
+func Number(line map[string]any, path ...string) float64 {
+	var v any = line
+	for _, key := range path {
+		m, _ := v.(map[string]any)
+		v = m[key]
+	}
+	n, _ := v.(float64)
+	return n
+}
+
+// Resident is its resident memory in bytes.
+func (c *Courier) Resident() (int64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for _, line := range strings.Split(string(b), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(rest, "kB")), 10, 64)
+			return kb << 10, err
+		}
+	}
+	return 0, errors.New("no VmRSS")
+}
+
+// CPU is the time that its threads have run.
+func (c *Courier) CPU() (total time.Duration, err error) {
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", c.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for _, path := range tasks {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			continue // the thread has ended
+		}
+		if f := strings.Fields(string(b)); len(f) > 0 {
+			ns, _ := strconv.ParseInt(f[0], 10, 64)
+			total += time.Duration(ns)
+		}
+	}
+	return total, nil
+}
+
+// Kill ends it as SIGKILL does.
+func (c *Courier) Kill() {
+	_ = c.cmd.Process.Kill()
+	<-c.exited
+}
+
+// Stop ends it in order and returns how it ended.
+func (c *Courier) Stop() error {
+	_ = c.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-c.exited:
+		return err
+	case <-time.After(startWithin):
+		_ = c.cmd.Process.Kill()
+		return errors.New("the courier did not end when told to")
+	}
+}
+
+// PushFile makes the push front's file, with its documents beside it.
+func PushFile(dir string, targets []standin.Instance) (map[string]any, error) {
+	for name, text := range map[string][]byte{"openapi.json": deploy.OpenAPI, "asyncapi.json": deploy.AsyncAPI} {
+		if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return map[string]any{
+		"listen": "127.0.0.1:0", "max_connections": 64, "retain_s": 300, "openapi": "openapi.json",
+		"asyncapi": "asyncapi.json", "hooks": "", "targets": targets,
+	}, nil
+}
--- a/internal/scenario/courier.go
+++ b/internal/scenario/courier.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/rig"
 )
 
 // RunAs tells the test binary of the courier's command to be the courier.
@@ -46,38 +48,12 @@
 	read       int // of the log, by Await
 }
 
-// Settings are those of a small deployment: class order is keyed and in order,
-// class status safe.
-func Settings() map[string]any {
-	class := func(name, semantics string, inOrder bool, aim, deadline, worth float64) map[string]any {
-		return map[string]any{
-			"name": name, "semantics": semantics, "key-scope": "all", "in-order": inOrder, "promise-ms": aim,
-			"deadline-ms": deadline, "importance": worth, "late-share": 0.3, "window-ms": 5000,
-		}
-	}
-	return map[string]any{
-		"fleet-size": 1, "quantum-ms": 5, "dcs": []string{"a"}, "models": []string{"k"},
-		"classes":     []any{class("order", "token", true, 3000, 20000, 1), class("status", "pure", false, 1500, 8000, 2)},
-		"tenants":     []any{map[string]any{"name": "town", "quota-rps": 100}},
-		"family-info": map[string]any{"bundle-max": []int{1}, "max-calls": 8, "routes-apart": []bool{false}, "late": "linear"},
-		"limits": map[string]any{
-			"cancelling": true, "conn-idle-ms": 15000, "connect-timeout-ms": 1500, "max-attempts": 6,
-			"max-retry-after-ms": 3000, "most-held": 100, "retry-after": true, "streams-per-conn": 8,
-		},
-		"contract": map[string]any{
-			"answer-slack-ms": 20, "cold-share": 0.2, "warm-up-ms": 14000, "fall-ms": 1500, "fall-multiple": 2,
-			"order-settle-ms": 100, "stop-sending-within-ms": 1000,
-		},
-		"report": map[string]any{"columns": []string{"x0", "x1"}},
-	}
-}
-
 // NewCourier prepares a courier that reaches discovery, a server of the play.
 func NewCourier(t *testing.T, targets ...Target) *Courier {
 	p := New(t)
 	p.Server("discovery")
 	c := &Courier{
-		Play: p, Settings: Settings(), Targets: targets, dir: t.TempDir(),
+		Play: p, Settings: rig.Settings(), Targets: targets, dir: t.TempDir(),
 		Limits: map[string]any{"memory_mb": 192, "sockets": 1024, "disk_mb": 3},
 	}
 	c.state = filepath.Join(c.dir, "state")
--- /dev/null
+++ b/internal/standin/load/load.go
@@ -0,0 +1,299 @@
+// Package load hands messages to a courier over both its fronts and keeps the
+// record against which their ends are held: each that was taken on must have
+// exactly one.
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"snowjunction/internal/standin"
+)
+
+// Message is one to be handed in.
+type Message struct {
+	ID, Class, Tenant string
+	Destination       uint32
+	Key, Seq          uint64 // Key 0: none
+	Keyed             bool   // it carries an idempotency key
+	Left              time.Duration
+	Push              bool // over HTTP/2, else RESP2
+}
+
+// Verdict is what the courier answered.
+type Verdict int
+
+// The verdicts.
+const (
+	Taken Verdict = iota
+	Refused
+	Failed  // answered with anything else
+	Unheard // no answer: whether it was taken is not known
+)
+
+// Client hands messages in. It may be used by many goroutines.
+type Client struct {
+	addr, push string
+	http       *http.Client
+
+	mu    sync.Mutex
+	idle  []*conn
+	Sent  []Message
+	Heard map[string]Verdict
+}
+
+type conn struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+// New returns a client of the courier whose fronts listen at these addresses;
+// push may be "".
+func New(addr, push string) *Client {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &Client{
+		addr: addr, push: push, Heard: map[string]Verdict{},
+		http: &http.Client{Transport: &http.Transport{Protocols: &p}},
+	}
+}
+
+// answerWithin is how long a client waits for an answer; the platform's clients
+// wait 400 ms, this one tells late from never.
+const answerWithin = 5 * time.Second
+
+// Close ends the client's connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.idle {
+		k.Close()
+	}
+	c.idle = nil
+	c.http.CloseIdleConnections()
+}
+
+// Add hands a message in and returns what was answered, and with Refused after
+// how long to come back.
+func (c *Client) Add(m Message) (Verdict, time.Duration, error) {
+	add := c.resp
+	if m.Push {
+		add = c.post
+	}
+	v, after, err := add(m)
+	if err != nil {
+		v = Unheard
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Sent = append(c.Sent, m)
+	c.Heard[m.ID] = v
+	return v, after, err
+}
+
+func (m Message) body() []byte { return standin.Body(m.Key, m.Seq, time.Now().Add(m.Left)) }
+
+func (c *Client) resp(m Message) (Verdict, time.Duration, error) {
+	k, err := c.take()
+	if err != nil {
+		return Unheard, 0, err
+	}
+	names := fmt.Sprintf("c=%s,t=%s,d=%d,dest=%d", m.Class, m.Tenant, m.Left.Milliseconds(), m.Destination)
+	if m.Keyed {
+		names += ",k=" + m.ID
+	}
+	var b bytes.Buffer
+	words := [][]byte{[]byte("OUT.ADD"), fmt.Appendf(nil, "%016x", m.Key), []byte(m.ID), []byte(names), m.body()}
+	fmt.Fprintf(&b, "*%d\r\n", len(words))
+	for _, w := range words {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(w), w)
+	}
+	_ = k.SetDeadline(time.Now().Add(answerWithin))
+	if _, err = k.Write(b.Bytes()); err == nil {
+		var line string
+		if line, err = k.r.ReadString('\n'); err == nil {
+			c.give(k)
+			return verdict(strings.TrimSpace(line))
+		}
+	}
+	k.Close()
+	return Unheard, 0, err
+}
+
+func verdict(line string) (Verdict, time.Duration, error) {
+	switch {
+	case strings.HasPrefix(line, "+"):
+		return Taken, 0, nil
+	case strings.HasPrefix(line, "-BUSY"):
+		ms, _ := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(line, "-BUSY")))
+		return Refused, time.Duration(ms) * time.Millisecond, nil
+	}
+	return Failed, 0, nil
+}
+
+func (c *Client) take() (*conn, error) {
+	c.mu.Lock()
+	if n := len(c.idle); n > 0 {
+		k := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		c.mu.Unlock()
+		return k, nil
+	}
+	c.mu.Unlock()
+	k, err := net.DialTimeout("tcp", c.addr, answerWithin)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: k, r: bufio.NewReader(k)}, nil
+}
+
+func (c *Client) give(k *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = append(c.idle, k)
+}
+
+func (c *Client) post(m Message) (Verdict, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerWithin)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/push/%d", c.push, m.Destination)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(m.body()))
+	if err != nil {
+		return Unheard, 0, err
+	}
+	set := func(name, value string) { r.Header.Set(name, value) }
+	set("TTL", strconv.Itoa(max(int(m.Left/time.Second), 1)))
+	set("Message-Id", m.ID)
+	set("Message-Class", m.Class)
+	set("Tenant", m.Tenant)
+	if m.Key != 0 {
+		set("Order-Key", fmt.Sprintf("%016x", m.Key))
+	}
+	if m.Keyed {
+		set("Idempotency-Key", m.ID)
+	}
+	a, err := c.http.Do(r)
+	if err != nil {
+		return Unheard, 0, err
+	}
+	defer a.Body.Close()
+	_, _ = io.Copy(io.Discard, a.Body)
+	switch a.StatusCode {
+	case http.StatusCreated:
+		return Taken, 0, nil
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		s, _ := strconv.Atoi(a.Header.Get("Retry-After"))
+		return Refused, time.Duration(s) * time.Second, nil
+	}
+	return Failed, 0, nil
+}
+
+// pushState is what the push front tells of a message's life; "": nothing.
+func (c *Client) pushState(id string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), answerWithin)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.push+"/message/"+id, nil)
+	if err != nil {
+		return ""
+	}
+	a, err := c.http.Do(r)
+	if err != nil {
+		return ""
+	}
+	defer a.Body.Close()
+	var body struct {
+		State string `json:"state"`
+	}
+	_ = json.NewDecoder(a.Body).Decode(&body)
+	return body.State
+}
+
+// Ends is the account of what became of the messages.
+type Ends struct {
+	Handed, Taken, Refused, Failed, Unheard int
+	Delivered, Returned, Given              int // ends of those taken; Given: failed by notice
+	Open                                    int // taken and without an end
+	Doubled                                 int // taken and with more than one
+}
+
+// Add sums up.
+func (e *Ends) Add(x Ends) {
+	for _, p := range []struct {
+		to *int
+		v  int
+	}{
+		{&e.Handed, x.Handed}, {&e.Taken, x.Taken}, {&e.Refused, x.Refused}, {&e.Failed, x.Failed},
+		{&e.Unheard, x.Unheard}, {&e.Delivered, x.Delivered}, {&e.Returned, x.Returned}, {&e.Given, x.Given},
+		{&e.Open, x.Open}, {&e.Doubled, x.Doubled},
+	} {
+		*p.to += p.v
+	}
+}
+
+// Account holds every message handed in against its ends: delivered tells
+// whether a partner has delivered it, notices are the directory's. Messages that
+// keep fits are counted; nil: all.
+func (c *Client) Account(delivered func(dest uint32, id string) bool, notices map[string][]standin.Notice, keep func(Message) bool) (e Ends) {
+	c.mu.Lock()
+	sent := append([]Message(nil), c.Sent...)
+	heard := map[string]Verdict{}
+	for id, v := range c.Heard {
+		heard[id] = v
+	}
+	c.mu.Unlock()
+	for _, m := range sent {
+		if keep != nil && !keep(m) {
+			continue
+		}
+		e.Handed++
+		switch heard[m.ID] {
+		case Refused:
+			e.Refused++
+			continue
+		case Failed:
+			e.Failed++
+			continue
+		case Unheard:
+			e.Unheard++
+			continue
+		}
+		e.Taken++
+		done := delivered(m.Destination, m.ID)
+		state := ""
+		if m.Push {
+			if s := c.pushState(m.ID); s == "failed" || s == "returned" {
+				state = s
+			}
+		} else if n := notices[m.ID]; len(n) > 0 {
+			state = n[0].State
+			for _, x := range n[1:] {
+				if x.State != state {
+					done = true
+				}
+			}
+		}
+		switch {
+		case done && state != "":
+			e.Doubled++
+		case done:
+			e.Delivered++
+		case state == "returned":
+			e.Returned++
+		case state == "failed":
+			e.Given++
+		default:
+			e.Open++
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/standin/partner/partner_test.go
@@ -0,0 +1,125 @@
+package partner
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const ms = time.Millisecond
+
+func begin(p *Partner, now time.Duration, id string) Answer {
+	c := Call{ID: id}
+	a := p.Begin(now, c)
+	p.End(now+a.After, c, a.Status == 200)
+	return a
+}
+
+// A count in a span refuses what is beyond it and lets calls through again at
+// the next span; the peak is told against what it allows.
+func TestCountInASpan(t *testing.T) {
+	p := New(Profile{Limit: 2, Span: time.Second, Tells: 1, Latency: 80 * ms, Report: true}, 1)
+	assert.Equal(t, 200, begin(p, 100*ms, "a").Status)
+	a := begin(p, 200*ms, "b")
+	assert.Equal(t, Answer{Status: 200, After: 80 * ms, Left: 0, Limit: 2}, a)
+	refused := begin(p, 300*ms, "c")
+	assert.Equal(t, 429, refused.Status)
+	assert.Equal(t, 700*ms, refused.Wait)
+	assert.Equal(t, 200, begin(p, 1000*ms, "c").Status)
+	assert.Equal(t, Counts{Calls: 4, Delivered: 3, Refused: 1, Peak: 1.5, Over: 1}, p.Counts)
+}
+
+// Where refused calls use up the limit, who goes on calling gets nothing, and
+// the peak shows it.
+func TestRefusedCallsCount(t *testing.T) {
+	p := New(Profile{Limit: 2, Span: time.Second, Counting: true}, 1)
+	for i := range 6 {
+		begin(p, time.Duration(i)*10*ms, strconv.Itoa(i))
+	}
+	assert.Equal(t, 3.0, p.Counts.Peak)
+	assert.Equal(t, 4, p.Counts.Refused)
+}
+
+func TestPlainRate(t *testing.T) {
+	p := New(Profile{Limit: 4, Latency: ms}, 1)
+	for i := range 40 { // 5 a second for eight seconds
+		begin(p, time.Duration(i)*200*ms, strconv.Itoa(i))
+	}
+	assert.InDelta(t, 33, p.Counts.Delivered, 1)
+	assert.GreaterOrEqual(t, p.Counts.Peak, 1.0)
+}
+
+// Faults act in their order, on their share and in their time, and compose.
+func TestFaults(t *testing.T) {
+	p := New(Profile{Latency: 80 * ms, Tells: 1}, 7)
+	p.Add(Fault{Kind: Slow, From: 0, Until: time.Hour, Times: 3})
+	p.Add(Fault{Kind: Error, From: time.Second, Until: 2 * time.Second, Share: 0.5})
+	p.Add(Fault{Kind: Shut, From: time.Second, Until: 3 * time.Second})
+	assert.Equal(t, Answer{Status: 200, After: 240 * ms}, begin(p, 0, "a"))
+	errors := 0
+	for i := range 200 {
+		if begin(p, time.Second+time.Duration(i)*ms, strconv.Itoa(i)).Status == 500 {
+			errors++
+		}
+	}
+	assert.InDelta(t, 100, errors, 25)
+	shut := begin(p, 2500*ms, "b")
+	assert.Equal(t, 429, shut.Status)
+	assert.Equal(t, 500*ms, shut.Wait, "until it opens")
+	assert.Equal(t, 200, begin(p, 3*time.Second, "b").Status)
+	p.Add(Fault{Kind: Silent, From: 0, Until: time.Hour})
+	assert.Zero(t, begin(p, 4*time.Second, "c").Status)
+}
+
+// A partner that is back and cold bears what it can do then, and falls over
+// when it is sent far more.
+func TestFallsOverCold(t *testing.T) {
+	profile := Profile{Capacity: 10, Latency: 10 * ms, ColdShare: 0.2, WarmUp: 14 * time.Second, FallMultiple: 2, FallTime: 1500 * ms}
+	calm, hasty := New(profile, 1), New(profile, 1)
+	for _, p := range []*Partner{calm, hasty} {
+		p.Add(Fault{Kind: Silent, From: 0, Until: time.Second, Cold: true})
+	}
+	for i := range 20 {
+		begin(calm, time.Second+time.Duration(i)*500*ms, strconv.Itoa(i))
+		begin(hasty, time.Second+time.Duration(i)*50*ms, strconv.Itoa(i))
+	}
+	assert.Zero(t, calm.Counts.Fell)
+	assert.Equal(t, 1, hasty.Counts.Fell)
+	assert.Zero(t, begin(hasty, time.Minute, "x").Status, "it stays down")
+}
+
+// What the sender owes is counted where it is broken, and only there.
+func TestRulesOfTheSender(t *testing.T) {
+	p := New(Profile{Tells: 1, Limit: 1, Span: time.Second}, 1)
+	a, b := Call{ID: "a", Key: 9, Seq: 1}, Call{ID: "b", Key: 9, Seq: 2}
+	p.Begin(0, a)
+	p.End(ms, a, true)
+	p.Begin(time.Second, b)
+	p.End(time.Second+ms, b, true)
+	assert.Zero(t, p.Counts.OutOfOrder+p.Counts.Copies+p.Counts.InWait)
+	p.Begin(1500*ms, a) // a copy, before its time, and refused with a wait
+	assert.Equal(t, [3]int{1, 1, 0}, [3]int{p.Counts.Copies, p.Counts.OutOfOrder, p.Counts.InWait})
+	p.Begin(1550*ms, Call{ID: "c"})
+	assert.Zero(t, p.Counts.InWait, "it was on its way")
+	p.Begin(1700*ms, Call{ID: "d", Key: 9, Seq: 3})
+	assert.Equal(t, 1, p.Counts.InWait)
+	assert.Equal(t, 2, p.Counts.OutOfOrder, "beside one that is out")
+}
+
+// A call whose answer was never written may come again; one that is out may not,
+// and lateness is told by what the call says of its time.
+func TestDeliveredOnceWritten(t *testing.T) {
+	p := New(Profile{}, 1)
+	a := Call{ID: "a", Due: time.Second}
+	p.Begin(0, a)
+	p.End(ms, a, false)
+	p.Begin(2*ms, a)
+	assert.Zero(t, p.Counts.Copies)
+	p.Begin(3*ms, a)
+	assert.Equal(t, 1, p.Counts.Copies)
+	p.End(2*time.Second, a, true)
+	assert.Equal(t, [2]int{1, 1}, [2]int{p.Counts.Delivered, p.Counts.Late})
+	assert.True(t, p.Seen("a"))
+}
--- /dev/null
+++ b/internal/standin/serve.go
@@ -0,0 +1,180 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"snowjunction/internal/standin/partner"
+)
+
+// Population draws the partners of a farm.
+type Population struct {
+	Partners  int     `default:"20" help:"How many partners."`
+	Endpoints int     `default:"2" help:"Endpoints of each; every one is a listening socket."`
+	First     uint32  `default:"1" help:"Number of the first partner's destination."`
+	HTTP2     float64 `default:"0" name:"http2" help:"Share of partners that speak HTTP/2, 0 to 1."`
+	Seed      uint64  `default:"1" help:"Decides limits, paces and latencies."`
+	Directory bool    `default:"true" negatable:"" help:"Serve a directory that lists them."`
+}
+
+// Specs draws them: limits of 2 to 5 calls a second, as a plain rate or a count
+// in spans of 1 or 2 s, calls of 60 to 340 ms, three times the limit in capacity.
+func (p Population) Specs() []Spec {
+	var specs []Spec
+	for i := range p.Partners {
+		rng := rand.New(rand.NewPCG(p.Seed, uint64(p.First)+uint64(i)))
+		f := partner.Profile{
+			Limit: 2 + 3*rng.Float64(), Counting: rng.Float64() < 0.5, Tells: 0.5 + 0.4*rng.Float64(), Report: true,
+			Refresh: time.Duration(120+530*rng.Float64()) * time.Millisecond,
+			Latency: time.Duration(60+280*rng.Float64()) * time.Millisecond,
+			Queue:   32, ColdShare: 0.2, WarmUp: 14 * time.Second, FallMultiple: 2, FallTime: 1500 * time.Millisecond,
+		}
+		f.Span = []time.Duration{0, time.Second, 2 * time.Second}[rng.IntN(3)]
+		f.Capacity = 3 * f.Limit
+		specs = append(specs, Spec{
+			Destination: p.First + uint32(i), Endpoints: p.Endpoints, HTTP2: rng.Float64() < p.HTTP2, Profile: f,
+			Seed: rng.Uint64(),
+		})
+	}
+	return specs
+}
+
+// Order is a line that tells a farm what to do, as JSON. From and To number
+// destinations, both included; To 0: only From.
+type Order struct {
+	Do       string  `json:"do"` // list, stats, seen, limit, chill, reset or fault
+	From, To uint32  `json:",omitempty"`
+	Factor   float64 `json:",omitempty"` // limit: times its present value
+
+	Fault partner.Kind  `json:",omitempty"` // fault: from now on
+	For   time.Duration `json:",omitempty"`
+	Share float64       `json:",omitempty"`
+	Times float64       `json:",omitempty"`
+	Cold  bool          `json:",omitempty"`
+
+	IDs []Ask `json:",omitempty"` // seen
+}
+
+// Ask names a message and its destination.
+type Ask struct {
+	Destination uint32
+	ID          string
+}
+
+// Reply is the line that answers an Order.
+type Reply struct {
+	Error     string                    `json:",omitempty"`
+	Directory string                    `json:",omitempty"`
+	Endpoints []Endpoint                `json:",omitempty"`
+	Limits    map[uint32]float64        `json:",omitempty"` // stats
+	Counts    map[uint32]partner.Counts `json:",omitempty"` // stats: of those that were called
+	Seen      []bool                    `json:",omitempty"`
+}
+
+// Obey carries an order out.
+func (f *Farm) Obey(o Order) (r Reply) {
+	each := func(do func(d uint32, p *partner.Partner)) {
+		for d := o.From; d <= max(o.From, o.To); d++ {
+			if err := f.With(d, func(p *partner.Partner) { do(d, p) }); err != nil {
+				r.Error = err.Error()
+				return
+			}
+		}
+	}
+	now := f.Now()
+	switch o.Do {
+	case "list":
+		r.Endpoints = f.Endpoints()
+	case "stats":
+		r.Counts, r.Limits = map[uint32]partner.Counts{}, map[uint32]float64{}
+		f.Each(func(d uint32, p *partner.Partner) {
+			r.Limits[d] = p.Profile.Limit
+			if p.Counts.Calls > 0 {
+				r.Counts[d] = p.Counts
+			}
+		})
+	case "seen":
+		for _, x := range o.IDs {
+			seen := false
+			_ = f.With(x.Destination, func(p *partner.Partner) { seen = p.Seen(x.ID) })
+			r.Seen = append(r.Seen, seen)
+		}
+	case "limit":
+		each(func(_ uint32, p *partner.Partner) { p.Profile.Limit *= o.Factor })
+	case "chill":
+		each(func(_ uint32, p *partner.Partner) { p.Chill(now) })
+	case "reset":
+		each(func(_ uint32, p *partner.Partner) { p.Counts = partner.Counts{} })
+	case "fault":
+		each(func(_ uint32, p *partner.Partner) {
+			p.Add(partner.Fault{
+				Kind: o.Fault, From: now, Until: now + o.For, Share: o.Share, Times: o.Times, Cold: o.Cold,
+			})
+		})
+	default:
+		r.Error = fmt.Sprintf("no order %q", o.Do)
+	}
+	return r
+}
+
+// Serve opens a farm and, if wanted, a directory, says where on out, and obeys
+// orders that come on in, a line each, until that ends or a signal comes.
+func Serve(p Population, in io.Reader, out io.Writer) error {
+	farm, err := NewFarm(p.Specs())
+	if err != nil {
+		return err
+	}
+	defer farm.Close()
+	say := json.NewEncoder(out)
+	hello := Reply{}
+	if p.Directory {
+		d, err := NewDirectory(List(farm.Endpoints()))
+		if err != nil {
+			return err
+		}
+		defer d.Close()
+		hello.Directory = d.Addr()
+	}
+	if err := say.Encode(hello); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	orders := make(chan []byte)
+	go func() {
+		defer close(orders)
+		lines := bufio.NewScanner(in)
+		lines.Buffer(nil, 16<<20)
+		for lines.Scan() {
+			orders <- append([]byte(nil), lines.Bytes()...)
+		}
+	}()
+	for {
+		select {
+		case <-signals:
+			return nil
+		case line, ok := <-orders:
+			if !ok {
+				return nil
+			}
+			var o Order
+			r := Reply{}
+			if err := json.Unmarshal(line, &o); err != nil {
+				r.Error = err.Error()
+			} else {
+				r = farm.Obey(o)
+			}
+			if err := say.Encode(r); err != nil {
+				return err
+			}
+		}
+	}
+}
