measure idle: what idle destinations cost and how they wake; long lists mended

Need: the figures for idle destinations must be measured on the courier's own process, and a list over 64 KB was refused, as the bound on bodies held for it.

Change: measure idle starts stand-in processes, a directory and a courier, and reports memory for idle and once-called partners, turns, changes, idle CPU and two wakings as JSON. Answers that go to a sink are bounded by it alone.

--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -16,6 +16,7 @@
 
 	"snowjunction/internal/daemon"
 	"snowjunction/internal/demo"
+	"snowjunction/internal/measure"
 	"snowjunction/internal/standin"
 )
 
@@ -52,6 +53,7 @@
 	Check   checkCommand   `cmd:"" help:"Read all configuration and operator files and print a line for each mistake."`
 	Demo    demoCommand    `cmd:"" help:"Play a courier against stand-in partners on loopback; exit 0 only if every message has its one end."`
 	Standin standinCommand `cmd:"" help:"Serve stand-in partners and a directory on loopback until told to end."`
+	Measure measureCommand `cmd:"" help:"Measure a courier in a process of its own; takes minutes."`
 	Version versionCommand `cmd:"" help:"Print what this program is built from."`
 }
 
@@ -100,6 +102,19 @@
 
 func (s standinCommand) Run() error { return standin.Serve(s.Population, os.Stdin, os.Stdout) }
 
+type measureCommand struct {
+	Idle idleCommand `cmd:"" help:"What idle destinations cost, and how they wake."`
+}
+
+type idleCommand struct{ measure.Idle }
+
+func (m idleCommand) Run() (err error) {
+	if m.Exe, err = os.Executable(); err == nil {
+		_, err = m.Idle.Run(os.Stdout)
+	}
+	return err
+}
+
 type versionCommand struct{}
 
 func (versionCommand) Run() error {
--- a/internal/core/sleep.go
+++ b/internal/core/sleep.go
@@ -220,14 +220,14 @@
 	c.updates = updates{}
 	mean := int64(0)
 	if u.n > 0 {
-		mean = u.took.Microseconds() / int64(u.n)
+		mean = u.took.Nanoseconds() / int64(u.n)
 	}
 	return slog.GroupValue(
 		slog.Int("listed", endpoints), slog.Int("destinations", c.routes.destinations()), slog.Int("table_bytes", bytes),
 		slog.Int("awake", c.book.Awake()), slog.Int("mementos", c.book.Asleep()), slog.Int("memento_bytes", c.book.Bytes()),
 		slog.Uint64("slept", n.Slept), slog.Uint64("woke", n.Woke), slog.Uint64("known", n.Known),
 		slog.Uint64("dropped", n.Dropped), slog.Uint64("full", n.Full),
-		slog.Int("changes", u.n), slog.Int64("change_us", mean),
+		slog.Int("changes", u.n), slog.Int64("change_ns", mean),
 	)
 }
 
--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -128,11 +128,8 @@
 	d.parser.Feed(b)
 	r, err := d.parser.Next()
 	switch {
-	case err != nil && d.reader.Size() > 0:
-		d.refuse(err)
-		return
 	case err != nil:
-		d.again(net.Protocol)
+		d.refuse(err)
 		return
 	case r == nil:
 		if d.reader.Size() > 0 { // it comes: what is long may take long
--- /dev/null
+++ b/internal/measure/idle.go
@@ -0,0 +1,588 @@
+// Package measure runs the courier in a process of its own against stand-in
+// partners in others and reports what it costs. Its runs take minutes and are no
+// tests.
+package measure
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"snowjunction/internal/rig"
+	"snowjunction/internal/standin"
+	"snowjunction/internal/standin/load"
+	"snowjunction/internal/standin/partner"
+)
+
+// Idle are the options of the measurement of idle destinations.
+type Idle struct {
+	Partners  int    `default:"10000" help:"How many are listed."`
+	Endpoints int    `default:"2" help:"Endpoints of each."`
+	Active    int    `default:"10" help:"How many get traffic all the time."`
+	Listening int    `default:"9000" help:"How many really listen, at most; the others are listed only and never called."`
+	Clump     int    `default:"200" help:"How many sleeping partners a clump wakes at the same moment."`
+	Seed      uint64 `default:"1" help:"Decides limits, paces and latencies."`
+	JSON      string `placeholder:"FILE" help:"Where the figures go."`
+	Exe       string `kong:"-"`
+}
+
+// IdleFigures are what the measurement shows.
+type IdleFigures struct {
+	Partners, Endpoints, Active, Listening, Called, Clump int
+	Machine                                               string
+
+	HeapActive, HeapListed, HeapCalled             int64 // bytes, live after collection
+	ResidentActive, ResidentListed, ResidentCalled int64
+
+	BytesPerIdle  Bytes   `json:"bytes_per_idle_partner"` // never called
+	BytesPerOnce  Bytes   `json:"bytes_per_once_called"`  // asleep again, what its listing costs included
+	LongestTurnMs float64 `json:"longest_turn_ms"`
+	FullListMs    float64 `json:"full_list_ms"` // from its change to the next watch
+	Delta         Delta   `json:"delta_us"`
+	IdleCPUActive float64 `json:"idle_cpu_active"` // seconds of CPU a second
+	IdleCPUListed float64 `json:"idle_cpu_listed"`
+	IdleCPURatio  float64 `json:"idle_cpu_ratio"`
+
+	Cut  Waking `json:"cut_to_a_third"` // one partner, its limit cut to a third while it slept
+	Many Waking `json:"many_at_once"`
+
+	PeakOverLimit float64 `json:"peak_over_limit"`
+	Fell          int     `json:"fell"`
+	Delivered     int     `json:"delivered"`
+	Late          int     `json:"late"`
+	Duplicates    int     `json:"duplicates"`
+	OutOfOrder    int     `json:"out_of_order"`
+}
+
+// Bytes are a difference in memory: of the live heap and of what is resident.
+type Bytes struct {
+	Heap     float64 `json:"heap"`
+	Resident float64 `json:"resident"`
+}
+
+// Delta is what a change of one entry takes on the loop, in microseconds, with
+// only the active partners listed and with all.
+type Delta struct {
+	Active   float64 `json:"at_active"`
+	Partners float64 `json:"at_partners"`
+}
+
+// Waking is what became of a clump that woke partners.
+type Waking struct {
+	Partners      int     `json:"partners"`
+	Messages      int     `json:"messages"`
+	Taken         int     `json:"taken"`
+	Refused       int     `json:"refused"`
+	Unheard       int     `json:"unheard"` // no answer, or one that is neither
+	Delivered     int     `json:"delivered"`
+	Late          int     `json:"late"`
+	Open          int     `json:"open"`
+	Doubled       int     `json:"doubled"`
+	Calls         int     `json:"calls"`
+	TurnedAway    int     `json:"turned_away"`
+	OverLimit     int     `json:"over_limit"`
+	PeakOverLimit float64 `json:"peak_over_limit"` // worst partner
+	Fell          int     `json:"fell"`
+	Duplicates    int     `json:"duplicates"`
+	OutOfOrder    int     `json:"out_of_order"`
+	InWait        int     `json:"in_wait"`
+	Seconds       float64 `json:"seconds"` // until all had their end
+}
+
+// farm is a stand-in process.
+type farm struct {
+	first, last uint32
+	cmd         *exec.Cmd
+	in          io.WriteCloser
+	out         *bufio.Scanner
+}
+
+// perFarm bounds the sockets of one process.
+const perFarm = 7000
+
+func startFarm(exe string, p standin.Population) (*farm, error) {
+	cmd := exec.Command(exe, "standin", "--no-directory", fmt.Sprintf("--partners=%d", p.Partners),
+		fmt.Sprintf("--endpoints=%d", p.Endpoints), fmt.Sprintf("--first=%d", p.First), fmt.Sprintf("--seed=%d", p.Seed))
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	f := &farm{first: p.First, last: p.First + uint32(p.Partners) - 1, cmd: cmd, in: in, out: bufio.NewScanner(out)}
+	f.out.Buffer(nil, 64<<20)
+	if _, err := f.reply(); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *farm) reply() (r standin.Reply, err error) {
+	if !f.out.Scan() {
+		return r, fmt.Errorf("stand-ins have ended: %v", f.out.Err())
+	}
+	if err := json.Unmarshal(f.out.Bytes(), &r); err != nil {
+		return r, err
+	}
+	if r.Error != "" {
+		return r, fmt.Errorf("stand-ins: %s", r.Error)
+	}
+	return r, nil
+}
+
+func (f *farm) order(o standin.Order) (standin.Reply, error) {
+	b, err := json.Marshal(o)
+	if err == nil {
+		_, err = f.in.Write(append(b, '\n'))
+	}
+	if err != nil {
+		return standin.Reply{}, err
+	}
+	return f.reply()
+}
+
+func (f *farm) close() {
+	_ = f.in.Close()
+	_ = f.cmd.Wait()
+}
+
+// bench is everything that a measurement has started.
+type bench struct {
+	o         Idle
+	farms     []*farm
+	directory *standin.Directory
+	courier   *rig.Courier
+	client    *load.Client
+	list      []standin.Instance
+	limits    map[uint32]float64
+	listening int
+}
+
+func (b *bench) close() {
+	if b.client != nil {
+		b.client.Close()
+	}
+	if b.courier != nil {
+		b.courier.Kill()
+	}
+	if b.directory != nil {
+		b.directory.Close()
+	}
+	for _, f := range b.farms {
+		f.close()
+	}
+}
+
+func (b *bench) orders(from, to uint32, o standin.Order) error {
+	for _, f := range b.farms {
+		x := o
+		x.From, x.To = max(from, f.first), min(to, f.last)
+		if x.From > x.To {
+			continue
+		}
+		if _, err := f.order(x); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *bench) counts() (map[uint32]partner.Counts, error) {
+	out := map[uint32]partner.Counts{}
+	b.limits = map[uint32]float64{}
+	for _, f := range b.farms {
+		r, err := f.order(standin.Order{Do: "stats"})
+		if err != nil {
+			return nil, err
+		}
+		maps.Copy(out, r.Counts)
+		maps.Copy(b.limits, r.Limits)
+	}
+	return out, nil
+}
+
+// seen asks the stand-ins which of the messages they have delivered.
+func (b *bench) seen(sent []load.Message) (map[string]bool, error) {
+	out := map[string]bool{}
+	for _, f := range b.farms {
+		var ids []standin.Ask
+		for _, m := range sent {
+			if m.Destination >= f.first && m.Destination <= f.last {
+				ids = append(ids, standin.Ask{Destination: m.Destination, ID: m.ID})
+			}
+		}
+		for part := range slices.Chunk(ids, 2000) {
+			r, err := f.order(standin.Order{Do: "seen", IDs: part})
+			if err != nil {
+				return nil, err
+			}
+			for i, x := range part {
+				out[x.ID] = r.Seen[i]
+			}
+		}
+	}
+	return out, nil
+}
+
+func (b *bench) start(dir string) error {
+	o := b.o
+	b.listening = min(o.Partners, o.Listening)
+	each := max(perFarm/o.Endpoints, 1)
+	for first := 0; first < b.listening; first += each {
+		f, err := startFarm(o.Exe, standin.Population{
+			Partners: min(each, b.listening-first), Endpoints: o.Endpoints, First: uint32(first + 1), Seed: o.Seed,
+		})
+		if err != nil {
+			return err
+		}
+		b.farms = append(b.farms, f)
+		r, err := f.order(standin.Order{Do: "list"})
+		if err != nil {
+			return err
+		}
+		b.list = append(b.list, standin.List(r.Endpoints)...)
+	}
+	var rest []standin.Endpoint
+	for d := b.listening + 1; d <= o.Partners; d++ {
+		for i := range o.Endpoints {
+			n := (d*o.Endpoints + i)
+			rest = append(rest, standin.Endpoint{
+				Name: fmt.Sprintf("p%d-%d", d, i), Destination: uint32(d),
+				Addr: fmt.Sprintf("127.%d.%d.%d:%d", 1+n>>16&0x7f, n>>8&0xff, n&0xff, 9),
+			})
+		}
+	}
+	b.list = append(b.list, standin.List(rest)...)
+	var err error
+	if b.directory, err = standin.NewDirectory(b.list[:o.Active*o.Endpoints]); err != nil {
+		return err
+	}
+	settings := rig.Settings()
+	settings["family-info"].(map[string]any)["max-calls"] = 96
+	settings["limits"].(map[string]any)["most-held"] = 8000
+	settings["tenants"] = []any{map[string]any{"name": "town", "quota-rps": 2000}}
+	b.courier, err = rig.Start(o.Exe, rig.Config{
+		Dir: dir, Discovery: b.directory.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024,
+		Idle: map[string]any{
+			"sleep_after_s": 1, "careful_first": true, "memory_kb": 65536, "list_mb": 256, "list_entries": 1000000,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	b.client = load.New(b.courier.Addr, "")
+	return b.heard(b.directory.Replace(b.list[:o.Active*o.Endpoints]))
+}
+
+// heard waits until the courier holds a generation.
+func (b *bench) heard(generation uint64) error {
+	for limit := time.Now().Add(time.Minute); time.Now().Before(limit); time.Sleep(5 * time.Millisecond) {
+		if b.directory.Heard() >= generation {
+			return nil
+		}
+	}
+	return fmt.Errorf("the courier does not take list %d\n%s", generation, b.courier.Tail())
+}
+
+// traffic sends light traffic to the active partners for a while.
+func (b *bench) traffic(name string, d time.Duration) {
+	n := 0
+	for end := time.Now().Add(d); time.Now().Before(end); n++ {
+		_, _, _ = b.client.Add(load.Message{
+			ID: fmt.Sprintf("%s-%d", name, n), Class: "status", Tenant: "town", Left: 8 * time.Second,
+			Destination: uint32(n%b.o.Active + 1),
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// cpu is the CPU seconds a second under light traffic.
+func (b *bench) cpu(name string, d time.Duration) (float64, error) {
+	before, err := b.courier.CPU()
+	if err != nil {
+		return 0, err
+	}
+	begun := time.Now()
+	b.traffic(name, d)
+	after, err := b.courier.CPU()
+	return (after - before).Seconds() / time.Since(begun).Seconds(), err
+}
+
+// deltas has the directory tell n changes of single entries, one after another,
+// and returns how long the courier's loop took for one.
+func (b *bench) deltas(n int) (float64, error) {
+	if _, err := b.courier.Counters(false); err != nil { // the mean begins anew
+		return 0, err
+	}
+	for i := range n {
+		x := b.list[i%(b.o.Active*b.o.Endpoints)]
+		x.Weight = float64(2 + i%7)
+		if err := b.heard(b.directory.Change(x)); err != nil {
+			return 0, err
+		}
+	}
+	line, err := b.courier.Counters(false)
+	return rig.Number(line, "idle", "change_ns") / 1000, err
+}
+
+// memory returns the live heap and the resident memory after collection.
+func (b *bench) memory() (heap, resident int64, line map[string]any, err error) {
+	if line, err = b.courier.Counters(true); err != nil {
+		return
+	}
+	heap = int64(rig.Number(line, "heap"))
+	resident, err = b.courier.Resident()
+	return
+}
+
+// asleep waits until no more than the active are awake.
+func (b *bench) asleep() error {
+	for limit := time.Now().Add(2 * time.Minute); time.Now().Before(limit); time.Sleep(300 * time.Millisecond) {
+		line, err := b.courier.Counters(false)
+		if err != nil {
+			return err
+		}
+		if rig.Number(line, "idle", "awake") <= float64(b.o.Active) && rig.Number(line, "held") == 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("destinations do not go to sleep\n%s", b.courier.Tail())
+}
+
+const (
+	cpuFor     = 5 * time.Second
+	cpuRounds  = 2
+	deltaCount = 200
+)
+
+// Run measures and returns the figures.
+func (o Idle) Run(out io.Writer) (f IdleFigures, err error) {
+	if o.Partners < o.Active+1 || o.Active < 1 || o.Endpoints < 1 || o.Listening <= o.Active {
+		return f, fmt.Errorf("more partners than active ones are needed, and one endpoint each at least")
+	}
+	dir, err := os.MkdirTemp("", "snowjunction-measure-")
+	if err != nil {
+		return f, err
+	}
+	defer os.RemoveAll(dir)
+	b := &bench{o: o}
+	defer b.close()
+	say := func(format string, args ...any) { fmt.Fprintf(out, format+"\n", args...) }
+	if err := b.start(dir); err != nil {
+		return f, err
+	}
+	f = IdleFigures{
+		Partners: o.Partners, Endpoints: o.Endpoints, Active: o.Active, Listening: b.listening,
+		Machine: fmt.Sprintf("%s/%s, %d cores, %s", runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), runtime.Version()),
+	}
+	few, all := b.list[:o.Active*o.Endpoints], b.list
+
+	b.traffic("warm", 3*time.Second)
+	if f.HeapActive, f.ResidentActive, _, err = b.memory(); err != nil {
+		return f, err
+	}
+	say("%d active partners listed: heap %d, resident %d bytes", o.Active, f.HeapActive, f.ResidentActive)
+	if f.Delta.Active, err = b.deltas(deltaCount); err != nil {
+		return f, err
+	}
+	for round := range cpuRounds {
+		if round > 0 {
+			if err := b.heard(b.directory.Replace(few)); err != nil {
+				return f, err
+			}
+		}
+		x, err := b.cpu(fmt.Sprintf("few%d", round), cpuFor)
+		if err != nil {
+			return f, err
+		}
+		f.IdleCPUActive += x / cpuRounds
+		if _, err := b.courier.Counters(false); err != nil { // the longest turn begins anew
+			return f, err
+		}
+		begun := time.Now()
+		if err := b.heard(b.directory.Replace(all)); err != nil {
+			return f, err
+		}
+		f.FullListMs = max(f.FullListMs, float64(time.Since(begun).Microseconds())/1000)
+		line, err := b.courier.Counters(false)
+		if err != nil {
+			return f, err
+		}
+		f.LongestTurnMs = max(f.LongestTurnMs, rig.Number(line, "longest_turn_us")/1000)
+		if x, err = b.cpu(fmt.Sprintf("all%d", round), cpuFor); err != nil {
+			return f, err
+		}
+		f.IdleCPUListed += x / cpuRounds
+	}
+	f.IdleCPURatio = f.IdleCPUListed / f.IdleCPUActive
+	if f.HeapListed, f.ResidentListed, _, err = b.memory(); err != nil {
+		return f, err
+	}
+	idle := float64(o.Partners - o.Active)
+	f.BytesPerIdle.Heap = float64(f.HeapListed-f.HeapActive) / idle
+	f.BytesPerIdle.Resident = float64(f.ResidentListed-f.ResidentActive) / idle
+	say("%d partners listed: heap %d, resident %d bytes, longest turn %.2f ms", o.Partners, f.HeapListed, f.ResidentListed, f.LongestTurnMs)
+	if f.Delta.Partners, err = b.deltas(deltaCount); err != nil {
+		return f, err
+	}
+	say("a change takes %.1f us with %d listed, %.1f us with %d; idle CPU %.5f and %.5f",
+		f.Delta.Active, o.Active, f.Delta.Partners, o.Partners, f.IdleCPUActive, f.IdleCPUListed)
+
+	if f.Called, err = b.once(); err != nil {
+		return f, err
+	}
+	if f.HeapCalled, f.ResidentCalled, _, err = b.memory(); err != nil {
+		return f, err
+	}
+	f.BytesPerOnce.Heap = f.BytesPerIdle.Heap + float64(f.HeapCalled-f.HeapListed)/float64(f.Called)
+	f.BytesPerOnce.Resident = f.BytesPerIdle.Resident + float64(f.ResidentCalled-f.ResidentListed)/float64(f.Called)
+	say("%d called once and asleep: heap %d, resident %d bytes", f.Called, f.HeapCalled, f.ResidentCalled)
+
+	first := uint32(o.Active + 1)
+	if f.Cut, err = b.wake("cut", first, first, 1.0/3); err != nil {
+		return f, err
+	}
+	say("one woken, its limit cut to a third: %+v", f.Cut)
+	f.Clump = min(o.Clump, b.listening-o.Active-1)
+	if f.Clump > 0 {
+		if f.Many, err = b.wake("many", first+1, first+uint32(f.Clump), 1); err != nil {
+			return f, err
+		}
+		say("%d woken at once: %+v", f.Clump, f.Many)
+	}
+	for _, w := range []Waking{f.Cut, f.Many} {
+		f.PeakOverLimit = max(f.PeakOverLimit, w.PeakOverLimit)
+		f.Fell += w.Fell
+		f.Delivered += w.Delivered
+		f.Late += w.Late
+		f.Duplicates += w.Duplicates
+		f.OutOfOrder += w.OutOfOrder
+	}
+	if o.JSON == "" {
+		return f, nil
+	}
+	text, err := json.MarshalIndent(f, "", "  ")
+	if err != nil {
+		return f, err
+	}
+	return f, os.WriteFile(o.JSON, append(text, '\n'), 0o644)
+}
+
+// once calls every listening partner that is not active once, and waits for
+// them to sleep.
+func (b *bench) once() (called int, err error) {
+	var wg sync.WaitGroup
+	work := make(chan int)
+	for range 8 {
+		wg.Go(func() {
+			for d := range work {
+				m := load.Message{
+					ID: fmt.Sprintf("once-%d", d), Class: "status", Tenant: "town", Left: 8 * time.Second, Destination: uint32(d),
+				}
+				for try := 0; try < 20; try++ {
+					if v, after, _ := b.client.Add(m); v != load.Refused {
+						break
+					} else {
+						time.Sleep(max(after, 20*time.Millisecond))
+					}
+					m.ID += "r"
+				}
+			}
+		})
+	}
+	for d := b.o.Active + 1; d <= b.listening; d++ {
+		work <- d
+		called++
+		time.Sleep(2500 * time.Microsecond)
+	}
+	close(work)
+	wg.Wait()
+	return called, b.asleep()
+}
+
+// wake has a clump of three seconds of its limit come for each of some sleeping
+// partners at the same moment, after their limits have changed, and their being
+// cold. It waits for every message's end.
+func (b *bench) wake(name string, from, to uint32, factor float64) (w Waking, err error) {
+	if err := b.asleep(); err != nil {
+		return w, err
+	}
+	if _, err := b.counts(); err != nil {
+		return w, err
+	}
+	limits := b.limits
+	for _, o := range []standin.Order{{Do: "limit", Factor: factor}, {Do: "chill"}, {Do: "reset"}} {
+		if err := b.orders(from, to, o); err != nil {
+			return w, err
+		}
+	}
+	var clump []load.Message
+	for d := from; d <= to; d++ {
+		for n := range max(int(3*limits[d]), 1) {
+			m := load.Message{
+				ID: fmt.Sprintf("%s-%d-%d", name, d, n), Class: "order", Tenant: "town", Left: 20 * time.Second,
+				Destination: d, Keyed: true, Key: uint64(d)<<8 + uint64(n%4) + 1, Seq: uint64(n + 1),
+			}
+			if n%4 == 3 {
+				m.Class, m.Left, m.Keyed, m.Key = "status", 8*time.Second, false, 0
+			}
+			clump = append(clump, m)
+		}
+	}
+	w.Partners, w.Messages = int(to-from)+1, len(clump)
+	begun := time.Now()
+	var wg sync.WaitGroup
+	lanes := min(w.Partners, 16)
+	for lane := range lanes {
+		wg.Go(func() {
+			for _, m := range clump {
+				if int(m.Destination-from)%lanes == lane {
+					_, _, _ = b.client.Add(m)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	ours := map[string]bool{}
+	for _, m := range clump {
+		ours[m.ID] = true
+	}
+	for limit := begun.Add(25 * time.Second); ; time.Sleep(300 * time.Millisecond) {
+		seen, err := b.seen(clump)
+		if err != nil {
+			return w, err
+		}
+		e := b.client.Account(func(_ uint32, id string) bool { return seen[id] }, b.directory.Notices(),
+			func(m load.Message) bool { return ours[m.ID] })
+		w.Taken, w.Refused, w.Unheard, w.Delivered, w.Open, w.Doubled = e.Taken, e.Refused, e.Unheard+e.Failed, e.Delivered, e.Open, e.Doubled
+		if w.Seconds = time.Since(begun).Seconds(); e.Open == 0 || time.Now().After(limit) {
+			break
+		}
+	}
+	counts, err := b.counts()
+	if err != nil {
+		return w, err
+	}
+	for d := from; d <= to; d++ {
+		n := counts[d]
+		w.Calls, w.TurnedAway, w.OverLimit, w.Late = w.Calls+n.Calls, w.TurnedAway+n.Refused, w.OverLimit+n.Over, w.Late+n.Late
+		w.Fell, w.Duplicates, w.OutOfOrder, w.InWait = w.Fell+n.Fell, w.Duplicates+n.Copies, w.OutOfOrder+n.OutOfOrder, w.InWait+n.InWait
+		w.PeakOverLimit = max(w.PeakOverLimit, n.Peak)
+	}
+	return w, nil
+}
--- a/internal/proto/http1/http1.go
+++ b/internal/proto/http1/http1.go
@@ -249,7 +249,7 @@
 		if err != nil {
 			return ErrSyntax
 		}
-		if int(n) > p.MaxBody {
+		if int(n) > p.MaxBody && (p.Sink == nil || p.now.Status != 200) {
 			return ErrTooBig
 		}
 		p.at, p.left = sized, int(n)
--- a/internal/proto/http1/http1_test.go
+++ b/internal/proto/http1/http1_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -122,3 +123,35 @@
 		}
 	})
 }
+
+// A body far over the bound goes to the sink as it comes, with or without a
+// length; the bound holds for all other answers.
+func TestSink(t *testing.T) {
+	long := strings.Repeat("x", 300)
+	for _, head := range []string{"Content-Length: 300\r\n\r\n" + long, "Transfer-Encoding: chunked\r\n\r\n12c\r\n" + long + "\r\n0\r\n\r\n"} {
+		var got []byte
+		p := Parser{MaxBody: 100, Sink: func(b []byte) error {
+			got = append(got, b...)
+			return nil
+		}}
+		for _, c := range []byte("HTTP/1.1 200 OK\r\n" + head) {
+			p.Feed([]byte{c})
+			r, err := p.Next()
+			require.NoError(t, err)
+			if r != nil {
+				assert.Empty(t, r.Body)
+				assert.Equal(t, long, string(got))
+				got = nil
+			}
+		}
+		assert.Nil(t, got, "the answer is whole")
+		p.Feed([]byte("HTTP/1.1 500 No\r\n" + head))
+		_, err := p.Next()
+		assert.ErrorIs(t, err, ErrTooBig)
+	}
+	spoilt := errors.New("spoilt")
+	p := Parser{Sink: func([]byte) error { return spoilt }}
+	p.Feed([]byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nx"))
+	_, err := p.Next()
+	assert.ErrorIs(t, err, spoilt)
+}
--- a/internal/standin/partner/partner.go
+++ b/internal/standin/partner/partner.go
@@ -154,6 +154,15 @@
 	return p.Profile.Limit + p.burst(), time.Second
 }
 
+// rate is what the limit comes to in calls a second: a count is a whole number.
+func (p *Partner) rate() float64 {
+	if p.Profile.Span > 0 {
+		most, span := p.most()
+		return most / span.Seconds()
+	}
+	return p.Profile.Limit
+}
+
 func (p *Partner) burst() float64 { return math.Max(1, p.Profile.Limit/2) }
 
 // Begin takes a call and says what becomes of it. End must be called once the
@@ -167,7 +176,7 @@
 	if p.Profile.Report && p.Profile.Limit > 0 && answer.Status != 0 {
 		if !p.reported || now-p.reportAt >= p.Profile.Refresh {
 			p.reported, p.reportAt = true, now
-			p.report = Answer{Left: p.left(now), Limit: p.Profile.Limit}
+			p.report = Answer{Left: p.left(now), Limit: p.rate()}
 		}
 		answer.Left, answer.Limit = p.report.Left, p.report.Limit
 	}
