--- a/cmd/snowjunction/push_test.go
+++ b/cmd/snowjunction/push_test.go
@@ -156,9 +156,9 @@
 	return life.State
 }
 
-// partner is a stand-in for a partner's system behind either kind of target.
+// recorder is a stand-in for a partner's system behind either kind of target.
 // It notes what it is called with and checks that no message is out twice.
-type partner struct {
+type recorder struct {
 	t      *testing.T
 	mu     sync.Mutex
 	order  []string // ids, as their calls began
@@ -168,11 +168,11 @@
 	answer func(id string) int // status
 }
 
-func newPartner(t *testing.T) *partner {
-	return &partner{t: t, bodies: map[string]string{}, out: map[string]int{}, keys: map[string]int{}}
+func newPartner(t *testing.T) *recorder {
+	return &recorder{t: t, bodies: map[string]string{}, out: map[string]int{}, keys: map[string]int{}}
 }
 
-func (p *partner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (p *recorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-ID")
 	body, _ := io.ReadAll(r.Body)
 	key, _, _ := strings.Cut(string(body), ":") // the tests' bodies are KEY:TEXT
@@ -198,7 +198,7 @@
 }
 
 // seen returns the ids called so far that begin with prefix.
-func (p *partner) seen(prefix string) (out []string) {
+func (p *recorder) seen(prefix string) (out []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, id := range p.order {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -226,7 +226,11 @@
 	if _, err := netip.ParseAddrPort(e.Addr); err != nil {
 		return e, fmt.Errorf("hostPort: %q is not an address with a port", e.Addr)
 	}
-	cell, err := t.Get("cell").Uint()
+	c := t.Get("cell")
+	if c == nil {
+		return e, errors.New("no cell")
+	}
+	cell, err := c.Uint()
 	switch {
 	case err != nil:
 		return e, fmt.Errorf("cell: %w", err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -44,6 +44,9 @@
 		{`"settings":{`, `"settings":[],"x":{`, `settings: missing`},
 		{`"generation":0,`, ``, `known: no generation`},
 		{`"cell":3`, `"cell":-3`, `instances[0]: cell`},
+		{`"cell":3`, `"cell":4294967296`, `instances[0]: cell`},
+		{`"cell":3,`, ``, `instances[0]: no cell`},
+		{`"weight":2`, `"weight":"heavy"`, `instances[0]: weight`},
 		{`"127.0.0.1:1"`, `"x"`, `instances[0]: hostPort`},
 		{`"instanceId":"s-1",`, ``, `instances[0]: no instanceId`},
 	} {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"snowjunction"
+	"snowjunction/internal/dormancy"
 	"snowjunction/internal/groups"
 	"snowjunction/internal/store"
 )
@@ -26,6 +27,9 @@
 	settle  bool // ends are settled at once
 	calls   []*testCall
 	left    int // targets that have left their groups
+	made    []Entry
+	sleep   *dormancy.Config
+	beyond  Beyond
 }
 
 type testCall struct {
@@ -52,7 +56,10 @@
 func (x testTarget) CloseIdle() {}
 func (x testTarget) Leave()     { x.b.left++ }
 
-func (b *bench) Target(Entry) Target { return testTarget{b} }
+func (b *bench) Target(e Entry) Target {
+	b.made = append(b.made, e)
+	return testTarget{b}
+}
 
 func (b *bench) Ended(m *store.Message) {
 	b.ended = append(b.ended, m)
@@ -62,7 +69,11 @@
 }
 
 func newBench(t *testing.T, change func(*snowjunction.Settings)) *bench {
-	b := &bench{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), settle: true}
+	return newBenchWith(&bench{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), settle: true}, change)
+}
+
+func newBenchWith(b *bench, change func(*snowjunction.Settings)) *bench {
+	t := b.t
 	log := slog.New(slog.DiscardHandler)
 	var err error
 	b.journal, _, err = store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
@@ -80,7 +91,7 @@
 		change(&s)
 	}
 	b.c, err = New(Config{
-		Loop: NewLoop(func() time.Time { return b.now }), Log: log, Journal: b.journal, Settings: s, Fronts: []Front{b, b},
+		Loop: NewLoop(func() time.Time { return b.now }), Log: log, Journal: b.journal, Settings: s, Fronts: []Front{b, b}, Dormancy: b.sleep, Beyond: b.beyond,
 	})
 	require.NoError(t, err)
 	b.list(snowjunction.Ready, true)
--- a/internal/core/sleep.go
+++ b/internal/core/sleep.go
@@ -14,6 +14,7 @@
 type Beyond interface {
 	Put(dest uint32, at time.Time, text []byte)
 	Has(dest uint32) bool
+	Len() int
 	// Take has done called on the loop's goroutine, later, unless it returns
 	// false.
 	Take(dest uint32, done func(text []byte, at time.Time, ok bool)) bool
@@ -141,6 +142,7 @@
 	if c.resting != nil {
 		return
 	}
+	c.book.Stale(c.since(), restMost)
 	for range restMost {
 		d, due, wait := c.book.Due(c.since())
 		if !due {
@@ -218,7 +220,10 @@
 	}
 	u := c.updates
 	c.updates = updates{}
-	mean := int64(0)
+	mean, beyond := int64(0), 0
+	if c.Beyond != nil {
+		beyond = c.Beyond.Len()
+	}
 	if u.n > 0 {
 		mean = u.took.Nanoseconds() / int64(u.n)
 	}
@@ -226,7 +231,7 @@
 		slog.Int("listed", endpoints), slog.Int("destinations", c.routes.destinations()), slog.Int("table_bytes", bytes),
 		slog.Int("awake", c.book.Awake()), slog.Int("mementos", c.book.Asleep()), slog.Int("memento_bytes", c.book.Bytes()),
 		slog.Uint64("slept", n.Slept), slog.Uint64("woke", n.Woke), slog.Uint64("known", n.Known),
-		slog.Uint64("dropped", n.Dropped), slog.Uint64("full", n.Full),
+		slog.Int("beyond", beyond), slog.Uint64("dropped", n.Dropped), slog.Uint64("full", n.Full),
 		slog.Int("changes", u.n), slog.Int64("change_ns", mean),
 	)
 }
--- /dev/null
+++ b/internal/core/sleep_test.go
@@ -0,0 +1,376 @@
+package core
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction"
+	"snowjunction/internal/dormancy"
+	"snowjunction/internal/groups"
+	"snowjunction/internal/store"
+)
+
+// deliver hands a message in and has its call succeed.
+func (b *bench) deliver(id string) {
+	n := len(b.calls)
+	b.add(id, "status", 0)
+	b.step(5 * ms)
+	require.Len(b.t, b.calls, n+1, id)
+	b.calls[n].done(Result{Outcome: snowjunction.OK})
+	b.step(5 * ms)
+}
+
+// doze has everything idle fall asleep.
+func (b *bench) doze() {
+	b.step(time.Minute)
+	b.step(10 * ms)
+	require.Empty(b.t, b.c.routes.awake)
+}
+
+func TestNothingForWhatNobodyCalls(t *testing.T) {
+	b := newBench(t, nil)
+	var many []Entry
+	for i := range 3000 {
+		many = append(many, Entry{Name: fmt.Sprint(i), Addr: fmt.Sprintf("127.1.%d.%d:1", i>>8, i&255), Destination: snowjunction.DestinationID(i / 2), Phase: snowjunction.Ready})
+	}
+	b.listed(0, true, many...)
+	b.step(time.Second)
+	assert.Empty(t, b.made)
+	assert.Empty(t, b.c.routes.byID)
+	b.deliver("m1")
+	assert.Len(t, b.made, 2, "the two endpoints of destination 7")
+	b.doze()
+	assert.Equal(t, 2, b.left)
+	assert.Empty(t, b.c.routes.byID)
+	assert.Equal(t, 1, b.c.book.Asleep())
+	b.deliver("m2")
+	assert.Zero(t, b.c.book.Asleep())
+}
+
+// A destination that holds a flow never sleeps, however long nothing moves.
+func TestHeldFlowsKeepAwake(t *testing.T) {
+	b := newBench(t, nil)
+	b.list(snowjunction.Draining, false)
+	err := b.c.TakeIn(Request{ID: "m1", Class: "status", Destination: 7, Left: 10 * time.Minute}, func(Answer, *store.Message) bool { return true })
+	require.NoError(t, err)
+	b.step(9 * time.Minute)
+	b.step(time.Second)
+	assert.Len(t, b.c.routes.awake, 1)
+}
+
+// What the list says while a destination sleeps holds when it wakes.
+func TestListedAnewWhileAsleep(t *testing.T) {
+	for name, tc := range map[string]struct {
+		entry Entry
+		calls int
+		addr  string
+	}{
+		"drains": {Entry{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: snowjunction.Draining}, 1, ""},
+		"goes":   {Entry{Name: "s-1", Phase: snowjunction.Gone}, 1, ""},
+		"moves":  {Entry{Name: "s-1", Addr: "127.0.0.9:9", Destination: 7, Phase: snowjunction.Ready}, 2, "127.0.0.9:9"},
+		"leaves": {Entry{Name: "s-1", Addr: "127.0.0.1:1", Destination: 8, Phase: snowjunction.Ready}, 1, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.deliver("m1")
+			b.doze()
+			b.listed(0, false, tc.entry)
+			assert.Len(t, b.made, 1, "nothing is made for what sleeps")
+			b.add("m2", "status", 0)
+			b.step(20 * ms)
+			assert.Len(t, b.calls, tc.calls)
+			if tc.addr != "" {
+				assert.Equal(t, tc.addr, b.made[len(b.made)-1].Addr)
+			}
+		})
+	}
+}
+
+// An endpoint that drains between the waking and the sending gets nothing.
+func TestDrainsAsItWakes(t *testing.T) {
+	b := newBench(t, nil)
+	b.deliver("m1")
+	b.doze()
+	b.add("m2", "status", 0)
+	b.listed(0, false, Entry{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: snowjunction.Draining})
+	b.step(20 * ms)
+	assert.Len(t, b.calls, 1)
+}
+
+// A told wait longer than the time to sleep holds on waking.
+func TestToldWaitThroughSleep(t *testing.T) {
+	b := newBench(t, nil)
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	b.calls[0].done(Result{Outcome: snowjunction.Full, Wait: 90 * time.Second})
+	began := b.now
+	b.step(3 * time.Second) // its message is given up
+	b.doze()
+	for b.now.Sub(began) < 89*time.Second {
+		b.step(time.Second)
+	}
+	b.add("m2", "status", 0)
+	b.step(500 * ms)
+	assert.Len(t, b.calls, 1, "the wait is not over")
+	for range 20 {
+		b.step(50 * ms)
+	}
+	assert.Len(t, b.calls, 2)
+}
+
+// A wait that ends during sleep is over.
+func TestToldWaitEndsInSleep(t *testing.T) {
+	b := newBench(t, nil)
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	b.calls[0].done(Result{Outcome: snowjunction.Full, Wait: 10 * time.Second})
+	b.step(3 * time.Second)
+	b.doze()
+	b.add("m2", "status", 0)
+	b.step(20 * ms)
+	assert.Len(t, b.calls, 2)
+}
+
+// A message that comes as its destination is being handed out calls that off.
+func TestComesAsItFallsAsleep(t *testing.T) {
+	b := newBench(t, nil)
+	b.deliver("m1")
+	b.now = b.now.Add(time.Minute)
+	b.c.handled = b.now // the module is asked a tick later
+	b.c.Loop.Turn()
+	require.True(t, b.c.routes.awake[7].leaving)
+	b.add("m2", "status", 0)
+	b.step(10 * ms)
+	assert.Len(t, b.calls, 2)
+	assert.Len(t, b.made, 1, "it never slept")
+}
+
+// Every memento binds and memory is full: a further destination's message gets
+// its fixed response at once, with when to come back, and no rule is forgotten.
+func TestAllThatSleepBind(t *testing.T) {
+	cfg := dormancy.Default(snowjunction.Settings{})
+	cfg.Awake, cfg.Memory = 1, 1
+	b := newBenchWith(&bench{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), settle: true, sleep: &cfg}, nil)
+	b.listed(0, false, Entry{Name: "s-2", Addr: "127.0.0.1:2", Destination: 8, Phase: snowjunction.Ready})
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	b.calls[0].done(Result{Outcome: snowjunction.Full, Wait: 40 * time.Second})
+	b.step(3 * time.Second)
+	var got []Answer
+	other := func(id string) {
+		got = nil
+		err := b.c.TakeIn(Request{ID: id, Class: "status", Destination: 8, Left: time.Second}, func(a Answer, _ *store.Message) bool {
+			got = append(got, a)
+			return true
+		})
+		require.NoError(t, err)
+	}
+	other("m2")
+	require.Len(t, got, 1, "at once")
+	assert.Equal(t, Fixed, got[0].Verdict)
+	assert.Positive(t, int64(got[0].After))
+	assert.EqualValues(t, 1, b.c.Counters.Crowded)
+	b.add("m3", "status", 0)
+	b.step(500 * ms)
+	assert.Len(t, b.calls, 1, "the wait that was told still holds")
+}
+
+// A bad change is refused whole, but for what it says of leaving.
+func TestBadChangeHeedsDrains(t *testing.T) {
+	b := newBench(t, nil)
+	b.listed(0, false, Entry{Name: "s-2", Addr: "127.0.0.1:2", Destination: 8, Phase: snowjunction.Ready})
+	b.deliver("m1")
+	l, err := groups.ListOf(false, false, []Entry{
+		{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: snowjunction.Draining},
+		{Name: "s-3", Addr: "127.0.0.1:2", Destination: 9, Phase: snowjunction.Ready},
+	})
+	require.NoError(t, err)
+	assert.ErrorIs(t, b.c.Listed(0, l), groups.ErrAddress)
+	assert.False(t, b.c.routes.tables[0].Has(9))
+	assert.True(t, b.c.routes.tables[0].Has(8), "what was held stays")
+	b.add("m2", "status", 0)
+	b.step(20 * ms)
+	assert.Len(t, b.calls, 1, "it drains")
+}
+
+// A destination whose last endpoint has left is still known for a while.
+func TestHeardOf(t *testing.T) {
+	for _, full := range []bool{true, false} {
+		b := newBench(t, nil)
+		if full {
+			b.listed(0, true, Entry{Name: "s-2", Addr: "127.0.0.1:2", Destination: 8, Phase: snowjunction.Ready})
+		} else {
+			b.listed(0, false, Entry{Name: "s-1", Phase: snowjunction.Gone})
+		}
+		b.step(ms)
+		got := b.add("m1", "status", 0)
+		b.step(20 * ms)
+		assert.Equal(t, []Answer{{Verdict: Taken}}, *got, "its next endpoint may come in time")
+		b.step(3 * heardFor)
+		b.doze()
+		got = b.add("m2", "status", 0)
+		require.Len(t, *got, 1)
+		assert.Equal(t, Fixed, (*got)[0].Verdict)
+	}
+}
+
+// Full lists that grow and shrink leave nothing behind.
+func TestListsThatGrowAndShrink(t *testing.T) {
+	b := newBench(t, nil)
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	list := func(round, n int) {
+		l := groups.NewList(true)
+		for i := range n {
+			require.NoError(t, l.Add(Entry{
+				Name: fmt.Sprintf("r%d-%d", round, i), Addr: fmt.Sprintf("127.%d.%d.%d:80", 1+i>>16, i>>8&255, i&255),
+				Destination: snowjunction.DestinationID(100 + round*20000 + i), Phase: snowjunction.Ready,
+			}))
+		}
+		require.NoError(t, b.c.Listed(0, l))
+		b.step(ms)
+	}
+	list(0, 20000)
+	list(0, 10)
+	before := heap()
+	for round := 1; round <= 10; round++ {
+		list(round, 20000)
+		list(round, 10)
+		b.step(heardFor)
+	}
+	assert.Less(t, heap()-before, int64(1<<20))
+	assert.Equal(t, 10, b.c.routes.destinations())
+}
+
+// beyond is a store whose answers come when the test says so.
+type beyond struct {
+	b     *bench
+	kept  map[uint32][]byte
+	at    map[uint32]time.Time
+	asked []func()
+}
+
+func (x *beyond) Put(d uint32, at time.Time, text []byte) { x.kept[d], x.at[d] = text, at }
+func (x *beyond) Has(d uint32) bool                       { return x.kept[d] != nil }
+func (x *beyond) Len() int                                { return len(x.kept) }
+func (x *beyond) Take(d uint32, done func([]byte, time.Time, bool)) bool {
+	x.asked = append(x.asked, func() { done(x.kept[d], x.at[d], true) })
+	return true
+}
+
+func newBeyond(b *bench, x *beyond) *bench {
+	x.b = b
+	b.beyond = x
+	return newBenchWith(b, nil)
+}
+
+// After a restart the memento comes from beyond memory; flows wait for it, for
+// their answer too, and what it says holds.
+func TestRestartWhileAsleep(t *testing.T) {
+	x := &beyond{kept: map[uint32][]byte{}, at: map[uint32]time.Time{}}
+	start := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	b := newBeyond(&bench{t: t, now: start, settle: true}, x)
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	b.calls[0].done(Result{Outcome: snowjunction.Full, Wait: 10 * time.Minute})
+	b.step(3 * time.Second)
+	b.doze()
+	require.NotNil(t, x.kept[7])
+
+	b = newBeyond(&bench{t: t, now: start.Add(2 * time.Minute), settle: true}, x)
+	got := b.add("m2", "status", 0)
+	b.step(10 * ms)
+	assert.Empty(t, *got, "not before the module has seen it")
+	require.Len(t, x.asked, 1)
+	b.add("m3", "status", 0)
+	x.asked[0]()
+	b.step(10 * ms)
+	assert.Equal(t, []Answer{{Verdict: Taken}}, *got)
+	assert.Empty(t, b.calls, "its wait is remembered")
+	assert.Equal(t, 2, b.c.Held())
+}
+
+// A store that does not answer holds nothing up for long; what it says later
+// is not heard.
+func TestBeyondIsSilent(t *testing.T) {
+	x := &beyond{kept: map[uint32][]byte{7: {1}}, at: map[uint32]time.Time{}}
+	b := newBeyond(&bench{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), settle: true}, x)
+	got := b.add("m1", "status", 0)
+	b.step(beyondWithin)
+	b.step(10 * ms)
+	assert.Equal(t, []Answer{{Verdict: Taken}}, *got)
+	assert.Len(t, b.calls, 1)
+	x.asked[0]()
+	b.step(10 * ms)
+	assert.Len(t, b.calls, 1)
+}
+
+// What is frozen while it waits for a memento was never taken on.
+func TestFrozenWhileWaiting(t *testing.T) {
+	x := &beyond{kept: map[uint32][]byte{7: {1}}, at: map[uint32]time.Time{}}
+	b := newBeyond(&bench{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), settle: true}, x)
+	got := b.add("m1", "status", 0)
+	b.c.Freeze(func() {})
+	assert.Equal(t, []Answer{{Verdict: Fixed}}, *got)
+}
+
+// A turn leaves what is posted for the next after a while, so that timers that
+// are due and others' work come between.
+func TestTurnsAreBounded(t *testing.T) {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	l := NewLoop(func() time.Time { return now })
+	var order []string
+	l.After(3*ms, func() { order = append(order, "timer") })
+	for i := range 6 {
+		l.Post(func() {
+			now = now.Add(ms)
+			order = append(order, fmt.Sprint(i))
+		})
+	}
+	l.Turn()
+	assert.Equal(t, []string{"0", "1", "2", "3", "timer", "4", "5"}, order)
+	assert.LessOrEqual(t, l.Turns().Longest, turnMost+ms)
+	assert.Zero(t, l.Turns().Count, "since it was last asked")
+}
+
+// A message that may have run keeps its destination awake while its keyed window
+// is open; with it over, the destination sleeps, and the key's next one goes.
+func TestKeyedWindowAndSleep(t *testing.T) {
+	cfg := dormancy.Default(snowjunction.Settings{})
+	cfg.After = 500 * ms
+	b := newBenchWith(&bench{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), settle: true, sleep: &cfg}, nil)
+	hand := func(id string) {
+		err := b.c.TakeIn(Request{ID: id, Class: "order", Key: 9, IdempotencyKey: id, Destination: 7, Left: 20 * time.Second},
+			func(Answer, *store.Message) bool { return true })
+		require.NoError(t, err)
+	}
+	hand("m1")
+	b.step(5 * ms)
+	b.calls[0].done(Result{Outcome: snowjunction.Reset})
+	b.listed(0, false, Entry{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: snowjunction.Draining})
+	began := b.now
+	for len(b.ended) == 0 {
+		require.Len(t, b.c.routes.awake, 1)
+		b.step(100 * ms)
+		require.Less(t, b.now.Sub(began), 6*time.Second)
+	}
+	assert.Greater(t, b.now.Sub(began), 4*time.Second, "it waited for its window's end")
+	for range 10 {
+		b.step(100 * ms)
+	}
+	require.Empty(t, b.c.routes.awake)
+	b.listed(0, false, Entry{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: snowjunction.Ready})
+	n := len(b.calls)
+	hand("m2")
+	b.step(10 * ms)
+	assert.Len(t, b.calls, n+1)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -243,9 +243,9 @@
 	}
 }
 
-// reload reads both files anew. The platform may have moved to another address
+// reload reads the files anew. The platform may have moved to another address
 // and the push front's targets may be others; what else differs waits for a
-// restart. Where either file is wrong, neither changes anything.
+// restart. Where one is wrong, none changes anything.
 func (c *courier) reload() {
 	cfg, err := config.Load(c.env)
 	if err == nil {
@@ -260,7 +260,16 @@
 		c.log.Error("configuration not read again", "err", err)
 		return
 	}
-	if later := c.cfg.Differs(cfg); len(later) > 0 {
+	idle, err := config.LoadIdle(path(c.env, "SNOWJUNCTION_IDLE", idleFile), cfg.Settings)
+	if err != nil {
+		c.log.Error("configuration not read again", "err", err)
+		return
+	}
+	later := c.cfg.Differs(cfg)
+	if *idle != *c.idle {
+		later = append(later, "idle destinations")
+	}
+	if len(later) > 0 {
 		c.log.Warn("these wait for a restart", "values", later)
 	}
 	if err := c.push.Relist(p.Targets); err != nil {
--- a/internal/dormancy/dormancy.go
+++ b/internal/dormancy/dormancy.go
@@ -311,20 +311,6 @@
 // forgotten: the first answer tells the true one.
 const leastWorth = 0.25
 
-// Forget drops what is kept of a destination that no list names any more, unless
-// it binds. It tells whether nothing is kept of it now.
-func (b *Book) Forget(d Destination, now time.Duration) bool {
-	k := b.kept[d]
-	if k == nil {
-		return true
-	}
-	if k.binds > now {
-		return false
-	}
-	b.remove(k)
-	return true
-}
-
 // Keeping tells whether a memento is kept of a destination.
 func (b *Book) Keeping(d Destination) bool { return b.kept[d] != nil }
 
--- /dev/null
+++ b/internal/dormancy/dormancy_test.go
@@ -0,0 +1,189 @@
+package dormancy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction"
+	"snowjunction/internal/memento"
+)
+
+func config() Config {
+	return Config{
+		After: time.Minute, Awake: 10, Memory: 100 * typical, HalfLife: 10 * time.Minute, Forget: time.Hour,
+		Careful: 14 * time.Second, Ledger: 10 * time.Second, Warm: 14 * time.Second, Outage: 10 * time.Minute,
+	}
+}
+
+// plain is a state in which nothing binds; told has a wait.
+func plain() *memento.Memento {
+	return &memento.Memento{State: snowjunction.State{
+		Recent: 0.2, Best: 0.1, Peak: 3, Window: 6,
+		Routes: []snowjunction.RouteState{{Limit: 8, Left: 0.1, Pace: 8}},
+	}}
+}
+
+func told(wait time.Duration) *memento.Memento {
+	m := plain()
+	m.State.Routes[0].Wait = wait
+	return m
+}
+
+// sleep has a destination wake, be idle and go to sleep at once.
+func sleep(b *Book, d Destination, now time.Duration, m *memento.Memento) {
+	b.Wake(d, now)
+	b.Idle(d, now)
+	b.Keep(d, m, now)
+}
+
+func TestIdleLongEnough(t *testing.T) {
+	b := New(config())
+	b.Wake(1, 0)
+	_, due, wait := b.Due(0)
+	assert.False(t, due)
+	assert.Negative(t, int64(wait), "nothing is idle")
+	b.Idle(1, time.Second)
+	_, due, wait = b.Due(2 * time.Second)
+	assert.False(t, due)
+	assert.Equal(t, 59*time.Second, wait)
+	b.Busy(1)
+	_, due, _ = b.Due(2 * time.Minute)
+	assert.False(t, due, "it has something to do")
+	b.Idle(1, 2*time.Minute)
+	d, due, _ := b.Due(3 * time.Minute)
+	assert.True(t, due)
+	assert.Equal(t, Destination(1), d)
+}
+
+// With too many awake the longest idle goes at once.
+func TestTooManyAwake(t *testing.T) {
+	b := New(config())
+	for d := range Destination(11) {
+		b.Wake(d, 0)
+	}
+	assert.False(t, b.Over(), "none is idle")
+	b.Idle(4, time.Second)
+	b.Idle(2, 2*time.Second)
+	assert.True(t, b.Over())
+	d, due, _ := b.Due(2 * time.Second)
+	require.True(t, due)
+	assert.Equal(t, Destination(4), d)
+	b.Keep(d, plain(), 2*time.Second)
+	_, due, _ = b.Due(2 * time.Second)
+	assert.False(t, due, "ten are awake")
+}
+
+// What was known comes back, worth less the older it is; the pace, what was left
+// and the window begin anew.
+func TestWakesWithCaution(t *testing.T) {
+	for _, tc := range []struct {
+		slept time.Duration
+		limit float64
+		cold  bool
+	}{{0, 8, true}, {10 * time.Minute, 4, true}, {20 * time.Minute, 2, true}, {50 * time.Minute, 2, true}, {time.Hour, 0, false}} {
+		b := New(config())
+		sleep(b, 1, 0, plain())
+		assert.Equal(t, 1, b.Asleep())
+		w := b.Wake(1, tc.slept)
+		require.NotNil(t, w.Memento)
+		assert.Equal(t, tc.slept, w.Slept)
+		assert.InDelta(t, tc.limit, w.Memento.State.Routes[0].Limit, 1e-6, "%v", tc.slept)
+		assert.Equal(t, 1.0, w.Memento.State.Routes[0].Left)
+		assert.Zero(t, w.Memento.State.Routes[0].Pace)
+		assert.Equal(t, snowjunction.Caution{Window: 1, Cold: tc.cold, Careful: 14 * time.Second}, w.Caution)
+		assert.Zero(t, b.Asleep())
+		assert.Zero(t, b.Bytes())
+		assert.Nil(t, b.Wake(1, tc.slept).Memento, "once")
+	}
+}
+
+// One of which nothing is known wakes as before, unless the operator wants care.
+func TestFirstTime(t *testing.T) {
+	b := New(config())
+	assert.Equal(t, Woken{}, b.Wake(1, 0))
+	cfg := config()
+	cfg.First = true
+	assert.Equal(t, snowjunction.Caution{Window: 1, Careful: 14 * time.Second}, New(cfg).Wake(1, 0).Caution)
+}
+
+// When memory is full the longest asleep that binds nothing goes first.
+func TestWhatIsDroppedFirst(t *testing.T) {
+	cfg := config()
+	one := len(memento.Encode(nil, plain())) + keepCost
+	cfg.Memory = 3*one + 8
+	b := New(cfg)
+	sleep(b, 1, 0, told(time.Minute))
+	sleep(b, 2, time.Second, plain())
+	sleep(b, 3, 2*time.Second, plain())
+	sleep(b, 4, 3*time.Second, plain())
+	assert.Equal(t, []bool{true, false, true, true}, []bool{b.Keeping(1), b.Keeping(2), b.Keeping(3), b.Keeping(4)})
+	sleep(b, 5, 2*time.Minute, plain())
+	assert.False(t, b.Keeping(1), "its wait is over")
+	assert.LessOrEqual(t, b.Bytes(), cfg.Memory)
+	assert.EqualValues(t, 2, b.Counts.Dropped)
+}
+
+// Every memento binds and there is no memory left: none is dropped, nothing more
+// goes to sleep, and a further destination is told when there may be room.
+func TestAllBind(t *testing.T) {
+	cfg := config()
+	cfg.Awake = 2
+	cfg.Memory = 4 * typical
+	b := New(cfg)
+	n := Destination(0)
+	for ; b.Bytes()+typical <= cfg.Memory; n++ {
+		sleep(b, n, 0, told(time.Minute+time.Duration(n)*time.Second))
+	}
+	b.Wake(100, time.Second)
+	b.Wake(101, time.Second)
+	b.Wake(102, time.Second)
+	b.Idle(100, time.Second)
+	_, due, wait := b.Due(2 * time.Minute / 4)
+	assert.False(t, due)
+	assert.Equal(t, 30*time.Second, wait, "the first wait ends then")
+	room, after := b.Room(30 * time.Second)
+	assert.False(t, room)
+	assert.Equal(t, 30*time.Second, after)
+	for d := range n {
+		assert.True(t, b.Keeping(d))
+	}
+	room, _ = b.Room(time.Minute)
+	assert.True(t, room)
+	d, due, _ := b.Due(time.Minute + 2*time.Second)
+	assert.True(t, due)
+	assert.Equal(t, Destination(100), d)
+}
+
+func TestWhatBinds(t *testing.T) {
+	b := New(config())
+	with := func(change func(s *snowjunction.State)) time.Duration {
+		m := plain()
+		change(&m.State)
+		return b.binds(&m.State)
+	}
+	ep := func(e snowjunction.EndpointState) func(s *snowjunction.State) {
+		return func(s *snowjunction.State) { s.EndpointsSeen = []snowjunction.EndpointState{e} }
+	}
+	assert.Zero(t, with(func(*snowjunction.State) {}))
+	assert.Equal(t, 10*time.Second, with(func(s *snowjunction.State) { s.Repeats = 1 }))
+	assert.Equal(t, 90*time.Second, with(func(s *snowjunction.State) { s.Routes[0].Wait = 90 * time.Second }))
+	assert.Equal(t, 14*time.Second, with(func(s *snowjunction.State) { s.Routes[0].ColdSends = 2 }))
+	assert.Equal(t, 10*time.Minute, with(ep(snowjunction.EndpointState{Condition: snowjunction.Held})))
+	assert.Equal(t, 10*time.Minute, with(ep(snowjunction.EndpointState{Fails: 1})))
+	assert.Equal(t, 11*time.Second, with(ep(snowjunction.EndpointState{Condition: snowjunction.Warming, For: 3 * time.Second})))
+}
+
+// What is past belief goes in slices, the oldest first.
+func TestStale(t *testing.T) {
+	b := New(config())
+	for d := range Destination(5) {
+		sleep(b, d, time.Duration(d)*time.Second, plain())
+	}
+	assert.True(t, b.Stale(time.Hour+2*time.Second, 2))
+	assert.Equal(t, 3, b.Asleep())
+	assert.False(t, b.Stale(time.Hour+2*time.Second, 2))
+	assert.Equal(t, 2, b.Asleep())
+}
--- a/internal/idlestore/idlestore.go
+++ b/internal/idlestore/idlestore.go
@@ -92,8 +92,10 @@
 func open(o Options) (s *Store, err error) {
 	s = &Store{o: o, work: make(chan any, queueMost), done: make(chan struct{}), has: map[uint32]struct{}{}}
 	err = guarded(func() error {
+		// The list of free pages is kept in the file: without it bbolt looks for
+		// them on a goroutine of its own, where a damaged page ends the process.
 		db, err := bbolt.Open(o.Path, 0o600, &bbolt.Options{
-			Timeout: time.Second, NoSync: true, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
+			Timeout: time.Second, NoSync: true, FreelistType: bbolt.FreelistMapType,
 		})
 		if err != nil {
 			return err
@@ -147,8 +149,7 @@
 
 // prune drops the oldest while old says so; n is how many there are.
 func (s *Store) prune(tx *bbolt.Tx, old func(at time.Time, n int) bool) error {
-	m, a := tx.Bucket(mementos), tx.Bucket(ages)
-	n := len(s.has)
+	m, a, n := tx.Bucket(mementos), tx.Bucket(ages), s.Len()
 	c := a.Cursor()
 	for k, _ := c.First(); k != nil; k, _ = c.First() {
 		if len(k) == 12 && !old(time.UnixMilli(int64(binary.BigEndian.Uint64(k))), n) {
--- /dev/null
+++ b/internal/idlestore/idlestore_test.go
@@ -0,0 +1,163 @@
+package idlestore
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var noon = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+type fixture struct {
+	*Store
+	t     *testing.T
+	posts chan func()
+	log   bytes.Buffer
+}
+
+func newStore(t *testing.T, path string, now time.Time) *fixture {
+	f := &fixture{t: t, posts: make(chan func(), 100)}
+	var err error
+	f.Store, err = Open(Options{
+		Path: path, Bytes: 64 * entryCost, Forget: time.Hour, Post: func(g func()) { f.posts <- g },
+		Log: slog.New(slog.NewTextHandler(&f.log, nil)), Now: func() time.Time { return now },
+	})
+	require.NoError(t, err)
+	return f
+}
+
+// ask waits for what the store answers, and so for all that was handed over.
+func (f *fixture) ask(dest uint32) (text []byte, at time.Time, ok bool) {
+	require.True(f.t, f.Take(dest, func(b []byte, when time.Time, found bool) { text, at, ok = b, when, found }))
+	(<-f.posts)()
+	return
+}
+
+// What is handed over outlasts the process, with its time.
+func TestOutlasts(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "idle.db")
+	s := newStore(t, path, noon)
+	assert.False(t, s.Has(7))
+	s.Put(7, noon, []byte("first"))
+	s.Put(7, noon.Add(time.Second), []byte("second"))
+	s.Put(8, noon.Add(2*time.Second), []byte("other"))
+	assert.True(t, s.Has(7), "at once")
+	text, at, ok := s.ask(7)
+	assert.Equal(t, [3]any{"second", true, true}, [3]any{string(text), ok, at.Equal(noon.Add(time.Second))})
+	s.Close()
+
+	s = newStore(t, path, noon.Add(time.Hour+1500*time.Millisecond))
+	assert.False(t, s.Has(7), "too old")
+	assert.True(t, s.Has(8))
+	assert.Equal(t, 1, s.Len())
+	_, _, ok = s.ask(7)
+	assert.False(t, ok)
+	text, _, _ = s.ask(8)
+	assert.Equal(t, "other", string(text))
+	s.Close()
+}
+
+// The oldest make room.
+func TestBounded(t *testing.T) {
+	s := newStore(t, filepath.Join(t.TempDir(), "idle.db"), noon)
+	for i := range uint32(200) {
+		s.Put(i, noon.Add(time.Duration(i)*time.Millisecond), []byte("text"))
+	}
+	_, _, ok := s.ask(199)
+	assert.True(t, ok)
+	assert.Equal(t, 64, s.Len())
+	assert.False(t, s.Has(100))
+	assert.True(t, s.Has(136))
+	s.Close()
+}
+
+// A file that is no store, is cut short or has rotten pages costs what was in
+// it, never a start; it is set aside.
+func TestDamaged(t *testing.T) {
+	for name, spoil := range map[string]func(b []byte) []byte{
+		"no store":  func([]byte) []byte { return []byte("these are no mementos") },
+		"empty":     func([]byte) []byte { return nil },
+		"cut short": func(b []byte) []byte { return b[:len(b)/2] },
+		"zeros":     func(b []byte) []byte { return make([]byte, len(b)) },
+		"rotten": func(b []byte) []byte {
+			for i := 8192; i < len(b); i++ {
+				b[i] ^= 0x5a
+			}
+			return b
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "idle.db")
+			s := newStore(t, path, noon)
+			for i := range uint32(60) {
+				s.Put(i, noon, bytes.Repeat([]byte("x"), 2000))
+			}
+			s.ask(0)
+			s.Close()
+			b, err := os.ReadFile(path)
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(path, spoil(b), 0o600))
+
+			s = newStore(t, path, noon)
+			for i := range uint32(60) {
+				if text, _, ok := s.ask(i); ok { // what still stands is whole
+					assert.Equal(t, bytes.Repeat([]byte("x"), 2000), text)
+				}
+			}
+			s.Close()
+			s = newStore(t, path, noon)
+			s.Put(99, noon, []byte("anew"))
+			text, _, _ := s.ask(99)
+			assert.Equal(t, "anew", string(text), "%s", s.log.String())
+			s.Close()
+		})
+	}
+}
+
+// A single memento whose bytes have changed is none.
+func TestChecksum(t *testing.T) {
+	b := encode(key(7), noon, []byte("memento"))
+	_, _, ok := decode(key(7), b)
+	assert.True(t, ok)
+	_, _, ok = decode(key(8), b)
+	assert.False(t, ok, "another's")
+	for i := range b {
+		b[i] ^= 1
+		_, _, ok = decode(key(7), b)
+		assert.False(t, ok)
+		b[i] ^= 1
+	}
+}
+
+// Where the file cannot be used there is no store, and an error that says why.
+func TestNoStore(t *testing.T) {
+	_, err := Open(Options{
+		Path: filepath.Join(t.TempDir(), "no", "such", "folder"), Log: slog.New(slog.DiscardHandler), Now: time.Now,
+	})
+	assert.Error(t, err)
+}
+
+// Nobody waits for the file: what is too much is dropped and counted.
+func TestDropsWhatIsTooMuch(t *testing.T) {
+	held, entered := make(chan struct{}), make(chan struct{})
+	s, err := Open(Options{
+		Path: filepath.Join(t.TempDir(), "idle.db"), Bytes: 1 << 20, Forget: time.Hour, Log: slog.New(slog.DiscardHandler),
+		Now: func() time.Time { return noon }, Post: func(func()) { close(entered); <-held },
+	})
+	require.NoError(t, err)
+	require.True(t, s.Take(1, nil))
+	<-entered // the store is held up
+	for i := range uint32(queueMost + 10) {
+		s.Put(i, noon, []byte("x"))
+	}
+	assert.EqualValues(t, 10, s.Dropped())
+	assert.False(t, s.Take(1, nil))
+	close(held)
+	s.Close()
+}
--- /dev/null
+++ b/internal/proto/listing/listing_test.go
@@ -0,0 +1,133 @@
+package listing
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fastjson"
+)
+
+func reader(got *[]string) *Reader {
+	return &Reader{MaxSize: 1 << 20, MaxList: 100, Entry: func(v *fastjson.Value) error {
+		*got = append(*got, string(v.GetStringBytes("instanceId")))
+		return nil
+	}}
+}
+
+const good = ` {"x" : {"deep":[1,{"y":"]}"}]}, "generation": 41, "reset":true ,"instances":[ {"instanceId":"a\"}]","n":[{}]},
+	{"instanceId":"b"}] , "after":null}  `
+
+// However the text is cut into pieces, it reads the same.
+func TestPieces(t *testing.T) {
+	for size := 1; size <= len(good); size++ {
+		var got []string
+		r := reader(&got)
+		for text := good; text != ""; {
+			n := min(size, len(text))
+			require.NoError(t, r.Feed([]byte(text[:n])))
+			text = text[n:]
+		}
+		require.NoError(t, r.End())
+		assert.Equal(t, []string{`a"}]`, "b"}, got, "in pieces of %d", size)
+		assert.Equal(t, [2]any{uint64(41), true}, [2]any{r.Generation, r.Full})
+		assert.Equal(t, 2, r.Entries)
+	}
+}
+
+func TestSpoilt(t *testing.T) {
+	for text, want := range map[string]error{
+		``:                                      ErrSyntax,
+		`[]`:                                    ErrSyntax,
+		`{"generation":1`:                       ErrSyntax,
+		`{"generation":1}x`:                     ErrSyntax,
+		`{"generation":1,}`:                     ErrSyntax,
+		`{"generation":-1}`:                     ErrSyntax,
+		`{"generation":"1"}`:                    ErrSyntax,
+		`{"reset":true}`:                        ErrMissing,
+		`{"generation":1,"instances":{}}`:       ErrSyntax,
+		`{"generation":1,"instances":[5]}`:      ErrSyntax,
+		`{"generation":1,"instances":[{},]}`:    ErrSyntax,
+		`{"generation":1,"instances":[{}{}]}`:   ErrSyntax,
+		`{"generation":1,"instances":[{"a":}]}`: ErrSyntax,
+		`{"generation":1,"instances":[],"instances":[]}`:             ErrSyntax,
+		`{"generation":1,"x":` + strings.Repeat("[", 40):             ErrSyntax,
+		`{"generation":1,"x":"` + strings.Repeat("x", 20<<10):        ErrTooBig,
+		`{"` + strings.Repeat("k", 300) + `":1}`:                     ErrTooBig,
+		`{"generation":1,"instances":[` + strings.Repeat("{},", 101): ErrTooBig,
+		strings.Repeat(" ", 1<<20+1):                                 ErrTooBig,
+	} {
+		var got []string
+		r := reader(&got)
+		err := r.Feed([]byte(text))
+		if err == nil {
+			err = r.End()
+		}
+		assert.ErrorIs(t, err, want, "%.60s", text)
+		assert.ErrorIs(t, r.Feed([]byte("{}")), want, "it stays spoilt")
+	}
+}
+
+// The error of an entry tells which one it was.
+func TestEntryRefused(t *testing.T) {
+	r := &Reader{MaxSize: 1000, MaxList: 9, Entry: func(v *fastjson.Value) error {
+		if !v.Exists("cell") {
+			return errors.New("no cell")
+		}
+		return nil
+	}}
+	assert.EqualError(t, r.Feed([]byte(`{"generation":1,"instances":[{"cell":1},{}]}`)), "instances[1]: no cell")
+}
+
+// Whatever comes, the reader neither fails nor holds more than one entry, and
+// takes only what a JSON parser takes too.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte(good), 3)
+	f.Add([]byte(`{"generation":1,"instances":[{"a":"\u00e9\\"}],"reset":false}`), 1)
+	f.Add([]byte(`{"generation":1,"instances":null}`), 7)
+	f.Fuzz(func(t *testing.T, text []byte, size int) {
+		size = max(size, 1)
+		n := 0
+		r := &Reader{MaxSize: 1 << 16, MaxList: 64, Entry: func(*fastjson.Value) error { n++; return nil }}
+		for rest := text; len(rest) > 0; rest = rest[min(size, len(rest)):] {
+			if r.Feed(rest[:min(size, len(rest))]) != nil {
+				break
+			}
+			if len(r.buf) > entryMost {
+				t.Fatalf("holds %d bytes", len(r.buf))
+			}
+		}
+		if r.End() == nil {
+			if err := fastjson.ValidateBytes(text); err != nil {
+				t.Fatalf("taken, but %v", err)
+			}
+			if n != r.Entries {
+				t.Fatalf("%d entries told, %d counted", n, r.Entries)
+			}
+		}
+	})
+}
+
+func BenchmarkReader(b *testing.B) {
+	var text strings.Builder
+	text.WriteString(`{"generation":1,"reset":true,"instances":[`)
+	for i := range 1000 {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		fmt.Fprintf(&text, `{"instanceId":"s-%d","hostPort":"127.0.0.1:%d","zone":"a","machineType":"k","cell":%d,"lifecycle":"Ready","weight":1,"startedAtMs":0}`, i, i+1, i)
+	}
+	text.WriteString(`]}`)
+	all := []byte(text.String())
+	b.SetBytes(int64(len(all)))
+	b.ReportAllocs()
+	for b.Loop() {
+		r := &Reader{MaxSize: 1 << 30, MaxList: 1 << 30, Entry: func(*fastjson.Value) error { return nil }}
+		if err := errors.Join(r.Feed(all), r.End()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/sleep.go
+++ b/sleep.go
@@ -89,7 +89,9 @@
 		if !routes[r] && len(s.Routes) == 1 {
 			c.recall(r, s.Routes[0], ev.Slept)
 		}
-		r.carefulUntil = c.now + ev.Caution.Careful
+		if ev.Caution.Careful > 0 { // the first call counts, also before a limit is known
+			r.carefulUntil, r.bucket = c.now+ev.Caution.Careful, bucket{tokens: 1, at: c.now, begun: true}
+		}
 	}
 	for _, e := range d.eps {
 		if e.state == up && ev.Caution.Cold {
--- /dev/null
+++ b/sleep_test.go
@@ -0,0 +1,254 @@
+package snowjunction
+
+import (
+	"testing"
+	"time"
+)
+
+// rested is a courier with one destination of two endpoints, of which the first
+// has served a call and told its limit.
+func rested(t *testing.T) *Courier {
+	t.Helper()
+	s := sleepSettings()
+	c, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Handle(0, []Event{Wake{Destination: 1, Endpoints: []Endpoint{
+		{ID: 1, Destination: 1, Phase: Ready}, {ID: 2, Destination: 1, Phase: Ready},
+	}}, Request{ID: 1, Destination: 1, Class: 1, Deadline: 8 * time.Second}})
+	return c
+}
+
+func sleepSettings() Settings {
+	return Settings{
+		Seed: 1, Fleet: 1, Tick: 5 * time.Millisecond, Slots: 8, MaxAttempts: 6, RetryAfter: true, MaxRetry: 3 * time.Second,
+		ConnectTimeout: time.Second, WarmUp: 14 * time.Second, ColdShare: 0.2, FallMultiple: 2, FallTime: 1500 * time.Millisecond,
+		Report: []ReportField{AllowanceLeft, LimitRate},
+		Classes: []Class{
+			{Name: "order", Effect: Keyed, Window: 5 * time.Second, Aim: 3 * time.Second, Deadline: 20 * time.Second, Worth: 1, InOrder: true},
+			{Name: "status", Aim: 1500 * time.Millisecond, Deadline: 8 * time.Second, Worth: 2, LateShare: .1},
+		},
+	}
+}
+
+func asleep(t *testing.T, actions []Action) Asleep {
+	t.Helper()
+	for _, a := range actions {
+		if a, ok := a.(Asleep); ok {
+			return a
+		}
+	}
+	t.Fatal("no answer to Sleep")
+	return Asleep{}
+}
+
+// A destination with a call out stays; one without is handed out whole and
+// leaves nothing behind.
+func TestSleepHandsOut(t *testing.T) {
+	c := rested(t)
+	if a := asleep(t, c.Handle(10*time.Millisecond, []Event{Sleep{1}})); !a.Busy || a.State != nil {
+		t.Errorf("with a call out: %+v", a)
+	}
+	c.Handle(200*time.Millisecond, []Event{AttemptEnded{
+		Request: 1, Endpoint: 1, Outcome: OK, Took: 200 * time.Millisecond, Report: []float64{.5, 4}, Done: true,
+	}})
+	a := asleep(t, c.Handle(time.Second, []Event{Sleep{1}}))
+	if a.Busy || a.State == nil || len(a.State.Routes) != 1 || len(a.State.EndpointsSeen) != 2 {
+		t.Fatalf("%+v", a)
+	}
+	if r := a.State.Routes[0]; r.Limit != 4 || a.State.Recent == 0 || a.State.First != 1 {
+		t.Errorf("%+v", a.State)
+	}
+	if len(c.dests)+len(c.eps)+len(c.order)+len(c.active)+len(c.reqs)+len(c.held) != 0 {
+		t.Errorf("left behind: %d %d %d %d", len(c.dests), len(c.eps), len(c.order), len(c.active))
+	}
+	if a := asleep(t, c.Handle(2*time.Second, []Event{Sleep{1}})); a.Busy || a.State != nil {
+		t.Errorf("one that is not known: %+v", a)
+	}
+}
+
+// A told wait goes on through sleep, whatever has become of the endpoints.
+func TestToldWaitOutlastsSleep(t *testing.T) {
+	for name, ids := range map[string][2]EndpointID{"same": {1, 2}, "replaced": {7, 8}} {
+		c := rested(t)
+		c.Handle(100*time.Millisecond, []Event{AttemptEnded{
+			Request: 1, Endpoint: 1, Outcome: Full, Took: 100 * time.Millisecond, Wait: 5 * time.Second, Report: []float64{0, 4},
+		}, Withdrawn{1}})
+		a := asleep(t, c.Handle(200*time.Millisecond, []Event{Sleep{1}}))
+		if a.State == nil {
+			t.Fatalf("%s: %+v", name, a)
+		}
+		at := 2 * time.Second
+		events := []Event{Wake{
+			Destination: 1, State: a.State, Slept: at - 200*time.Millisecond,
+			Endpoints: []Endpoint{{ID: ids[0], Destination: 1, Phase: Ready}, {ID: ids[1], Destination: 1, Phase: Ready}},
+		}, Request{ID: 2, Destination: 1, Class: 1, Deadline: 8 * time.Second}}
+		for ; at < 5*time.Second; at += 50 * time.Millisecond {
+			if n := sends(c.Handle(at, events)); len(n) > 0 {
+				t.Fatalf("%s: sent at %v, the wait ends at 5.1 s", name, at)
+			}
+			events = nil
+		}
+		sent := 0
+		for ; at < 8*time.Second && sent == 0; at += 50 * time.Millisecond {
+			sent = len(sends(c.Handle(at, nil)))
+		}
+		if sent != 1 {
+			t.Errorf("%s: %d sent after the wait", name, sent)
+		}
+	}
+}
+
+// A wait outlasts a time without any endpoint, too.
+func TestToldWaitWithoutEndpoints(t *testing.T) {
+	c := rested(t)
+	c.Handle(100*time.Millisecond, []Event{AttemptEnded{Request: 1, Endpoint: 1, Outcome: Full, Took: time.Millisecond, Wait: 5 * time.Second}, Withdrawn{1}})
+	a := asleep(t, c.Handle(200*time.Millisecond, []Event{Sleep{1}}))
+	c.Handle(time.Second, []Event{Wake{Destination: 1, State: a.State, Slept: 800 * time.Millisecond},
+		Request{ID: 2, Destination: 1, Class: 1, Deadline: 8 * time.Second}})
+	if n := len(sends(c.Handle(1100*time.Millisecond, []Event{List{Kind: ListDelta, Endpoints: []Endpoint{{ID: 9, Destination: 1, Phase: Ready}}}}))); n != 0 {
+		t.Error("sent in a told wait to an endpoint that was listed after it")
+	}
+}
+
+// What the ledger has spent is spent after a sleep too, until the window has
+// gone by.
+func TestLedgerOutlastsSleep(t *testing.T) {
+	c := rested(t)
+	c.dests[1].repeats.add(0, 5)
+	c.Handle(100*time.Millisecond, []Event{AttemptEnded{Request: 1, Endpoint: 1, Outcome: OK, Took: time.Millisecond, Done: true}})
+	a := asleep(t, c.Handle(200*time.Millisecond, []Event{Sleep{1}}))
+	if a.State.Repeats != 5 {
+		t.Fatalf("%+v", a.State)
+	}
+	c.Handle(5*time.Second, []Event{Wake{Destination: 1, State: a.State, Slept: 5 * time.Second}})
+	if got := c.dests[1].repeats.sum(c.now); got != 5 {
+		t.Errorf("repeats: %v", got)
+	}
+	if got := c.dests[1].first.sum(c.now); got > 0.6 {
+		t.Errorf("first sends must not count longer than they do awake: %v", got)
+	}
+	asleep(t, c.Handle(6*time.Second, []Event{Sleep{1}}))
+	c.Handle(30*time.Second, []Event{Wake{Destination: 1, State: a.State, Slept: 24 * time.Second}})
+	if got := c.dests[1].repeats.sum(c.now); got != 0 {
+		t.Errorf("repeats of long ago: %v", got)
+	}
+}
+
+// An outage that was on when it fell asleep is on when it wakes: one trial goes,
+// and only where it may be lost.
+func TestOutageOutlastsSleep(t *testing.T) {
+	c := rested(t)
+	c.Handle(2*time.Second, []Event{AttemptEnded{Request: 1, Endpoint: 1, Outcome: TimedOut, Took: 2 * time.Second}, Withdrawn{1}})
+	for _, e := range c.eps {
+		c.turn(e, down, "", "")
+	}
+	a := asleep(t, c.Handle(3*time.Second, []Event{Sleep{1}}))
+	events := []Event{Wake{
+		Destination: 1, State: a.State, Slept: time.Minute,
+		Endpoints: []Endpoint{{ID: 1, Destination: 1, Phase: Ready}, {ID: 2, Destination: 1, Phase: Ready}},
+	}}
+	for i := range RequestID(6) {
+		events = append(events, Request{ID: 10 + i, Destination: 1, Class: 1, Deadline: 8 * time.Second})
+	}
+	if n := len(sends(c.Handle(63*time.Second, events))); n != 1 {
+		t.Errorf("%d sent to a destination that was down", n)
+	}
+}
+
+// play runs a woken destination with a partner that lets so many calls through
+// in each span and answers after a while. It returns the most calls in a span,
+// how many were refused, and when the last of n was delivered.
+func play(t *testing.T, state *State, caution Caution, n, limit int, span, latency time.Duration) (most, refused int, last time.Duration) {
+	t.Helper()
+	s := sleepSettings()
+	s.Slots = 32
+	c, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := []Event{Wake{
+		Destination: 1, State: state, Slept: time.Hour, Caution: caution,
+		Endpoints: []Endpoint{{ID: 1, Destination: 1, Phase: Ready}},
+	}}
+	for i := range n {
+		events = append(events, Request{ID: RequestID(i + 1), Destination: 1, Class: 0, Deadline: 20 * time.Second})
+	}
+	type out struct {
+		at time.Duration
+		ev AttemptEnded
+	}
+	var coming []out
+	attempts, spans, delivered := map[RequestID]int{}, map[int64]int{}, 0
+	for now := time.Duration(0); now < 20*time.Second && delivered < n; now += s.Tick {
+		for len(coming) > 0 && coming[0].at <= now {
+			coming[0].ev.Took = latency
+			events, coming = append(events, coming[0].ev), coming[1:]
+		}
+		for _, a := range c.Handle(now, events) {
+			send, ok := a.(Send)
+			if !ok {
+				continue
+			}
+			in := int64(now / span)
+			spans[in]++
+			most = max(most, spans[in])
+			ev := AttemptEnded{
+				Request: send.Request, Endpoint: 1, Attempt: attempts[send.Request], Outcome: OK, Done: true,
+				Report: []float64{max(0, 1-float64(spans[in])/float64(limit)), float64(limit) / span.Seconds()},
+			}
+			if spans[in] > limit {
+				ev.Outcome, ev.Done = Full, false
+				refused++
+			} else {
+				delivered++
+				last = now + latency
+			}
+			attempts[send.Request]++
+			coming = append(coming, out{now + latency, ev})
+		}
+		events = nil
+	}
+	if delivered < n {
+		t.Errorf("%d of %d delivered in 20 s", delivered, n)
+	}
+	return most, refused, last
+}
+
+// The clump that wakes a destination does not push it past its limit, whatever
+// is believed of that, and is delivered as fast as the limit nearly allows.
+func TestClumpThatWakes(t *testing.T) {
+	caution := Caution{Window: 1, Cold: true, Careful: 14 * time.Second}
+	known := func(limit float64) *State {
+		return &State{Recent: .2, Best: .2, Peak: limit, Window: 8, Routes: []RouteState{{Limit: limit, Left: 1}}, EndpointsSeen: []EndpointState{{ID: 1}}}
+	}
+	for _, tc := range []struct {
+		name    string
+		state   *State
+		caution Caution
+		limit   int
+		span    time.Duration
+	}{
+		{"limit as it was", known(4), caution, 4, time.Second},
+		{"cut to a third", known(12), caution, 4, time.Second},
+		{"cut to a tenth", known(20), caution, 2, time.Second},
+		{"grown", known(2), caution, 6, time.Second},
+		{"long spans", known(6), caution, 12, 2 * time.Second},
+		{"nothing known", nil, Caution{Window: 1, Careful: 14 * time.Second}, 3, time.Second},
+	} {
+		rate := float64(tc.limit) / tc.span.Seconds()
+		n := int(3 * rate)
+		most, refused, last := play(t, tc.state, tc.caution, n, tc.limit, tc.span, 200*time.Millisecond)
+		if most > tc.limit || refused > 0 {
+			t.Errorf("%s: %d calls in a span, %d allowed; %d refused", tc.name, most, tc.limit, refused)
+		}
+		if last > 12*time.Second {
+			t.Errorf("%s: three seconds of its limit took %v", tc.name, last)
+		}
+	}
+	// Without caution the same clump does push it over: the test can fail.
+	if most, _, _ := play(t, known(12), Caution{}, 12, 4, time.Second, 200*time.Millisecond); most <= 4 {
+		t.Errorf("without caution %d calls in a span: this shows nothing", most)
+	}
+}
