--- /dev/null
+++ b/internal/plugin/breaker/breaker_test.go
@@ -0,0 +1,122 @@
+package breaker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func config() Config {
+	return Config{Window: 10, Failures: 4, Row: 3, Trials: 2, Rest: time.Second, RestMost: 4 * time.Second, Forgive: time.Minute}
+}
+
+// run makes calls in turn, one a millisecond, and returns how many were let
+// through.
+func run(b *Breaker, now time.Duration, outcomes ...bool) (through int) {
+	for i, ok := range outcomes {
+		at := now + time.Duration(i)*time.Millisecond
+		if t, allowed := b.Allow(at); allowed {
+			through++
+			b.Done(at, t, ok)
+		}
+	}
+	return through
+}
+
+func TestOpensAfterARow(t *testing.T) {
+	b := New(config())
+	assert.Equal(t, 4, run(b, 0, true, false, true, true))
+	assert.Equal(t, Closed, b.State(time.Millisecond))
+	assert.Equal(t, 3, run(b, 10*time.Millisecond, false, false, false, true, true), "the others pass it by")
+	assert.Equal(t, Open, b.State(20*time.Millisecond))
+}
+
+// Failures between good calls open it, too, but not those of long ago.
+func TestOpensByShare(t *testing.T) {
+	b := New(config())
+	run(b, 0, false, true, false, true, false, true)
+	assert.Equal(t, Closed, b.State(0))
+	run(b, 0, true, true, true, true, true, true, true, true, true, true, false, true, false, true, false)
+	assert.Equal(t, Closed, b.State(0))
+	run(b, 0, true, false)
+	assert.Equal(t, Open, b.State(0))
+}
+
+// The way back: one trial at a time, two good ones close it, a bad one opens it
+// for twice as long, up to a bound; after a good while it begins anew.
+func TestWayBack(t *testing.T) {
+	b := New(config())
+	now := time.Duration(0)
+	for _, rest := range []time.Duration{1, 2, 4, 4} {
+		run(b, now, false, false, false)
+		require.Equal(t, Open, b.State(now+2*time.Millisecond))
+		began := b.Until() - rest*time.Second
+		require.LessOrEqual(t, began, now+2*time.Millisecond)
+		_, ok := b.Allow(b.Until() - 1)
+		require.False(t, ok)
+		now = b.Until()
+		require.Equal(t, HalfOpen, b.State(now))
+	}
+	first, ok := b.Allow(now)
+	require.True(t, ok)
+	_, ok = b.Allow(now)
+	require.False(t, ok, "one at a time")
+	assert.False(t, b.Done(now, first, true))
+	second, _ := b.Allow(now)
+	assert.True(t, b.Done(now, second, true))
+	require.Equal(t, Closed, b.State(now))
+	run(b, now+30*time.Second, true, false, false, false)
+	assert.Equal(t, now+30*time.Second+3*time.Millisecond+4*time.Second, b.Until(), "not yet forgiven")
+	now = b.Until()
+	run(b, now, true, true)
+	run(b, now+2*time.Minute, true, false, false, false)
+	assert.Equal(t, now+2*time.Minute+3*time.Millisecond+time.Second, b.Until())
+}
+
+// Calls that were out when it opened say nothing later.
+func TestLateOutcomes(t *testing.T) {
+	b := New(config())
+	late, _ := b.Allow(0)
+	run(b, 0, false, false, false)
+	until := b.Until()
+	assert.False(t, b.Done(0, late, false))
+	assert.Equal(t, until, b.Until())
+	trial, _ := b.Allow(until)
+	assert.False(t, b.Done(until, late, true), "nor is it a trial")
+	assert.True(t, b.Done(until, trial, false))
+}
+
+// Whatever happens, it always lets a call through again after its rest, and
+// never more than one at a time until trials have gone well.
+func TestNeverStuck(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, now := New(config()), time.Duration(0)
+		var out []Ticket
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+			if k, ok := b.Allow(now); ok {
+				out = append(out, k)
+			}
+			trials := 0
+			for _, k := range out {
+				if k.trial && k.epoch == b.epoch {
+					trials++
+				}
+			}
+			require.LessOrEqual(t, trials, 1)
+			if len(out) > 0 && rapid.Bool().Draw(t, "done") {
+				i := rapid.IntRange(0, len(out)-1).Draw(t, "which")
+				b.Done(now, out[i], rapid.Bool().Draw(t, "ok"))
+				out = append(out[:i:i], out[i+1:]...)
+			}
+		}
+		for _, k := range out {
+			b.Done(now, k, true)
+		}
+		_, ok := b.Allow(now + config().RestMost)
+		require.True(t, ok)
+	})
+}
--- /dev/null
+++ b/internal/plugin/engine/starlark.go
@@ -0,0 +1,153 @@
+package engine
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"strings"
+
+	starjson "go.starlark.net/lib/json"
+	"go.starlark.net/starlark"
+	"go.starlark.net/starlarkstruct"
+	"go.starlark.net/syntax"
+
+	"snowjunction/internal/plugin/manifest"
+)
+
+// script is a Starlark script: a function for each hook, which gets the call and
+// returns None or a dict.
+type script struct {
+	m     *manifest.Manifest
+	host  Host
+	hooks map[manifest.Hook]*starlark.Function
+}
+
+func openStarlark(m *manifest.Manifest, h Host) (Engine, error) {
+	s := &script{m: m, host: h, hooks: map[manifest.Hook]*starlark.Function{}}
+	predeclared := starlark.StringDict{
+		"json": starjson.Module,
+		"recall": starlark.NewBuiltin("recall", func(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
+			var key string
+			if err := starlark.UnpackPositionalArgs(b.Name(), args, kwargs, 1, &key); err != nil {
+				return nil, err
+			}
+			v, ok := h.Get(key)
+			if !ok {
+				return starlark.None, nil
+			}
+			return starlark.String(v), nil
+		}),
+		"keep": starlark.NewBuiltin("keep", func(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
+			var key, value string
+			if err := starlark.UnpackPositionalArgs(b.Name(), args, kwargs, 2, &key, &value); err != nil {
+				return nil, err
+			}
+			return starlark.Bool(h.Set(key, value)), nil
+		}),
+	}
+	thread := s.thread(context.Background())
+	globals, err := starlark.ExecFileOptions(&syntax.FileOptions{}, thread, m.Code, m.Text, predeclared)
+	if err != nil {
+		return nil, s.reason(context.Background(), err)
+	}
+	globals.Freeze()
+	for _, hook := range m.Hooks {
+		f, ok := globals[string(hook)].(*starlark.Function)
+		if !ok || f.NumParams() != 1 {
+			return nil, fmt.Errorf("%s: it must define %s(call)", m.Code, hook)
+		}
+		s.hooks[hook] = f
+	}
+	return s, nil
+}
+
+func (s *script) thread(ctx context.Context) *starlark.Thread {
+	t := &starlark.Thread{Name: s.m.Name, Print: func(_ *starlark.Thread, text string) { s.host.Log(text) }}
+	t.SetMaxExecutionSteps(uint64(s.m.Budget.Steps))
+	if ctx.Done() != nil {
+		stop := context.AfterFunc(ctx, func() { t.Cancel("time") })
+		t.SetLocal("stop", stop)
+	}
+	return t
+}
+
+func (s *script) reason(ctx context.Context, err error) error {
+	text := err.Error()
+	switch {
+	case ctx.Err() != nil:
+		return ErrTime
+	case strings.Contains(text, "too many steps"):
+		return ErrSteps
+	}
+	if e, ok := err.(*starlark.EvalError); ok {
+		text = e.Msg
+	}
+	return fmt.Errorf("%w: %s", ErrTrap, text)
+}
+
+func (s *script) Call(ctx context.Context, h manifest.Hook, call []byte) (out []byte, err error) {
+	f := s.hooks[h]
+	if f == nil {
+		return nil, fmt.Errorf("%w: no hook %s", ErrForm, h)
+	}
+	t := s.thread(ctx)
+	defer func() {
+		if stop, ok := t.Local("stop").(func() bool); ok {
+			stop()
+		}
+		if r := recover(); r != nil {
+			err = fmt.Errorf("%w: %v", ErrTrap, r)
+		}
+	}()
+	arg, err := starlark.Call(t, starjson.Module.Members["decode"], starlark.Tuple{starlark.String(call)}, nil)
+	if err != nil {
+		return nil, s.reason(ctx, err)
+	}
+	v, err := starlark.Call(t, f, starlark.Tuple{fields(arg)}, nil)
+	if err != nil {
+		return nil, s.reason(ctx, err)
+	}
+	switch v := v.(type) {
+	case starlark.NoneType:
+		return []byte("{}"), nil
+	case *starlark.Dict:
+		if b, ok, _ := v.Get(starlark.String("body")); ok {
+			if raw, ok := b.(starlark.Bytes); ok {
+				text := starlark.String(base64.StdEncoding.EncodeToString([]byte(raw)))
+				if err := v.SetKey(starlark.String("body"), text); err != nil {
+					return nil, fmt.Errorf("%w: %v", ErrForm, err)
+				}
+			}
+		}
+		text, err := starlark.Call(t, starjson.Module.Members["encode"], starlark.Tuple{v}, nil)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %v", ErrForm, err)
+		}
+		if s, _ := starlark.AsString(text); len(s) <= answerMost {
+			return []byte(s), nil
+		}
+		return nil, fmt.Errorf("%w: over %d bytes", ErrForm, answerMost)
+	}
+	return nil, fmt.Errorf("%w: %s returns a %s, not None or a dict", ErrForm, h, v.Type())
+}
+
+// fields makes the call's members attributes, and its body bytes.
+func fields(v starlark.Value) starlark.Value {
+	d, ok := v.(*starlark.Dict)
+	if !ok {
+		return v
+	}
+	members := starlark.StringDict{}
+	for _, kv := range d.Items() {
+		key, _ := starlark.AsString(kv[0])
+		members[key] = kv[1]
+		if text, ok := starlark.AsString(kv[1]); ok && key == "body" {
+			if raw, err := base64.StdEncoding.DecodeString(text); err == nil {
+				members[key] = starlark.Bytes(raw)
+			}
+		}
+	}
+	return starlarkstruct.FromStringDict(starlarkstruct.Default, members)
+}
+
+func (s *script) Close() {}
--- /dev/null
+++ b/internal/standin/farm_test.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/standin/partner"
+)
+
+func farm(t *testing.T, specs ...Spec) *Farm {
+	f, err := NewFarm(specs)
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
+// client speaks one version of HTTP, the second with prior knowledge.
+func client(t *testing.T, two bool) *http.Client {
+	var p http.Protocols
+	p.SetHTTP1(!two)
+	p.SetUnencryptedHTTP2(two)
+	tr := &http.Transport{Protocols: &p}
+	t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr}
+}
+
+func call(t *testing.T, c *http.Client, addr, id string, body []byte) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/inbox", strings.NewReader(string(body)))
+	require.NoError(t, err)
+	r.Header.Set("X-Request-ID", id)
+	a, err := c.Do(r)
+	if err == nil {
+		a.Body.Close()
+	}
+	return a, err
+}
+
+// Both versions of HTTP meet the same partner, whose endpoints share its limit.
+func TestFarm(t *testing.T) {
+	f := farm(t, Spec{Destination: 4, Endpoints: 2, Profile: partner.Profile{Limit: 3.0 / 4096, Span: 4096 * time.Second, Tells: 1, Report: true}})
+	ends := f.Endpoints()
+	require.Len(t, ends, 2)
+	for i, c := range []*http.Client{client(t, false), client(t, true), client(t, false), client(t, true)} {
+		a, err := call(t, c, ends[i%2].Addr, fmt.Sprint(i), Body(9, uint64(i+1), time.Now().Add(time.Hour)))
+		require.NoError(t, err)
+		if i < 3 {
+			assert.Equal(t, 200, a.StatusCode)
+			assert.Equal(t, fmt.Sprintf("x0=%.3f,x1=%g", 1-float64(i+1)/3, 3.0/4096), a.Header.Get("X-Server-Load"))
+			continue
+		}
+		assert.Equal(t, 429, a.StatusCode)
+		assert.NotEmpty(t, a.Header.Get("X-RateLimit-Wait-Ms"))
+	}
+	r := f.Obey(Order{Do: "stats"})
+	assert.Equal(t, 3, r.Counts[4].Delivered)
+	assert.Zero(t, r.Counts[4].OutOfOrder+r.Counts[4].Copies+r.Counts[4].Late)
+	r = f.Obey(Order{Do: "seen", IDs: []Ask{{4, "0"}, {4, "3"}, {5, "0"}}})
+	assert.Equal(t, []bool{true, false, false}, r.Seen)
+}
+
+// A broken connection is one in both versions, and nothing is delivered then.
+func TestFarmBreaks(t *testing.T) {
+	f := farm(t, Spec{Destination: 1, Endpoints: 1})
+	require.Empty(t, f.Obey(Order{Do: "fault", From: 1, Fault: partner.Reset, For: time.Hour}).Error)
+	for i, two := range []bool{false, true} {
+		_, err := call(t, client(t, two), f.Endpoints()[0].Addr, fmt.Sprint(i), nil)
+		assert.Error(t, err)
+	}
+	r := f.Obey(Order{Do: "stats"})
+	assert.Equal(t, [2]int{2, 0}, [2]int{r.Counts[1].Calls, r.Counts[1].Delivered})
+	assert.NotEmpty(t, f.Obey(Order{Do: "chill", From: 7}).Error, "no such partner")
+	assert.NotEmpty(t, f.Obey(Order{Do: "dance"}).Error)
+}
+
+// A partner that is silent holds the call until its caller gives up.
+func TestFarmIsSilent(t *testing.T) {
+	f := farm(t, Spec{Destination: 1, Endpoints: 1})
+	f.Obey(Order{Do: "fault", From: 1, Fault: partner.Silent, For: time.Hour})
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Endpoints()[0].Addr+"/inbox", nil)
+	require.NoError(t, err)
+	r.Header.Set("X-Request-ID", "a")
+	done := make(chan error, 1)
+	go func() {
+		a, err := client(t, false).Do(r)
+		if err == nil {
+			a.Body.Close()
+		}
+		done <- err
+	}()
+	for f.Obey(Order{Do: "stats"}).Counts[1].Calls == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	select {
+	case err := <-done:
+		t.Fatalf("an answer: %v", err)
+	default:
+	}
+	cancel()
+	assert.Error(t, <-done)
+}
+
+func get(t *testing.T, c *http.Client, url string) string {
+	a, err := c.Get(url)
+	require.NoError(t, err)
+	defer a.Body.Close()
+	var b strings.Builder
+	_, err = fmt.Fprint(&b, a.StatusCode, " ")
+	require.NoError(t, err)
+	buf := make([]byte, 1<<16)
+	for {
+		n, err := a.Body.Read(buf)
+		b.Write(buf[:n])
+		if err != nil {
+			return b.String()
+		}
+	}
+}
+
+// The directory tells the whole list, then what changes, and the whole list to
+// whoever has missed too much.
+func TestDirectory(t *testing.T) {
+	list := List([]Endpoint{{"a", "127.0.0.1:1", 1, false}, {"b", "127.0.0.1:2", 1, false}})
+	d, err := NewDirectory(list)
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	c, url := client(t, false), "http://"+d.Addr()+"/discovery/hosts"
+	assert.Contains(t, get(t, c, url), `"generation":1`)
+	gone := list[0]
+	gone.Lifecycle = "Gone"
+	moved := list[1]
+	moved.HostPort = "127.0.0.1:3"
+	d.Change(gone)
+	d.Change(moved)
+	text := get(t, c, url+"?after=1&wait_ms=20000")
+	assert.Contains(t, text, `"generation":3`)
+	assert.Contains(t, text, `"reset":false`)
+	assert.Equal(t, 1, strings.Count(text, `"instanceId":"a"`))
+	assert.NotContains(t, get(t, c, url), `"instanceId":"a"`, "it has left the list")
+	assert.EqualValues(t, 1, d.Heard())
+	assert.Contains(t, get(t, c, url+"?after=3&wait_ms=1"), `"instances":[]`, "nothing has changed")
+	assert.Contains(t, get(t, c, url+"?after=99&wait_ms=1"), `"reset":true`, "another directory's generation")
+	waiting := make(chan string, 1)
+	go func() { waiting <- get(t, client(t, false), url+"?after=3&wait_ms=20000") }()
+	for d.Heard() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	d.Replace(list)
+	assert.Contains(t, <-waiting, `"reset":true`)
+
+	a, err := c.Post("http://"+d.Addr()+"/v1/outcomes", "application/json", strings.NewReader("{\"id\":\"m\",\"state\":\"failed\"}\n"))
+	require.NoError(t, err)
+	a.Body.Close()
+	assert.Equal(t, 204, a.StatusCode)
+	assert.Equal(t, map[string][]Notice{"m": {{ID: "m", State: "failed"}}}, d.Notices())
+	a, err = c.Post("http://"+d.Addr()+"/v1/outcomes", "application/json", strings.NewReader("nonsense"))
+	require.NoError(t, err)
+	a.Body.Close()
+	assert.Equal(t, 400, a.StatusCode)
+}
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,45 @@
+package load
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"snowjunction/internal/standin"
+)
+
+// The account must see what it is there for: a message without an end, one with
+// two, and ends that contradict each other.
+func TestAccount(t *testing.T) {
+	c := New("", "")
+	for id, v := range map[string]Verdict{
+		"delivered": Taken, "lost": Taken, "both": Taken, "given": Taken, "returned": Taken, "torn": Taken, "repeated": Taken,
+		"refused": Refused, "failed": Failed, "unheard": Unheard,
+	} {
+		c.Sent = append(c.Sent, Message{ID: id, Destination: 1})
+		c.Heard[id] = v
+	}
+	notice := func(id string, states ...string) (n []standin.Notice) {
+		for _, s := range states {
+			n = append(n, standin.Notice{ID: id, State: s})
+		}
+		return n
+	}
+	e := c.Account(func(_ uint32, id string) bool { return id == "delivered" || id == "both" }, map[string][]standin.Notice{
+		"both": notice("both", "failed"), "given": notice("given", "failed"), "returned": notice("returned", "returned"),
+		"torn": notice("torn", "failed", "returned"), "repeated": notice("repeated", "failed", "failed"),
+	}, nil)
+	assert.Equal(t, Ends{
+		Handed: 10, Taken: 7, Refused: 1, Failed: 1, Unheard: 1, Delivered: 1, Returned: 1, Given: 2, Open: 1, Doubled: 2,
+	}, e)
+	assert.Equal(t, 1, c.Account(func(uint32, string) bool { return true }, nil, func(m Message) bool { return m.ID == "lost" }).Delivered)
+}
+
+func TestVerdicts(t *testing.T) {
+	for line, want := range map[string]Verdict{"+OK": Taken, "-BUSY": Refused, "-BUSY 250": Refused, "-ERR no": Failed, "$2": Failed} {
+		v, after, err := verdict(line)
+		assert.NoError(t, err)
+		assert.Equal(t, want, v, line)
+		assert.Equal(t, line == "-BUSY 250", after > 0)
+	}
+}
