--- a/cmd/snowjunction/idle_test.go
+++ b/cmd/snowjunction/idle_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"snowjunction/internal/rig"
 	"snowjunction/internal/scenario"
 	"snowjunction/internal/standin"
 	"snowjunction/internal/standin/load"
@@ -33,10 +34,16 @@
 // newStage starts partners, which answer quickly, and a courier that listens to
 // the directory alone. What idle says goes into the file for idle destinations.
 func newStage(t *testing.T, partners int, idle map[string]any) *stage {
+	return newStageWith(t, partners, idle, func(*stage) {}, false)
+}
+
+// newStageWith has more done before the courier starts; with push, every other
+// partner speaks HTTP/2 and stands behind the push front.
+func newStageWith(t *testing.T, partners int, idle map[string]any, before func(*stage), push bool) *stage {
 	s := &stage{Courier: scenario.NewCourier(t), t: t}
 	var specs []standin.Spec
 	for i := range partners {
-		specs = append(specs, standin.Spec{Destination: uint32(i + 1), Endpoints: 2, Profile: partner.Profile{
+		specs = append(specs, standin.Spec{Destination: uint32(i + 1), Endpoints: 2, HTTP2: push && i%2 == 1, Profile: partner.Profile{
 			Limit: 50, Report: true, Latency: 5 * time.Millisecond, Tells: 1,
 		}})
 	}
@@ -44,7 +51,23 @@
 	s.farm, err = standin.NewFarm(specs)
 	require.NoError(t, err)
 	t.Cleanup(s.farm.Close)
-	s.list = standin.List(s.farm.Endpoints())
+	var pushed []standin.Endpoint
+	for _, e := range s.farm.Endpoints() {
+		if e.HTTP2 {
+			pushed = append(pushed, e)
+		} else {
+			s.list = append(s.list, standin.List([]standin.Endpoint{e})...)
+		}
+	}
+	if push {
+		file, err := rig.PushFile(s.Dir(), standin.List(pushed))
+		require.NoError(t, err)
+		b, err := json.Marshal(file)
+		require.NoError(t, err)
+		path := filepath.Join(s.Dir(), "push.json")
+		require.NoError(t, os.WriteFile(path, b, 0o600))
+		s.Env = append(s.Env, "SNOWJUNCTION_PUSH="+path)
+	}
 	s.directory, err = standin.NewDirectory(s.list)
 	require.NoError(t, err)
 	t.Cleanup(s.directory.Close)
@@ -52,6 +75,7 @@
 	s.idle = filepath.Join(s.Dir(), "idle.json")
 	s.configure(idle)
 	s.Env = append(s.Env, "SNOWJUNCTION_IDLE="+s.idle)
+	before(s)
 	s.start()
 	return s
 }
@@ -64,7 +88,7 @@
 
 func (s *stage) start() {
 	require.NoError(s.t, s.Start())
-	s.client = load.New(s.Play.Name("client"), "")
+	s.client = load.New(s.Play.Name("client"), s.Play.Name("push"))
 	s.t.Cleanup(s.client.Close)
 	g := s.directory.Replace(s.list) // the configuration's list is empty, and of the first generation
 	s.until("the list", func() bool { return s.directory.Heard() >= g })
--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -41,7 +41,7 @@
 }
 
 func (g globals) options() daemon.Options {
-	o := daemon.Options{Env: os.Getenv, Log: os.Stderr, LogFormat: g.LogFormat}
+	o := daemon.Options{Env: os.Getenv, Log: os.Stderr, LogFormat: g.LogFormat, Host: hostCommand()}
 	_ = o.LogLevel.UnmarshalText([]byte(g.LogLevel)) // kong has checked it
 	return o
 }
@@ -49,12 +49,14 @@
 type commandLine struct {
 	globals
 
-	Run     runCommand     `cmd:"" default:"1" help:"Run the courier; the default."`
-	Check   checkCommand   `cmd:"" help:"Read all configuration and operator files and print a line for each mistake."`
-	Demo    demoCommand    `cmd:"" help:"Play a courier against stand-in partners on loopback; exit 0 only if every message has its one end."`
-	Standin standinCommand `cmd:"" help:"Serve stand-in partners and a directory on loopback until told to end."`
-	Measure measureCommand `cmd:"" help:"Measure a courier in a process of its own; takes minutes."`
-	Version versionCommand `cmd:"" help:"Print what this program is built from."`
+	Run     runCommand      `cmd:"" default:"1" help:"Run the courier; the default."`
+	Check   checkCommand    `cmd:"" help:"Read all configuration and operator files and print a line for each mistake."`
+	Demo    demoCommand     `cmd:"" help:"Play a courier against stand-in partners on loopback; exit 0 only if every message has its one end."`
+	Standin standinCommand  `cmd:"" help:"Serve stand-in partners and a directory on loopback until told to end."`
+	Measure measureCommand  `cmd:"" help:"Measure a courier in a process of its own; takes minutes."`
+	Plugin  pluginCommand   `cmd:"" help:"Make, check and try plug-ins."`
+	Host    hostCommandLine `cmd:"" name:"plugin-host" hidden:""`
+	Version versionCommand  `cmd:"" help:"Print what this program is built from."`
 }
 
 type runCommand struct{}
@@ -103,7 +105,17 @@
 func (s standinCommand) Run() error { return standin.Serve(s.Population, os.Stdin, os.Stdout) }
 
 type measureCommand struct {
-	Idle idleCommand `cmd:"" help:"What idle destinations cost, and how they wake."`
+	Idle    idleCommand    `cmd:"" help:"What idle destinations cost, and how they wake."`
+	Plugins pluginsCommand `cmd:"" help:"What plug-ins cost, and what a looping one does to other flows."`
+}
+
+type pluginsCommand struct{ measure.Plugins }
+
+func (m pluginsCommand) Run() (err error) {
+	if m.Exe, err = os.Executable(); err == nil {
+		_, err = m.Plugins.Run(os.Stdout)
+	}
+	return err
 }
 
 type idleCommand struct{ measure.Idle }
--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -15,7 +15,8 @@
 
 // The test binary is the courier when it is told so.
 func TestMain(m *testing.M) {
-	if os.Getenv(scenario.RunAs) == "1" {
+	host := len(os.Args) > 1 && os.Args[1] == "plugin-host" // whose environment is empty
+	if os.Getenv(scenario.RunAs) == "1" || host {
 		main()
 		return
 	}
--- /dev/null
+++ b/cmd/snowjunction/plugin_test.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/standin/load"
+	"snowjunction/internal/standin/partner"
+)
+
+// writePlugin writes a Starlark plug-in into a folder.
+func writePlugin(t *testing.T, folder, name string, manifest map[string]any, code string) {
+	dir := filepath.Join(folder, name)
+	require.NoError(t, os.MkdirAll(dir, 0o700))
+	m := map[string]any{"name": name, "version": "1", "protocol": 1, "engine": "starlark", "code": "p.star"}
+	for k, v := range manifest {
+		m[k] = v
+	}
+	b, err := json.Marshal(m)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "manifest.json"), b, 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "p.star"), []byte(code), 0o600))
+}
+
+// withPlugins has a courier read its plug-ins from a folder.
+func withPlugins(t *testing.T, dir, folder string) string {
+	file := filepath.Join(dir, "plugins.json")
+	b, err := json.Marshal(map[string]any{"folder": folder})
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(file, b, 0o600))
+	return "SNOWJUNCTION_PLUGINS=" + file
+}
+
+func sees(destinations ...int) map[string]any { return map[string]any{"destinations": destinations} }
+
+// A skeleton passes its own check; a plug-in that does not do as its samples say
+// fails it, and try shows what it says.
+func TestPluginCommands(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "odd-hints")
+	out, code := command(t, nil, "plugin", "new", dir)
+	require.Zero(t, code, out)
+	out, code = command(t, nil, "plugin", "check", dir)
+	require.Zero(t, code, out)
+	assert.Contains(t, out, "2 samples, no mistakes")
+	out, code = command(t, nil, "plugin", "try", dir, filepath.Join(dir, "samples", "told.json"))
+	assert.Zero(t, code, out)
+	assert.Equal(t, "{\"wait_ms\":2000}\n", out)
+	out, code = command(t, nil, "plugin", "list", filepath.Dir(dir))
+	assert.Zero(t, code)
+	assert.Contains(t, out, "odd-hints")
+	_, code = command(t, nil, "plugin", "new", dir)
+	assert.Equal(t, exitFailed, code, "nothing is overwritten")
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "plugin.star"), []byte("def read(call):\n    return {'wait_ms': 1}\n"), 0o600))
+	out, code = command(t, nil, "plugin", "check", dir, "../../example/plugins/closed")
+	assert.Equal(t, exitMistake, code)
+	assert.Contains(t, out, `sample told.json: wanted {"wait_ms":2000}, got {"wait_ms":1}`)
+	assert.Contains(t, out, "closed 1.0.0, 1 samples, no mistakes")
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "plugin.star"), []byte("def read(call:\n"), 0o600))
+	out, code = command(t, nil, "plugin", "check", dir)
+	assert.Equal(t, exitMistake, code, out)
+}
+
+// kitchen is a stage whose partners speak HTTP/1.1 or, every other one, HTTP/2
+// behind the push front, with plug-ins loaded.
+func kitchen(t *testing.T, partners int, folder string) *stage {
+	return newStageWith(t, partners, map[string]any{}, func(s *stage) {
+		s.Env = append(s.Env, withPlugins(t, s.Dir(), folder))
+		s.Settings["family-info"].(map[string]any)["max-calls"] = 32
+		s.Settings["limits"].(map[string]any)["most-held"] = 400
+		s.Settings["tenants"].([]any)[0].(map[string]any)["quota-rps"] = 5000
+	}, true)
+}
+
+func (s *stage) counts() (sum partner.Counts) {
+	s.farm.Each(func(_ uint32, p *partner.Partner) {
+		n := p.Counts
+		sum.Delivered += n.Delivered
+		sum.Copies += n.Copies
+		sum.OutOfOrder += n.OutOfOrder
+		sum.InWait += n.InWait
+	})
+	return sum
+}
+
+// The hooks at work on sockets: one refuses, one reads a success that is none,
+// one remembers and prints.
+func TestPluginHooks(t *testing.T) {
+	folder := t.TempDir()
+	writePlugin(t, folder, "gate", map[string]any{"hooks": []string{"admit"}, "sees": sees(2)},
+		"def admit(call):\n    return {'after_ms': 2500}\n")
+	writePlugin(t, folder, "tail", map[string]any{"hooks": []string{"ended"}, "sees": sees(3)},
+		"def ended(call):\n    keep('n', str(int(recall('n') or '0') + 1))\n    print('end', recall('n'), call.id, call.state)\n")
+	writePlugin(t, folder, "shaper", map[string]any{"hooks": []string{"shape"}, "sees": sees(4), "touches": map[string]any{"headers": true, "path": true}},
+		"def shape(call):\n    return {'headers': {'X-Kitchen': call.endpoint}, 'query': 'a=1'}\n")
+	s := kitchen(t, 4, folder)
+	s.deliver(1, "m1")
+	v, after, err := s.client.Add(load.Message{ID: "m2", Class: "status", Tenant: "town", Destination: 2, Left: 8 * time.Second})
+	require.NoError(t, err)
+	assert.Equal(t, load.Refused, v)
+	assert.InDelta(t, 2500, after.Milliseconds(), 1)
+	s.deliver(3, "m3")
+	_, err = s.Await(`text="end 1 m3 delivered"`)
+	require.NoError(t, err)
+	require.NoError(t, s.Signal(syscall.SIGHUP))
+	_, err = s.Await("plug-ins replaced")
+	require.NoError(t, err)
+	s.deliver(3, "m4")
+	_, err = s.Await(`text="end 2 m4 delivered"`)
+	require.NoError(t, err, "it remembers")
+	s.deliver(4, "m5")
+	assert.Equal(t, []string{"p4-0", "a=1"}, s.farm.LastShaped())
+
+	// A plug-in that cannot be read is not taken, and the others stay.
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "tail", "p.star"), []byte("def ended(:\n"), 0o600))
+	require.NoError(t, s.Signal(syscall.SIGHUP))
+	_, err = s.Await("plug-ins not replaced.*tail")
+	require.NoError(t, err)
+	s.deliver(3, "m6")
+	_, err = s.Await(`text="end 3 m6 delivered"`)
+	require.NoError(t, err)
+}
+
+// Hostile plug-ins, all at once, while partners fail: every message has its one
+// end, no rule is broken, the courier stays up, and who is not seen by a hostile
+// one is served as ever. They go into quarantine, are reloaded in the middle, and
+// what the guard drops is counted.
+func TestHostilePlugins(t *testing.T) {
+	folder := t.TempDir()
+	hooks := func(names ...string) []string { return names }
+	all := map[string]any{"headers": true, "path": true, "body": true}
+	writePlugin(t, folder, "loops", map[string]any{"hooks": hooks("admit", "shape", "read", "ended"), "sees": sees(1), "budget": map[string]any{"time_ms": 5, "steps": 100000000}},
+		"def forever(call):\n    for i in range(1000000000):\n        pass\nadmit = forever\nshape = forever\nread = forever\nended = forever\n")
+	writePlugin(t, folder, "grows", map[string]any{"hooks": hooks("shape"), "sees": sees(2), "touches": all, "budget": map[string]any{"time_ms": 40, "memory_mb": 1}},
+		"def shape(call):\n    return {'headers': {'X-A': ('y' * (1 << 29))[:3]}}\n")
+	writePlugin(t, folder, "breaks", map[string]any{"hooks": hooks("read"), "sees": sees(3)},
+		"def read(call):\n    return 1 // 0\n")
+	writePlugin(t, folder, "lies", map[string]any{"hooks": hooks("read"), "sees": sees(4, 5)},
+		"WAITS = [-1, 0, 315360000000, 'nan', None, [], 10]\ndef read(call):\n    said = 'full' if call.status in (200, 500) else 'ok'\n    return {'outcome': said, 'wait_ms': WAITS[len(call.id) % len(WAITS)]}\n")
+	writePlugin(t, folder, "floods", map[string]any{"hooks": hooks("shape"), "sees": sees(6), "touches": all, "budget": map[string]any{"steps": 1000000, "time_ms": 40}},
+		"HEADERS = {'X-%d' % i: 'v' for i in range(10000)}\ndef shape(call):\n    h = {'X-Request-ID': 'other', 'Content-Length': '0', 'X-A': 'b\\r\\nX-Request-ID: other', ':path': '/'}\n    h.update(HEADERS)\n    return {'headers': h, 'path_suffix': '../../other', 'query': 'a b', 'body': '%'}\n")
+	writePlugin(t, folder, "huge", map[string]any{"hooks": hooks("read", "ended"), "sees": sees(7)},
+		"def read(call):\n    return {'outcome': 'x' * 1000000}\ndef ended(call):\n    return {'x': 'y' * 10000000}\n")
+	s := kitchen(t, 9, folder)
+	for d, kind := range map[uint32]partner.Kind{4: partner.Error, 5: partner.Shut} {
+		require.NoError(t, s.farm.With(d, func(p *partner.Partner) {
+			p.Add(partner.Fault{Kind: kind, Until: time.Hour, Share: 0.3})
+		}))
+	}
+	const lanes, each = 18, 20
+	done := make(chan struct{}, lanes)
+	for lane := range lanes {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for n := range each {
+				m := load.Message{
+					ID: fmt.Sprintf("m%d-%d", lane, n), Class: "status", Tenant: "town", Destination: uint32(lane%9 + 1),
+					Left: 3 * time.Second, Push: lane%3 == 0,
+				}
+				if lane%2 == 0 {
+					m.Class, m.Keyed, m.Key, m.Seq = "order", true, uint64(lane+1), uint64(n+1)
+				}
+				_, _, _ = s.client.Add(m)
+			}
+		}()
+	}
+	for i := range lanes {
+		<-done
+		if i == lanes/3 {
+			require.NoError(t, s.Signal(syscall.SIGHUP))
+		}
+	}
+	var e load.Ends
+	s.until("every message's end", func() bool {
+		e = s.client.Account(s.seen, s.directory.Notices(), nil)
+		return e.Open == 0
+	})
+	assert.Equal(t, lanes*each, e.Handed)
+	assert.Zero(t, e.Unheard+e.Doubled+e.Failed, "%+v", e)
+	n := s.counts()
+	assert.Zero(t, n.Copies+n.OutOfOrder+n.InWait, "%+v", n)
+	for _, d := range []uint32{8, 9} { // seen by none of them
+		e := s.client.Account(s.seen, s.directory.Notices(), func(m load.Message) bool { return m.Destination == d })
+		assert.Equal(t, e.Taken, e.Delivered, "destination %d: %+v", d, e)
+	}
+	require.NoError(t, s.Signal(syscall.SIGUSR1))
+	m, err := s.Await(`msg=counters .*`)
+	require.NoError(t, err)
+	// Which of them is over its time before it can misbehave depends on the
+	// machine; that each was held off does not.
+	for _, name := range []string{"loops", "grows", "breaks", "lies", "floods", "huge"} {
+		assert.Regexp(t, "plugins."+name+".(failed=[1-9]|.* plugins."+name+".corrected=[1-9])", m[0])
+	}
+	assert.Contains(t, s.Log(), "plug-in quarantine")
+	s.deliver(8, "last")
+	require.NoError(t, s.Stop(syscall.SIGTERM))
+}
+
+// A courier that is killed while a hook runs owes what it had taken on, and no
+// host outlives it for long.
+func TestKilledWhileAHookRuns(t *testing.T) {
+	folder := t.TempDir()
+	writePlugin(t, folder, "slow", map[string]any{"hooks": []string{"shape"}, "sees": sees(1), "budget": map[string]any{"time_ms": 40, "steps": 100000000}},
+		"def shape(call):\n    for i in range(100000000):\n        pass\n")
+	s := kitchen(t, 2, folder)
+	require.Equal(t, load.Taken, s.add(1, "m1"))
+	require.NoError(t, s.Stop(syscall.SIGKILL))
+	s.start()
+	s.until("m1", func() bool { return s.seen(1, "m1") })
+	assert.Zero(t, s.counts().Copies)
+}
--- a/cmd/snowjunction/push_test.go
+++ b/cmd/snowjunction/push_test.go
@@ -29,8 +29,7 @@
 type gateway struct {
 	t *testing.T
 	*scenario.Courier
-	http    *http.Client
-	pushDir string
+	http *http.Client
 }
 
 // pushTarget is an entry of the push front's file.
@@ -62,7 +61,7 @@
 	require.NoError(g.t, err)
 	b, err := json.Marshal(map[string]any{
 		"listen": "127.0.0.1:0", "openapi": filepath.Join(deploy, "openapi.json"),
-		"asyncapi": filepath.Join(deploy, "asyncapi.json"), "targets": targets, "hooks": g.pushDir,
+		"asyncapi": filepath.Join(deploy, "asyncapi.json"), "targets": targets,
 	})
 	require.NoError(g.t, err)
 	require.NoError(g.t, os.WriteFile(filepath.Join(g.Dir(), "push.json"), b, 0o600))
@@ -607,9 +606,10 @@
 // The deadline ends a message whose target says nothing; a hook refuses another.
 func TestDeadlineAndHook(t *testing.T) {
 	g := newGateway(t)
-	g.pushDir = t.TempDir()
-	script := "def admit(flow):\n  return 2500 if flow.destination == 13 else None\n"
-	require.NoError(t, os.WriteFile(filepath.Join(g.pushDir, "a.star"), []byte(script), 0o600))
+	folder := t.TempDir()
+	writePlugin(t, folder, "closed", map[string]any{"hooks": []string{"admit"}},
+		"def admit(call):\n  return {'after_ms': 2500} if call.destination == 13 else None\n")
+	g.Env = append(g.Env, withPlugins(t, g.Dir(), folder))
 	g.write([]pushTarget{ready("silent", g.Play.Server("silent"), 9)})
 	require.NoError(t, g.Start())
 	headers := []string{"TTL", "1", "Message-Id", "m", "Message-Class", "status", "Tenant", "town"}
--- a/courier.go
+++ b/courier.go
@@ -489,7 +489,7 @@
 		b.idled = ev.Kept
 	}
 	c.report(b.ep.route, ev.Report)
-	if ev.Outcome == Full && ev.Wait > 0 { // of a bundle, any one may tell it
+	if (ev.Outcome == Full || ev.Outcome == Error) && ev.Wait > 0 { // of a bundle, any one may tell it
 		b.ep.route.waitUntil = max(b.ep.route.waitUntil, c.now+ev.Wait+c.s.Tick)
 	}
 	c.judge(b, r, ev)
--- /dev/null
+++ b/example/plugins/closed/closed.star
@@ -0,0 +1,2 @@
+def admit(call):
+    return {"after_ms": 60 * 1000}
--- a/internal/config/push.go
+++ b/internal/config/push.go
@@ -21,7 +21,6 @@
 	Retain   time.Duration
 	OpenAPI  string // paths of the descriptions
 	AsyncAPI string
-	Hooks    string // folder of the plug-ins; "": none
 	Targets  []core.Entry
 }
 
@@ -65,7 +64,7 @@
 	p := &Push{
 		Listen: text(v, "listen"), MaxConns: positive(v.GetInt("max_connections"), defaultPushConns),
 		Retain:  time.Duration(positive(v.GetInt("retain_s"), defaultRetain)) * time.Second,
-		OpenAPI: beside("openapi"), AsyncAPI: beside("asyncapi"), Hooks: beside("hooks"),
+		OpenAPI: beside("openapi"), AsyncAPI: beside("asyncapi"),
 	}
 	if p.Listen != "" {
 		if _, err := netip.ParseAddrPort(p.Listen); err != nil {
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -11,20 +11,69 @@
 // then it reaches another.
 const drainAfter = 400 * time.Millisecond
 
-// admit asks the hook and the journal's room, then the module. The client is
-// answered after the module's first look, within about a tick: what it gives
-// up at once was never taken on.
+// admit has the plug-ins asked, then looks at the journal's room and asks the
+// module. The client is answered after the module's first look, within about a
+// tick: what it gives up at once was never taken on.
 func (c *Core) admit(f *flow) {
 	if c.draining || c.frozen {
 		c.refuse(f, drainAfter)
 		return
 	}
-	if c.Hook != nil {
-		if pass, after := c.Hook.Admit(f.msg, f.msg.Deadline.Sub(c.Loop.Now())); !pass {
+	c.ids[f.name()] = f
+	if c.Plugins == nil {
+		c.admitted(f)
+		return
+	}
+	// A plug-in that is asked about one message of a key and not about the next
+	// must not let that overtake.
+	key := f.msg.Key
+	if !f.class.InOrder {
+		key = 0
+	}
+	if key != 0 {
+		if waiting, asked := c.asking[key]; asked {
+			c.asking[key] = append(waiting, f)
+			return
+		}
+		c.asking[key] = nil
+	}
+	c.ask(f, key)
+}
+
+// ask asks the plug-ins about a flow, then goes on with it and with the next of
+// its key.
+func (c *Core) ask(f *flow, key uint64) {
+	next := func() {
+		if key == 0 {
+			return
+		}
+		if waiting := c.asking[key]; len(waiting) > 0 {
+			c.asking[key] = waiting[1:]
+			c.ask(waiting[0], key)
+			return
+		}
+		delete(c.asking, key)
+	}
+	asked := c.Plugins.Admit(f.msg, func(pass bool, after time.Duration) {
+		if pass {
+			c.admitted(f)
+		} else {
 			c.Counters.Hooked++
 			c.refuse(f, after)
-			return
 		}
+		next()
+	})
+	if !asked {
+		c.admitted(f)
+		next()
+	}
+}
+
+// admitted goes on with a flow that no plug-in has refused.
+func (c *Core) admitted(f *flow) {
+	if c.draining || c.frozen {
+		c.refuse(f, drainAfter)
+		return
 	}
 	// No list has ever named such a destination: a message for it could only
 	// wait for its deadline.
@@ -158,6 +207,9 @@
 // refuse gives a flow that is not taken on its fixed response.
 func (c *Core) refuse(f *flow, after time.Duration) {
 	c.Counters.Refused++
+	if c.ids[f.name()] == f && f.id == 0 {
+		delete(c.ids, f.name())
+	}
 	if f.answer != nil {
 		f.answer(Answer{Verdict: Fixed, After: after}, nil)
 		f.answer = nil
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -96,6 +96,9 @@
 	case store.Returned:
 		c.Counters.Returned++
 	}
+	if c.Plugins != nil {
+		c.Plugins.Ended(f.msg)
+	}
 	c.tell(f)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,20 +44,41 @@
 	Ended(m *store.Message)
 }
 
-// Hook may answer a flow before the module sees it.
-type Hook interface {
-	// Admit returns false, and after how long to come back, for a flow that
-	// gets a fixed response.
-	Admit(m *store.Message, left time.Duration) (pass bool, after time.Duration)
+// Plugins are asked at some moments of a flow's way. None of the calls waits:
+// each returns false if no plug-in is to be asked, else done is called once,
+// perhaps at once, within the plug-ins' budgets.
+type Plugins interface {
+	// Admit tells whether a flow may be taken on, or after how long to come back.
+	Admit(m *store.Message, done func(pass bool, after time.Duration)) bool
+	// Shape adds to a request.
+	Shape(m *store.Message, to Entry, done func(Shape)) bool
+	// Read tells what an answer means.
+	Read(m *store.Message, to Entry, r Result, done func(Result)) bool
+	// Reads tells whether answers to a message are read by any.
+	Reads(m *store.Message) bool
+	// Ended tells of an end.
+	Ended(m *store.Message)
+}
+
+// Shape is what is added to a request. It has passed the guard.
+type Shape struct {
+	Headers       []HeaderField
+	Suffix, Query string // of the path
+	Body          []byte // with HasBody: in place of the message's
+	HasBody       bool
+	Whole         bool // its answer is to come whole before it counts, if it does soon
 }
 
+// HeaderField is a header of a request or an answer.
+type HeaderField struct{ Name, Value string }
+
 // Config is what a core is made of.
 type Config struct {
 	Loop     *Loop
 	Log      *slog.Logger
 	Journal  Journal
 	Settings snowjunction.Settings
-	Hook     Hook // nil: none
+	Plugins  Plugins // nil: none
 	Fronts   []Front
 	Dormancy *dormancy.Config // nil: its defaults
 	Beyond   Beyond           // nil: mementos live in memory only
@@ -74,8 +95,9 @@
 	due      *Timer
 	events   []snowjunction.Event
 	flows    map[snowjunction.RequestID]*flow
-	ids      map[name]*flow // by front and the id handed in, until they are over
-	fresh    []*flow        // not answered yet
+	ids      map[name]*flow     // by front and the id handed in, until they are over
+	fresh    []*flow            // not answered yet
+	asking   map[uint64][]*flow // by key: flows that wait as a plug-in is asked about an earlier one
 	held     int
 	calls    int
 	routes   routes
@@ -124,7 +146,7 @@
 	c := &Core{
 		Config: cfg, book: dormancy.New(sleep), courier: courier, start: cfg.Loop.Now(),
 		flows: map[snowjunction.RequestID]*flow{}, ids: map[name]*flow{},
-		owing: map[uint64][]*flow{}, unknown: map[uint64]int{},
+		asking: map[uint64][]*flow{}, owing: map[uint64][]*flow{}, unknown: map[uint64]int{},
 		classes: map[string]int{}, tenants: map[string]int{},
 		routes: newRoutes(len(cfg.Fronts)),
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -30,10 +30,12 @@
 	made    []Entry
 	sleep   *dormancy.Config
 	beyond  Beyond
+	plugins Plugins
 }
 
 type testCall struct {
 	m      *store.Message
+	shape  Shape
 	done   func(Result)
 	left   bool
 	gaveUp bool
@@ -47,9 +49,9 @@
 
 type testTarget struct{ b *bench }
 
-func (x testTarget) Call(m *store.Message, _ time.Duration, done func(Result)) Call {
+func (x testTarget) Call(m *store.Message, shape Shape, _ time.Duration, done func(Result)) Call {
 	assert.True(x.b.t, m.Out, "an attempt is recorded before it leaves")
-	call := &testCall{m: m, done: done, left: true}
+	call := &testCall{m: m, shape: shape, done: done, left: true}
 	x.b.calls = append(x.b.calls, call)
 	return call
 }
@@ -91,7 +93,7 @@
 		change(&s)
 	}
 	b.c, err = New(Config{
-		Loop: NewLoop(func() time.Time { return b.now }), Log: log, Journal: b.journal, Settings: s, Fronts: []Front{b, b}, Dormancy: b.sleep, Beyond: b.beyond,
+		Loop: NewLoop(func() time.Time { return b.now }), Log: log, Journal: b.journal, Settings: s, Fronts: []Front{b, b}, Dormancy: b.sleep, Beyond: b.beyond, Plugins: b.plugins,
 	})
 	require.NoError(t, err)
 	b.list(snowjunction.Ready, true)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -156,6 +156,24 @@
 	}
 }
 
+// RunUntil turns the loop until done says so.
+func (l *Loop) RunUntil(done func() bool) {
+	for !done() {
+		next, waiting := l.Turn()
+		wait := 10 * time.Millisecond
+		if waiting {
+			wait = min(wait, max(next.Sub(l.clock()), 0))
+		}
+		if done() {
+			return
+		}
+		select {
+		case <-l.wake:
+		case <-time.After(wait):
+		}
+	}
+}
+
 // End makes Run return after the work at hand.
 func (l *Loop) End() { l.ended = true }
 
--- /dev/null
+++ b/internal/core/plugins_test.go
@@ -0,0 +1,183 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction"
+	"snowjunction/internal/store"
+)
+
+// plugins are asked about messages whose ids are named, and answer when the test
+// says so.
+type plugins struct {
+	admits map[string]func(bool, time.Duration)
+	shapes map[string]func(Shape)
+	reads  map[string]func(Result)
+	asks   map[string]bool // hook and id: asked about
+	ended  []string
+}
+
+func (p *plugins) Admit(m *store.Message, done func(bool, time.Duration)) bool {
+	if !p.asks["admit "+m.ID] {
+		return false
+	}
+	p.admits[m.ID] = done
+	return true
+}
+
+func (p *plugins) Shape(m *store.Message, _ Entry, done func(Shape)) bool {
+	if !p.asks["shape "+m.ID] {
+		return false
+	}
+	p.shapes[m.ID] = done
+	return true
+}
+
+func (p *plugins) Read(m *store.Message, _ Entry, r Result, done func(Result)) bool {
+	if !p.asks["read "+m.ID] {
+		return false
+	}
+	p.reads[m.ID] = done
+	return true
+}
+
+func (p *plugins) Reads(m *store.Message) bool { return p.asks["read "+m.ID] }
+func (p *plugins) Ended(m *store.Message)      { p.ended = append(p.ended, m.ID) }
+
+func newPluginBench(t *testing.T, asks ...string) (*bench, *plugins) {
+	p := &plugins{admits: map[string]func(bool, time.Duration){}, shapes: map[string]func(Shape){}, reads: map[string]func(Result){}, asks: map[string]bool{}}
+	for _, a := range asks {
+		p.asks[a] = true
+	}
+	return newBenchWith(&bench{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), settle: true, plugins: p}, nil), p
+}
+
+// A message that no plug-in is asked about must not overtake an earlier one of
+// its key that waits for one.
+func TestOrderWhilePluginsAreAsked(t *testing.T) {
+	b, p := newPluginBench(t, "admit m1", "admit m3")
+	first, second, third := b.add("m1", "order", 9), b.add("m2", "order", 9), b.add("m3", "order", 9)
+	other := b.add("o", "order", 8)
+	b.step(20 * ms)
+	assert.Empty(t, *second)
+	assert.Len(t, *other, 1, "another key does not wait")
+	assert.Nil(t, p.admits["m3"], "one at a time")
+	p.admits["m1"](true, 0)
+	require.NotNil(t, p.admits["m3"])
+	p.admits["m3"](false, 700*ms)
+	b.step(20 * ms)
+	assert.Equal(t, []Answer{{Verdict: Taken}}, *first)
+	assert.Equal(t, []Answer{{Verdict: Taken}}, *second)
+	assert.Equal(t, []Answer{{Verdict: Fixed, After: 700 * ms}}, *third)
+	assert.Empty(t, b.c.asking)
+	require.Len(t, b.calls, 2)
+	assert.Equal(t, []string{"o", "m1"}, []string{b.calls[0].m.ID, b.calls[1].m.ID})
+}
+
+// The same message handed in again while a plug-in is asked is one message.
+func TestSentTwiceWhileAsked(t *testing.T) {
+	b, p := newPluginBench(t, "admit m1")
+	first := b.add("m1", "status", 0)
+	again := b.add("m1", "status", 0)
+	p.admits["m1"](true, 0)
+	b.step(20 * ms)
+	assert.Equal(t, []Answer{{Verdict: Taken}}, *first)
+	assert.Equal(t, []Answer{{Verdict: Taken}}, *again)
+	assert.Len(t, b.calls, 1)
+}
+
+// A courier that stops while a plug-in is asked refuses the flow, once.
+func TestStopsWhileAsked(t *testing.T) {
+	b, p := newPluginBench(t, "admit m1")
+	got := b.add("m1", "status", 0)
+	b.c.Drain()
+	p.admits["m1"](true, 0)
+	assert.Equal(t, []Answer{{Verdict: Fixed, After: drainAfter}}, *got)
+	assert.Empty(t, b.c.ids)
+	assert.Zero(t, b.c.Held())
+}
+
+// While a request is shaped its target may drain and its time may pass: it is
+// looked at again after that.
+func TestShaping(t *testing.T) {
+	b, p := newPluginBench(t, "shape m1", "shape m2", "shape m3")
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	assert.Empty(t, b.calls)
+	p.shapes["m1"](Shape{Headers: []HeaderField{{"X-A", "b"}}})
+	require.Len(t, b.calls, 1)
+	assert.Equal(t, []HeaderField{{"X-A", "b"}}, b.calls[0].shape.Headers)
+	b.calls[0].done(Result{Outcome: snowjunction.OK})
+
+	b.add("m2", "status", 0)
+	b.step(10 * ms)
+	b.listed(0, false, Entry{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: snowjunction.Draining})
+	p.shapes["m2"](Shape{})
+	assert.Len(t, b.calls, 1, "it drains")
+	b.listed(0, false, Entry{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Phase: snowjunction.Ready})
+	p.asks = map[string]bool{"shape m3": true}
+	for i := 0; i < 100 && len(b.calls) < 2; i++ {
+		b.step(10 * ms)
+	}
+	require.Len(t, b.calls, 2, "m2 goes again")
+	b.calls[1].done(Result{Outcome: snowjunction.OK})
+
+	b.add("m3", "status", 0)
+	b.step(10 * ms)
+	late := p.shapes["m3"]
+	b.step(parkMost + ms)
+	late(Shape{})
+	assert.Len(t, b.calls, 2, "the decision is old")
+	late(Shape{})
+	assert.Len(t, b.calls, 2)
+}
+
+// A success that a plug-in reads as a failure is one that may have run: a safe
+// message goes again after the wait, and a timer that ends meanwhile says
+// nothing more.
+func TestReading(t *testing.T) {
+	b, p := newPluginBench(t, "read m1")
+	got := b.add("m1", "status", 0)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	assert.True(t, b.calls[0].shape.Whole)
+	b.calls[0].done(Result{Outcome: snowjunction.OK})
+	b.calls[0].done(Result{Outcome: snowjunction.OK})
+	b.step(20 * ms)
+	assert.Empty(t, b.ended)
+	p.reads["m1"](Result{Outcome: snowjunction.Error, Wait: 300 * ms})
+	assert.True(t, b.calls[0].m.Ran)
+	began := b.now
+	for i := 0; i < 200 && len(b.calls) < 2; i++ {
+		b.step(5 * ms)
+	}
+	require.Len(t, b.calls, 2)
+	assert.GreaterOrEqual(t, b.now.Sub(began), 300*ms)
+	p.asks = nil
+	b.calls[1].done(Result{Outcome: snowjunction.OK})
+	b.step(5 * ms)
+	assert.Equal(t, []Answer{{Verdict: Taken}}, *got)
+	assert.Equal(t, []string{"m1"}, p.ended)
+	require.Len(t, b.ended, 1)
+	assert.Equal(t, store.Delivered, b.ended[0].State)
+}
+
+// A plug-in that never says anything of an answer: its budget ends that, not the
+// attempt's own time, which is over once the answer is there.
+func TestReadingOutlastsTheAttempt(t *testing.T) {
+	b, p := newPluginBench(t, "read m1")
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	b.calls[0].done(Result{Outcome: snowjunction.OK})
+	b.step(1500 * ms)
+	assert.False(t, b.calls[0].gaveUp)
+	p.reads["m1"](Result{Outcome: snowjunction.OK})
+	b.step(5 * ms)
+	assert.Len(t, b.calls, 1)
+	assert.Zero(t, b.c.Counters.Results[snowjunction.TimedOut])
+	assert.EqualValues(t, 1, b.c.Counters.Results[snowjunction.OK])
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -5,6 +5,22 @@
 	"snowjunction/internal/store"
 )
 
+// read asks the plug-ins what an answer means, then takes it further. The safe
+// reading, where none says anything in time, is the protocol's own.
+func (c *Core) read(a *attempt, r Result) {
+	if a.flow.attempt != a || a.reading {
+		return
+	}
+	a.reading = true
+	var to Entry
+	if l := c.routes.byID[a.endpoint]; l != nil {
+		to = l.Entry
+	}
+	if c.Plugins == nil || !c.Plugins.Read(a.flow.msg, to, r, func(r Result) { c.relay(a, r) }) {
+		c.relay(a, r)
+	}
+}
+
 // relay takes an attempt's result to the journal and the module.
 func (c *Core) relay(a *attempt, r Result) {
 	f := a.flow
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -16,7 +16,7 @@
 type Target interface {
 	// Call makes one attempt. done is called once with its result, unless it
 	// is given up, and never within Call itself.
-	Call(m *store.Message, timeout time.Duration, done func(Result)) Call
+	Call(m *store.Message, shape Shape, timeout time.Duration, done func(Result)) Call
 	// CloseIdle ends idle connections.
 	CloseIdle()
 	// Leave ends idle connections, and the others with their calls: the
@@ -41,6 +41,14 @@
 	Wait    time.Duration // with Full: the told wait
 	Over    bool          // nothing more is owed for the message
 	Report  []float64
+	Answer  *Reply // as it came, if one came whole; else nil
+}
+
+// Reply is an answer as it came.
+type Reply struct {
+	Status  int
+	Headers []HeaderField
+	Body    []byte
 }
 
 // routes is the target groups. What is listed stands in compact tables, one for
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -15,7 +15,8 @@
 	timeout  time.Duration
 	limit    *Timer // to give the attempt up
 	connect  *Timer // to give it up if no byte of it could leave
-	call     Call   // nil while it waits for its key's turn
+	call     Call   // nil while it waits for its key's turn or a plug-in
+	reading  bool   // its answer has come and plug-ins are asked about it
 }
 
 // parkMost is how old a decision to send may be when its key's turn comes. The
@@ -53,14 +54,29 @@
 	return f.class.InOrder && f.msg.Key != 0 && c.unknown[f.msg.Key] > 0
 }
 
-// leave records an attempt, then lets its bytes go.
+// leave has the plug-ins shape an attempt's request, then lets it go. Where it
+// may go is looked at again after that.
 func (c *Core) leave(a *attempt) {
+	l := c.routes.byID[a.endpoint]
+	asked := c.Plugins != nil && l != nil && c.Plugins.Shape(a.flow.msg, l.Entry, func(s Shape) {
+		if a.flow.attempt == a && a.call == nil {
+			c.depart(a, s)
+		}
+	})
+	if !asked {
+		c.depart(a, Shape{})
+	}
+}
+
+// depart records an attempt, then lets its bytes go.
+func (c *Core) depart(a *attempt, shape Shape) {
 	f := a.flow
 	to := c.target(f, a.endpoint)
 	if to == nil {
 		c.unsent(a)
 		return
 	}
+	shape.Whole = c.Plugins != nil && c.Plugins.Reads(f.msg)
 	waited := c.Loop.Now().Sub(a.began)
 	left := a.timeout - waited
 	if left <= 0 || waited > parkMost {
@@ -74,7 +90,7 @@
 		return
 	}
 	c.Counters.Sent++
-	a.call = to.Call(f.msg, left, func(r Result) { c.relay(a, r) })
+	a.call = to.Call(f.msg, shape, left, func(r Result) { c.read(a, r) })
 	a.connect = c.Loop.After(c.Settings.ConnectTimeout, func() {
 		if !a.call.Left() {
 			c.expire(a, snowjunction.ConnectFailed)
@@ -98,7 +114,7 @@
 // that it did not run.
 func (c *Core) expire(a *attempt, o snowjunction.Outcome) {
 	switch {
-	case a.flow.attempt != a:
+	case a.flow.attempt != a, a.reading:
 		return
 	case a.call == nil:
 		c.unsent(a)
--- a/internal/daemon/check.go
+++ b/internal/daemon/check.go
@@ -3,11 +3,11 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 
 	"snowjunction"
 	"snowjunction/internal/config"
-	"snowjunction/internal/hook"
+	"snowjunction/internal/plugin"
+	"snowjunction/internal/plugin/manifest"
 	"snowjunction/internal/schema"
 )
 
@@ -40,16 +40,21 @@
 	if err == nil {
 		_, _, err = descriptions(push)
 		add(file, err)
-		if push.Hooks != "" {
-			if _, err := os.Stat(push.Hooks); err != nil {
-				add(file, err)
-			} else if _, err = hook.Load(push.Hooks, o.Logger()); err != nil {
-				add(file, err)
-			}
-		}
 	}
 	file = path(o.Env, "SNOWJUNCTION_IDLE", idleFile)
 	_, err = config.LoadIdle(file, settings)
 	add(file, err)
+	file = path(o.Env, "SNOWJUNCTION_PLUGINS", pluginsFile)
+	plugins, err := config.LoadPlugins(file)
+	add(file, err)
+	if err == nil && plugins.Folder != "" {
+		list, err := manifest.LoadAll(plugins.Folder)
+		add(plugins.Folder, err)
+		for _, m := range list {
+			for _, why := range plugin.Check(o.Host, m) {
+				mistakes = append(mistakes, m.Dir+": "+why)
+			}
+		}
+	}
 	return mistakes
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -16,14 +17,16 @@
 	"time"
 
 	"snowjunction"
+	"snowjunction/internal/admin"
 	"snowjunction/internal/config"
 	"snowjunction/internal/core"
 	"snowjunction/internal/describe"
 	"snowjunction/internal/front/platform"
 	"snowjunction/internal/front/push"
-	"snowjunction/internal/hook"
 	"snowjunction/internal/idlestore"
 	"snowjunction/internal/net"
+	"snowjunction/internal/plugin"
+	"snowjunction/internal/plugin/manifest"
 	"snowjunction/internal/store"
 )
 
@@ -32,6 +35,7 @@
 	descriptors = 32  // besides connections: journal, log, epoll, listeners
 	pushFile    = "deploy/push.json"
 	idleFile    = "deploy/idle.json"
+	pluginsFile = "deploy/plugins.json"
 )
 
 // A planned stop: decisions go on for a while, calls out are waited for, and
@@ -59,11 +63,14 @@
 	journal  *store.Journal
 	engine   *net.Engine
 	core     *core.Core
-	hooks    *hook.Hooks
+	plugins  *plugin.Set
 	idle     *config.Idle
 	store    *idlestore.Store // nil: none
-	platform *platform.Front
-	push     *push.Front
+
+	door       *admin.Socket // nil: none
+	replugging bool
+	platform   *platform.Front
+	push       *push.Front
 }
 
 // Options are what the command line and the environment say.
@@ -72,6 +79,7 @@
 	Log       io.Writer           // where log lines go
 	LogFormat string              // text or json; "": text
 	LogLevel  slog.Level
+	Host      []string         // the command that starts a plug-in's host
 	Signals   <-chan os.Signal // nil: the process's own
 }
 
@@ -111,6 +119,10 @@
 	c.loop.Run()
 	c.platform.Close()
 	c.push.Close()
+	if c.door != nil {
+		c.door.Close()
+	}
+	c.plugins.Close()
 	if c.store != nil {
 		c.store.Close()
 	}
@@ -139,9 +151,15 @@
 	if c.idle, err = config.LoadIdle(path(o.Env, "SNOWJUNCTION_IDLE", idleFile), cfg.Settings); err != nil {
 		return nil, nil, err
 	}
-	if pushCfg.Hooks != "" {
-		if c.hooks, err = hook.Load(pushCfg.Hooks, c.log); err != nil {
-			return nil, nil, err
+	list, err := c.manifests()
+	if err != nil {
+		return nil, nil, err
+	}
+	if c.plugins = plugin.New(plugin.Config{Loop: c.loop, Log: c.log, Command: o.Host}); len(list) > 0 {
+		why, done := "", false
+		c.plugins.Replace(list, func(err string) { why, done = err, true })
+		if c.loop.RunUntil(func() bool { return done }); why != "" {
+			return nil, nil, errors.New(why)
 		}
 	}
 	var left []*store.Message
@@ -180,9 +198,7 @@
 			coreCfg.Beyond = c.store
 		}
 	}
-	if c.hooks != nil {
-		coreCfg.Hook = c.hooks
-	}
+	coreCfg.Plugins = c.plugins
 	c.core, err = core.New(coreCfg)
 	return c, left, err
 }
@@ -224,6 +240,9 @@
 		return err
 	}
 	c.core.Restore(left) // before the loop runs: nothing new comes in front of it
+	if err := c.openDoor(); err != nil {
+		return err
+	}
 	c.log.Info("started", "listen", c.platform.Addr(), "push", c.push.Addr(), "restored", c.core.Counters.Restored)
 	return nil
 }
@@ -265,6 +284,11 @@
 		c.log.Error("configuration not read again", "err", err)
 		return
 	}
+	list, err := c.manifests()
+	if err != nil {
+		c.log.Error("configuration not read again", "err", err)
+		return
+	}
 	later := c.cfg.Differs(cfg)
 	if *idle != *c.idle {
 		later = append(later, "idle destinations")
@@ -277,17 +301,72 @@
 		return
 	}
 	c.platform.Move(cfg.Discovery)
+	c.replug(list, func(string) {})
 	c.log.Info("configuration read again", "discovery", cfg.Discovery, "targets", len(p.Targets))
 }
 
-func (c *courier) count(why string) {
-	var failed uint64
-	if c.hooks != nil {
-		failed = c.hooks.Failed
+// openDoor opens the admin socket, where there is to be one.
+func (c *courier) openDoor() error {
+	p, err := config.LoadPlugins(path(c.env, "SNOWJUNCTION_PLUGINS", pluginsFile))
+	if err != nil || p.Admin == "" {
+		return err
 	}
+	c.door, err = admin.Listen(p.Admin, func(r admin.Request, done func(admin.Reply)) {
+		c.loop.Post(func() { c.asked(r, done) })
+	})
+	return err
+}
+
+// asked answers at the admin socket.
+func (c *courier) asked(r admin.Request, done func(admin.Reply)) {
+	switch r.Do {
+	case "plugins":
+		done(admin.Reply{Value: c.plugins.List()})
+	case "reload":
+		list, err := c.manifests()
+		if err != nil {
+			done(admin.Reply{Error: err.Error()})
+			return
+		}
+		c.replug(list, func(why string) { done(admin.Reply{Error: why, Value: c.plugins.List()}) })
+	default:
+		done(admin.Reply{Error: fmt.Sprintf("no request %q: there are plugins and reload", r.Do)})
+	}
+}
+
+// manifests reads the plug-ins that there are to be.
+func (c *courier) manifests() ([]*manifest.Manifest, error) {
+	p, err := config.LoadPlugins(path(c.env, "SNOWJUNCTION_PLUGINS", pluginsFile))
+	if err != nil || p.Folder == "" {
+		return nil, err
+	}
+	return manifest.LoadAll(p.Folder)
+}
+
+// replug has the plug-ins replaced, whole or not at all.
+func (c *courier) replug(list []*manifest.Manifest, done func(why string)) {
+	if c.replugging {
+		why := "they are just being replaced"
+		c.log.Warn("plug-ins not replaced", "err", why)
+		done(why)
+		return
+	}
+	c.replugging = true
+	c.plugins.Replace(list, func(why string) {
+		c.replugging = false
+		if why != "" {
+			c.log.Error("plug-ins not replaced", "err", why)
+		} else {
+			c.log.Info("plug-ins replaced", "n", len(list))
+		}
+		done(why)
+	})
+}
+
+func (c *courier) count(why string) {
 	t := c.loop.Turns()
 	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(),
-		"journal", c.journal.Size(), "plugin_failures", failed, "idle", c.core.Dormant(), "heap", heap(),
+		"journal", c.journal.Size(), "plugins", c.plugins, "idle", c.core.Dormant(), "heap", heap(),
 		"turns", t.Count, "longest_turn_us", t.Longest.Microseconds())
 }
 
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -29,6 +29,7 @@
 	out    []byte // the request, until it leaves
 	done   func(core.Result)
 	sent   bool        // the request may have left
+	whole  bool        // the answer is to come whole, if it does soon
 	rest   *core.Timer // runs while an answer has begun and is not whole
 	used   time.Time
 	kept   time.Duration // idle before the call that is out; 0: new
@@ -46,7 +47,7 @@
 )
 
 // Call makes an attempt on the connection last used, or a new one.
-func (t *target) Call(m *store.Message, timeout time.Duration, done func(core.Result)) core.Call {
+func (t *target) Call(m *store.Message, shape core.Shape, timeout time.Duration, done func(core.Result)) core.Call {
 	headers := []string{
 		front.HeaderID, m.ID,
 		front.HeaderTimeout, strconv.FormatInt(max(timeout.Milliseconds(), 1), 10),
@@ -54,13 +55,20 @@
 	if m.IdempotencyKey != "" {
 		headers = append(headers, front.HeaderKey, m.IdempotencyKey)
 	}
-	out := http1.Request("POST", front.InboxPath, t.entry.Addr, m.Body, headers...)
+	body := m.Body
+	if shape.HasBody {
+		body = shape.Body
+	}
+	for _, h := range shape.Headers {
+		headers = append(headers, h.Name, h.Value)
+	}
+	out := http1.Request("POST", front.InboxPath, t.entry.Addr, body, headers...)
 	t.expire()
 	if n := len(t.idle); n > 0 {
 		l := t.idle[n-1]
 		t.idle = t.idle[:n-1]
 		l.kept = max(t.front.Loop.Now().Sub(l.used), 1)
-		l.begin(out, done)
+		l.begin(out, shape.Whole, done)
 		l.write()
 		return l
 	}
@@ -68,7 +76,7 @@
 		t.front.spareTarget()
 	}
 	l := &link{target: t, parser: http1.Parser{MaxBody: maxAnswer}}
-	l.begin(out, done)
+	l.begin(out, shape.Whole, done)
 	l.conn = t.front.Engine.Dial("target", t.entry.Addr, l)
 	return l
 }
@@ -118,8 +126,8 @@
 	t.idle = nil
 }
 
-func (l *link) begin(out []byte, done func(core.Result)) {
-	l.out, l.done, l.sent = out, done, false
+func (l *link) begin(out []byte, whole bool, done func(core.Result)) {
+	l.out, l.whole, l.done, l.sent = out, whole, done, false
 }
 
 // write lets the request go. Where the socket takes none of it, Closed comes
@@ -171,7 +179,7 @@
 		return
 	}
 	if r := l.parser.End(); r != nil && l.sent {
-		l.finish(l.target.result(r))
+		l.finish(l.target.result(r, l.whole))
 		return
 	}
 	l.lost()
@@ -214,7 +222,7 @@
 	}
 	t := l.target
 	if r == nil {
-		if l.parser.Status() == 200 {
+		if l.parser.Status() == 200 && !l.whole {
 			l.finish(core.Result{Outcome: snowjunction.OK})
 		}
 		if l.rest == nil && l.parser.Begun() {
@@ -235,7 +243,7 @@
 		l.used = t.front.Loop.Now()
 		t.idle = append(t.idle, l)
 	}
-	l.finish(t.result(r))
+	l.finish(t.result(r, l.whole))
 }
 
 // spoilt gives up the rest of an answer, and the connection with it.
@@ -248,6 +256,15 @@
 	l.finish(core.Result{Outcome: o})
 }
 
-func (t *target) result(r *http1.Response) core.Result {
-	return front.Result(r.Status, r.Get, t.front.Columns)
+// result maps an answer; shown, it goes along as it came.
+func (t *target) result(r *http1.Response, shown bool) core.Result {
+	x := front.Result(r.Status, r.Get, t.front.Columns)
+	if !shown {
+		return x
+	}
+	x.Answer = &core.Reply{Status: r.Status, Body: r.Body}
+	r.Each(func(name, value string) {
+		x.Answer.Headers = append(x.Answer.Headers, core.HeaderField{Name: name, Value: value})
+	})
+	return x
 }
--- a/internal/front/push/target.go
+++ b/internal/front/push/target.go
@@ -43,6 +43,7 @@
 	status int    // of the answer that has begun; 0: none
 	rest   *core.Timer
 	kept   time.Duration // its connection had been idle; 0: a new one
+	whole  bool          // the answer is to come whole, if it does soon
 	done   func(core.Result)
 }
 
@@ -56,15 +57,28 @@
 )
 
 // Call makes an attempt on a connection with room, or a new one.
-func (t *target) Call(m *store.Message, timeout time.Duration, done func(core.Result)) core.Call {
+func (t *target) Call(m *store.Message, shape core.Shape, timeout time.Duration, done func(core.Result)) core.Call {
 	lower := strings.ToLower
-	x := &call{done: done, body: m.Body, fields: []h2.Field{
+	body, path := m.Body, front.InboxPath
+	if shape.HasBody {
+		body = shape.Body
+	}
+	if shape.Suffix != "" {
+		path += "/" + strings.TrimPrefix(shape.Suffix, "/")
+	}
+	if shape.Query != "" {
+		path += "?" + shape.Query
+	}
+	x := &call{done: done, body: body, whole: shape.Whole, fields: []h2.Field{
 		{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"},
-		{Name: ":authority", Value: t.entry.Addr}, {Name: ":path", Value: front.InboxPath},
+		{Name: ":authority", Value: t.entry.Addr}, {Name: ":path", Value: path},
 		{Name: lower(front.HeaderID), Value: m.ID},
 		{Name: lower(front.HeaderTimeout), Value: strconv.FormatInt(max(timeout.Milliseconds(), 1), 10)},
-		{Name: "content-length", Value: strconv.Itoa(len(m.Body))},
+		{Name: "content-length", Value: strconv.Itoa(len(body))},
 	}}
+	for _, h := range shape.Headers {
+		x.fields = append(x.fields, h2.Field{Name: lower(h.Name), Value: h.Value})
+	}
 	if m.IdempotencyKey != "" {
 		x.fields = append(x.fields, h2.Field{Name: lower(front.HeaderKey), Value: m.IdempotencyKey})
 	}
@@ -280,7 +294,7 @@
 			continue
 		}
 		x.rest = l.target.front.Loop.After(restWithin, x.spoilt)
-		if x.status == 200 {
+		if x.status == 200 && !x.whole {
 			x.finish(core.Result{Outcome: snowjunction.OK})
 		}
 	}
@@ -313,9 +327,18 @@
 	if err != nil {
 		status = 500
 	}
-	x.finish(front.Result(status, func(name string) string {
+	r := front.Result(status, func(name string) string {
 		return h2.Get(m.Fields, strings.ToLower(name))
-	}, l.target.front.Columns))
+	}, l.target.front.Columns)
+	if x.whole {
+		r.Answer = &core.Reply{Status: status, Body: m.Body}
+		for _, f := range m.Fields {
+			if !strings.HasPrefix(f.Name, ":") {
+				r.Answer.Headers = append(r.Answer.Headers, core.HeaderField{Name: f.Name, Value: f.Value})
+			}
+		}
+	}
+	x.finish(r)
 }
 
 // reset ends one call. A stream refused, or above the last of a GOAWAY, never
--- /dev/null
+++ b/internal/measure/plugins.go
@@ -0,0 +1,340 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"snowjunction/internal/plugin/host"
+	"snowjunction/internal/plugin/manifest"
+	"snowjunction/internal/rig"
+	"snowjunction/internal/standin"
+	"snowjunction/internal/standin/load"
+	"snowjunction/internal/standin/partner"
+)
+
+// Plugins are the options of the measurement of plug-ins.
+type Plugins struct {
+	Calls   int           `default:"2000" help:"Calls to each hook of each engine."`
+	For     time.Duration `default:"6s" help:"How long load lasts for each set of plug-ins."`
+	Lanes   int           `default:"20" help:"Clients at once."`
+	Wasm    string        `placeholder:"FILE" help:"A module by the plug-in protocol with a read hook; not given, the example is built with go."`
+	Example string        `default:"example/plugins-wasm/hints" help:"Folder of the example."`
+	JSON    string        `placeholder:"FILE" help:"Where the figures go."`
+	Exe     string        `kong:"-"`
+}
+
+// PluginFigures are what the measurement shows.
+type PluginFigures struct {
+	Machine string              `json:"machine"`
+	Calls   map[string]CallCost `json:"calls"`         // by engine and hook
+	Host    map[string]int64    `json:"host_resident"` // bytes, by engine
+	Courier map[string]int64    `json:"courier_resident"`
+	Loads   map[string]LoadCost `json:"loads"`
+
+	LoopingThroughputRatio float64 `json:"looping_throughput_ratio"` // of flows that it does not see, against none
+	ReloadMs               float64 `json:"reload_ms"`
+	Lost                   int     `json:"lost"` // flows without their one end over the reload
+}
+
+// CallCost is what one call takes from the courier's side of the pipe.
+type CallCost struct {
+	MedianUs float64 `json:"median_us"`
+	P99Us    float64 `json:"p99_us"`
+}
+
+// LoadCost is what clients see.
+type LoadCost struct {
+	PerSecond float64 `json:"per_second"`
+	OthersPS  float64 `json:"others_per_second"` // of flows that the looping one does not see
+	P99Ms     float64 `json:"p99_ms"`            // of the answer to a message handed in
+	OthersP99 float64 `json:"others_p99_ms"`
+	Open      int     `json:"open"`
+	Doubled   int     `json:"doubled"`
+	Unheard   int     `json:"unheard"`
+}
+
+const everyHook = `
+def admit(call):
+    return None
+def shape(call):
+    return {"headers": {"X-Seen": call.id}}
+def read(call):
+    hint = call.headers.get("retry-later")
+    return {"wait_ms": int(hint) * 1000} if hint != None and hint.isdigit() else None
+def ended(call):
+    return None
+`
+
+const looping = `
+def forever(call):
+    for i in range(1000000000):
+        pass
+admit = shape = read = forever
+`
+
+func starlark(name, code string, hooks []manifest.Hook, destinations ...uint32) *manifest.Manifest {
+	m := &manifest.Manifest{
+		Name: name, Version: "1", Protocol: 1, Engine: "starlark", Code: "p.star", Hooks: hooks, Text: []byte(code),
+		Sees: manifest.Sees{Destinations: destinations}, Budget: manifest.Budget{TimeMs: 10, Steps: 100_000_000, MemoryMB: 16, BodyBytes: 4096},
+	}
+	m.Touches.Headers = true
+	return m
+}
+
+// write puts a plug-in into a folder.
+func write(folder string, m *manifest.Manifest) error {
+	dir := filepath.Join(folder, m.Name)
+	b, err := json.Marshal(m)
+	if err == nil {
+		err = os.MkdirAll(dir, 0o700)
+	}
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, "manifest.json"), b, 0o600)
+	}
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, m.Code), m.Text, 0o600)
+	}
+	return err
+}
+
+func (o Plugins) module(dir string) (*manifest.Manifest, error) {
+	path := o.Wasm
+	if path == "" {
+		path = filepath.Join(dir, "hints.wasm")
+		cmd := exec.Command("go", "build", "-buildmode=c-shared", "-o", path, ".")
+		cmd.Dir = o.Example
+		cmd.Env = append(os.Environ(), "GOOS=wasip1", "GOARCH=wasm")
+		if text, err := cmd.CombinedOutput(); err != nil {
+			return nil, fmt.Errorf("build the example (or name a module with --wasm): %w: %s", err, text)
+		}
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return &manifest.Manifest{
+		Name: "wasm", Version: "1", Protocol: 1, Engine: "wasm", Code: "p.wasm", Hooks: []manifest.Hook{manifest.Read}, Text: b,
+		Budget: manifest.Budget{TimeMs: 20, Steps: 1000, MemoryMB: 32, BodyBytes: 4096},
+	}, nil
+}
+
+// calls times calls to a host process, and tells its resident memory.
+func (o Plugins) calls(m *manifest.Manifest, costs map[string]CallCost) (resident int64, err error) {
+	cmd := exec.Command(o.Exe, "plugin-host")
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return 0, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return 0, err
+	}
+	if err := cmd.Start(); err != nil {
+		return 0, err
+	}
+	defer func() {
+		in.Close()
+		_ = cmd.Wait()
+	}()
+	if err := host.Write(in, host.Hello{Manifest: m, Code: m.Text}); err != nil {
+		return 0, err
+	}
+	var a host.Answer
+	if err := host.Read(out, 1<<20, &a); err != nil || a.Error != "" {
+		return 0, fmt.Errorf("%s: %v %s", m.Name, err, a.Error)
+	}
+	text := json.RawMessage(`{"id":"m1","class_name":"status","tenant":"town","destination":7,"status":503,"headers":{"retry-later":"2"},"answer":"eyJidXN5Ijp0cnVlLCJmcmVlX2luIjoiMTUwMG1zIn0="}`)
+	for _, h := range m.Hooks {
+		var took []time.Duration
+		for i := range o.Calls {
+			begun := time.Now()
+			if err := host.Write(in, host.Call{ID: uint64(i + 1), Hook: h, Call: text}); err != nil {
+				return 0, err
+			}
+			var a host.Answer
+			if err := host.Read(out, 1<<20, &a); err != nil || a.Error != "" {
+				return 0, fmt.Errorf("%s %s: %v %s", m.Name, h, err, a.Error)
+			}
+			took = append(took, time.Since(begun))
+		}
+		costs[m.Engine+" "+string(h)] = CallCost{quantile(took, 0.5) * 1000, quantile(took, 0.99) * 1000}
+	}
+	return rig.Resident(cmd.Process.Pid)
+}
+
+// quantile is in milliseconds.
+func quantile(took []time.Duration, q float64) float64 {
+	if len(took) == 0 {
+		return 0
+	}
+	slices.Sort(took)
+	return float64(took[min(int(q*float64(len(took))), len(took)-1)].Microseconds()) / 1000
+}
+
+const others = 9 // of ten destinations
+
+// load plays clients against a courier with these plug-ins. during runs in the
+// middle.
+func (o Plugins) load(list []*manifest.Manifest, during func(c *rig.Courier, folder string) error) (l LoadCost, resident int64, err error) {
+	dir, err := os.MkdirTemp("", "snowjunction-measure-")
+	if err != nil {
+		return l, 0, err
+	}
+	defer os.RemoveAll(dir)
+	folder := filepath.Join(dir, "plugins")
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return l, 0, err
+	}
+	for _, m := range list {
+		if err := write(folder, m); err != nil {
+			return l, 0, err
+		}
+	}
+	var specs []standin.Spec
+	for d := range uint32(others + 1) {
+		specs = append(specs, standin.Spec{Destination: d + 1, Endpoints: 2, Profile: partner.Profile{Latency: 20 * time.Millisecond}})
+	}
+	farm, err := standin.NewFarm(specs)
+	if err != nil {
+		return l, 0, err
+	}
+	defer farm.Close()
+	directory, err := standin.NewDirectory(standin.List(farm.Endpoints()))
+	if err != nil {
+		return l, 0, err
+	}
+	defer directory.Close()
+	settings := rig.Settings()
+	settings["family-info"].(map[string]any)["max-calls"] = 64
+	settings["limits"].(map[string]any)["most-held"] = 4000
+	settings["tenants"] = []any{map[string]any{"name": "town", "quota-rps": 5000}}
+	c, err := rig.Start(o.Exe, rig.Config{
+		Dir: dir, Discovery: directory.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024,
+		Plugins: map[string]any{"folder": folder},
+	})
+	if err != nil {
+		return l, 0, err
+	}
+	defer c.Kill()
+	client := load.New(c.Addr, "")
+	defer client.Close()
+	var mu sync.Mutex
+	var all, rest []time.Duration
+	var wg sync.WaitGroup
+	begun := time.Now()
+	for lane := range o.Lanes {
+		wg.Go(func() {
+			for n := 0; time.Since(begun) < o.For; n++ {
+				d := uint32(lane%(others+1) + 1)
+				at := time.Now()
+				v, after, _ := client.Add(load.Message{
+					ID: fmt.Sprintf("l%d-%d", lane, n), Class: "status", Tenant: "town", Left: 8 * time.Second, Destination: d,
+				})
+				took := time.Since(at)
+				if v == load.Refused {
+					time.Sleep(max(after, 10*time.Millisecond))
+					continue
+				}
+				mu.Lock()
+				all = append(all, took)
+				if d <= others {
+					rest = append(rest, took)
+				}
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	if during != nil {
+		time.Sleep(o.For / 2)
+		if err := during(c, folder); err != nil {
+			return l, 0, err
+		}
+	}
+	wg.Wait()
+	l.PerSecond, l.OthersPS = float64(len(all))/o.For.Seconds(), float64(len(rest))/o.For.Seconds()
+	l.P99Ms, l.OthersP99 = quantile(all, 0.99), quantile(rest, 0.99)
+	delivered := func(d uint32, id string) (seen bool) {
+		_ = farm.With(d, func(p *partner.Partner) { seen = p.Seen(id) })
+		return seen
+	}
+	for limit := time.Now().Add(10 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		e := client.Account(delivered, directory.Notices(), nil)
+		l.Open, l.Doubled, l.Unheard = e.Open, e.Doubled, e.Unheard
+		if e.Open == 0 || time.Now().After(limit) {
+			break
+		}
+	}
+	resident, err = c.Resident()
+	return l, resident, err
+}
+
+// Run measures and returns the figures.
+func (o Plugins) Run(out io.Writer) (f PluginFigures, err error) {
+	f = PluginFigures{
+		Machine: fmt.Sprintf("%s/%s, %d cores, %s", runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), runtime.Version()),
+		Calls:   map[string]CallCost{}, Host: map[string]int64{}, Courier: map[string]int64{}, Loads: map[string]LoadCost{},
+	}
+	dir, err := os.MkdirTemp("", "snowjunction-measure-")
+	if err != nil {
+		return f, err
+	}
+	defer os.RemoveAll(dir)
+	script := starlark("script", everyHook, []manifest.Hook{manifest.Admit, manifest.Shape, manifest.Read, manifest.Ended})
+	module, err := o.module(dir)
+	if err != nil {
+		return f, err
+	}
+	for _, m := range []*manifest.Manifest{script, module} {
+		if f.Host[m.Engine], err = o.calls(m, f.Calls); err != nil {
+			return f, err
+		}
+	}
+	fmt.Fprintf(out, "calls %+v, hosts %+v\n", f.Calls, f.Host)
+	loops := starlark("loops", looping, []manifest.Hook{manifest.Admit, manifest.Shape, manifest.Read}, others+1)
+	for name, list := range map[string][]*manifest.Manifest{
+		"none": nil, "starlark": {script}, "wasm": {module}, "looping": {loops},
+	} {
+		if f.Loads[name], f.Courier[name], err = o.load(list, nil); err != nil {
+			return f, err
+		}
+		fmt.Fprintf(out, "%s: %+v\n", name, f.Loads[name])
+	}
+	f.LoopingThroughputRatio = f.Loads["looping"].OthersPS / f.Loads["none"].OthersPS
+	var reload LoadCost
+	reload, _, err = o.load([]*manifest.Manifest{script}, func(c *rig.Courier, folder string) error {
+		next := *script
+		next.Version = "2"
+		if err := write(folder, &next); err != nil {
+			return err
+		}
+		begun := time.Now()
+		if err := c.Reload(); err != nil {
+			return err
+		}
+		f.ReloadMs = float64(time.Since(begun).Microseconds()) / 1000
+		return nil
+	})
+	if err != nil {
+		return f, err
+	}
+	f.Loads["reload"] = reload
+	f.Lost = reload.Open + reload.Doubled + reload.Unheard
+	fmt.Fprintf(out, "reload in %.1f ms: %+v; looping ratio %.3f\n", f.ReloadMs, reload, f.LoopingThroughputRatio)
+	if o.JSON == "" {
+		return f, nil
+	}
+	text, err := json.MarshalIndent(f, "", "  ")
+	if err != nil {
+		return f, err
+	}
+	return f, os.WriteFile(o.JSON, append(text, '\n'), 0o644)
+}
--- a/internal/plugin/breaker/breaker.go
+++ b/internal/plugin/breaker/breaker.go
@@ -132,6 +132,13 @@
 	return false
 }
 
+// Undo hands back the ticket of a call that did not go to the plug-in after all.
+func (b *Breaker) Undo(t Ticket) {
+	if t.trial && t.epoch == b.epoch {
+		b.trying = false
+	}
+}
+
 func (b *Breaker) open(now time.Duration) {
 	b.state, b.until = Open, now+b.rest
 	b.rest = min(2*b.rest, b.cfg.RestMost)
--- /dev/null
+++ b/internal/plugin/check.go
@@ -0,0 +1,69 @@
+package plugin
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"time"
+
+	"snowjunction/internal/core"
+	"snowjunction/internal/plugin/breaker"
+	"snowjunction/internal/plugin/guard"
+	"snowjunction/internal/plugin/host"
+	"snowjunction/internal/plugin/manifest"
+)
+
+// Try starts a plug-in's host, has it answer calls in turn, and ends it. An error
+// means that the plug-in cannot be made ready.
+func Try(command []string, m *manifest.Manifest, log io.Writer, calls ...host.Call) (answers []host.Answer, why string) {
+	loop := core.NewLoop(time.Now)
+	s := New(Config{Loop: loop, Command: command, Log: slog.New(slog.NewTextHandler(log, nil))})
+	p := &plug{set: s, m: m, breaker: breaker.New(breaker.Default), memory: newMemory(nil), fixed: map[guard.Rule]uint64{}}
+	samples := m.Samples
+	m.Samples = nil
+	defer func() { m.Samples = samples }()
+	up := false
+	p.onUp = func(err string) { why, up = err, true; p.onUp = nil }
+	p.start()
+	loop.RunUntil(func() bool { return up })
+	for _, c := range calls {
+		if why != "" {
+			break
+		}
+		done := false
+		x := &call{hook: c.Hook, text: c.Call, done: func(out json.RawMessage) {
+			a := host.Answer{Out: out}
+			if out == nil {
+				a.Error = p.lastWhy
+			}
+			answers, done = append(answers, a), true
+		}}
+		p.push(x, sampleWithin)
+		loop.RunUntil(func() bool { return done })
+	}
+	p.retire()
+	loop.RunUntil(func() bool { return p.proc == nil })
+	return answers, why
+}
+
+// Check has a plug-in answer its sample cases and returns a line for each that it
+// answers otherwise.
+func Check(command []string, m *manifest.Manifest) (mistakes []string) {
+	var calls []host.Call
+	for _, x := range m.Samples {
+		calls = append(calls, host.Call{Hook: x.Hook, Call: x.Call})
+	}
+	answers, why := Try(command, m, io.Discard, calls...)
+	if why != "" {
+		return []string{why}
+	}
+	for i, a := range answers {
+		x := m.Samples[i]
+		if a.Error != "" {
+			mistakes = append(mistakes, "sample "+x.Name+": "+a.Error)
+		} else if why := Differs(x.Want, a.Out); why != "" {
+			mistakes = append(mistakes, "sample "+x.Name+": "+why)
+		}
+	}
+	return mistakes
+}
--- /dev/null
+++ b/internal/plugin/engine/engine_test.go
@@ -0,0 +1,220 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/plugin/manifest"
+)
+
+type host struct {
+	*Memory
+	log []string
+}
+
+func (h *host) Log(text string) { h.log = append(h.log, text) }
+
+func newHost() *host { return &host{Memory: NewMemory(nil)} }
+
+func openScript(t *testing.T, text string, hooks ...manifest.Hook) (Engine, *host) {
+	h := newHost()
+	e, err := Open(&manifest.Manifest{
+		Name: "s", Engine: "starlark", Code: "s.star", Text: []byte(text), Hooks: hooks,
+		Budget: manifest.Budget{TimeMs: 10, Steps: 100_000, MemoryMB: 16},
+	}, h)
+	require.NoError(t, err)
+	t.Cleanup(e.Close)
+	return e, h
+}
+
+// ask calls with a time that a slow machine keeps too: what must end, ends by it.
+func ask(e Engine, h manifest.Hook, call string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	b, err := e.Call(ctx, h, []byte(call))
+	return string(b), err
+}
+
+func TestStarlark(t *testing.T) {
+	e, h := openScript(t, `
+def read(call):
+    print("status", call.status)
+    keep("n", (recall("n") or "") + "x")
+    if call.status == 200:
+        return None
+    return {"wait_ms": len(call.answer_text), "n": recall("n"), "body": call.body}
+`, manifest.Read)
+	out, err := ask(e, manifest.Read, `{"status":200}`)
+	require.NoError(t, err)
+	assert.Equal(t, "{}", out)
+	out, err = ask(e, manifest.Read, `{"status":503,"answer":"aGVsbG8=","body":"/w=="}`)
+	require.NoError(t, err)
+	assert.JSONEq(t, `{"wait_ms":5,"n":"xx","body":"/w=="}`, out)
+	assert.Equal(t, []string{"status 200", "status 503"}, h.log)
+	assert.Equal(t, map[string]string{"n": "xx"}, h.Changes())
+}
+
+// Whatever a script does ends its call alone.
+func TestStarlarkMisbehaves(t *testing.T) {
+	e, _ := openScript(t, `
+def read(call):
+    if call.id == "loop":
+        for i in range(1000000000):
+            pass
+    if call.id == "trap":
+        return 1 // 0
+    if call.id == "form":
+        return 5
+    if call.id == "huge":
+        return {"x": "y" * 1000000}
+    if call.id == "nan":
+        return {"wait_ms": float("nan")}
+    if call.id == "missing":
+        return {"x": call.no_such_thing}
+    return {}
+`, manifest.Read)
+	for id, want := range map[string]error{
+		"loop": ErrSteps, "trap": ErrTrap, "form": ErrForm, "huge": ErrForm, "nan": ErrForm, "missing": ErrTrap,
+	} {
+		_, err := ask(e, manifest.Read, `{"id":"`+id+`"}`)
+		assert.ErrorIs(t, err, want, id)
+		out, err := ask(e, manifest.Read, `{"id":"well"}`)
+		assert.NoError(t, err)
+		assert.Equal(t, "{}", out)
+	}
+	_, err := ask(e, manifest.Read, `not json`)
+	assert.Error(t, err)
+	_, err = ask(e, manifest.Shape, `{}`)
+	assert.ErrorIs(t, err, ErrForm)
+}
+
+func TestStarlarkOverItsTime(t *testing.T) {
+	h := newHost()
+	e, err := Open(&manifest.Manifest{
+		Engine: "starlark", Code: "s.star", Hooks: []manifest.Hook{manifest.Read}, Budget: manifest.Budget{Steps: 1 << 40},
+		Text: []byte("def read(call):\n    for i in range(1000000000):\n        pass\n"),
+	}, h)
+	require.NoError(t, err)
+	_, err = ask(e, manifest.Read, `{}`)
+	assert.ErrorIs(t, err, ErrTime)
+}
+
+func TestScriptsThatCannotBeOpened(t *testing.T) {
+	for text, want := range map[string]string{
+		"def read(call:\n":                 "s.star",
+		"x = 1":                            "must define read(call)",
+		"def read(): pass":                 "must define read(call)",
+		"def read(call): pass\nfail('no')": "no",
+		"def read(call): pass\nx = [i for i in range(1000000000)]": "steps",
+		"load('other.star', 'x')\ndef read(c): pass":               "load",
+	} {
+		_, err := Open(&manifest.Manifest{
+			Engine: "starlark", Code: "s.star", Text: []byte(text), Hooks: []manifest.Hook{manifest.Read}, Budget: manifest.Budget{Steps: 100_000},
+		}, newHost())
+		assert.ErrorContains(t, err, want, text)
+	}
+}
+
+// build compiles a Go program to a WebAssembly module.
+func build(t *testing.T, dir string) []byte {
+	out := filepath.Join(t.TempDir(), "m.wasm")
+	cmd := exec.Command("go", "build", "-buildmode=c-shared", "-o", out, ".")
+	cmd.Dir = dir
+	cmd.Env = append(os.Environ(), "GOOS=wasip1", "GOARCH=wasm", "GOFLAGS=")
+	text, err := cmd.CombinedOutput()
+	require.NoError(t, err, "%s", text)
+	b, err := os.ReadFile(out)
+	require.NoError(t, err)
+	return b
+}
+
+// The example module makes of its samples what they say, and remembers.
+func TestWasmExample(t *testing.T) {
+	dir := "../../../example/plugins-wasm/hints"
+	code := build(t, dir)
+	copied := t.TempDir()
+	require.NoError(t, os.CopyFS(copied, os.DirFS(dir)))
+	require.NoError(t, os.WriteFile(filepath.Join(copied, "hints.wasm"), code, 0o600))
+	m, err := manifest.Load(copied)
+	require.NoError(t, err)
+	h := newHost()
+	e, err := Open(m, h)
+	require.NoError(t, err)
+	defer e.Close()
+	require.NotEmpty(t, m.Samples)
+	for range 2 {
+		for _, s := range m.Samples {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			out, err := e.Call(ctx, s.Hook, s.Call)
+			cancel()
+			require.NoError(t, err, s.Name)
+			assert.JSONEq(t, string(s.Want), string(out), s.Name)
+		}
+	}
+	assert.Equal(t, map[string]string{"hints": "2"}, h.Changes())
+}
+
+// Whatever a module does ends its call alone: the next one is answered.
+func TestWasmMisbehaves(t *testing.T) {
+	m := &manifest.Manifest{
+		Name: "hostile", Engine: "wasm", Code: "m.wasm", Text: build(t, "testdata/hostile"), Hooks: []manifest.Hook{manifest.Read},
+		Budget: manifest.Budget{TimeMs: 300, MemoryMB: 24},
+	}
+	e, err := Open(m, newHost())
+	require.NoError(t, err)
+	defer e.Close()
+	for id, want := range map[string]error{
+		"loop": ErrTime, "panic": ErrTrap, "grow": ErrTrap, "outside": ErrForm, "huge": ErrForm,
+	} {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		_, err := e.Call(ctx, manifest.Read, []byte(`{"id":"`+id+`"}`))
+		cancel()
+		assert.ErrorIs(t, err, want, id)
+		ctx, cancel = context.WithTimeout(context.Background(), 10*time.Second)
+		out, err := e.Call(ctx, manifest.Read, []byte(`{"id":"well"}`))
+		cancel()
+		require.NoError(t, err, "after %s", id)
+		assert.JSONEq(t, `{"outcome":"well"}`, string(out))
+	}
+	// Endless recursion ends by its memory or by its time, whichever is first.
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	_, err = e.Call(ctx, manifest.Read, []byte(`{"id":"deep"}`))
+	cancel()
+	assert.Error(t, err)
+	m.Hooks = append(m.Hooks, manifest.Admit)
+	_, err = Open(m, newHost())
+	assert.ErrorContains(t, err, "call_admit")
+	m.Text = []byte("no module")
+	_, err = Open(m, newHost())
+	assert.Error(t, err)
+}
+
+func TestMemory(t *testing.T) {
+	m := NewMemory(map[string]string{"a": "1"})
+	assert.Nil(t, m.Changes(), "what it began with is no change")
+	assert.True(t, m.Set("b", "2"))
+	assert.True(t, m.Set("a", ""))
+	assert.Equal(t, map[string]string{"a": "", "b": "2"}, m.Changes())
+	_, ok := m.Get("a")
+	assert.False(t, ok)
+	assert.False(t, m.Set("", "x"))
+	assert.False(t, m.Set(strings.Repeat("k", KeyMost+1), "x"))
+	assert.False(t, m.Set("k", strings.Repeat("v", ValueMost+1)))
+	n := 0
+	for i := 0; m.Set(strings.Repeat("k", i%60+1)+string(rune('a'+i/60)), strings.Repeat("v", 900)); i++ {
+		n++
+	}
+	assert.Less(t, n, 20, "16 KB in all")
+	b, err := json.Marshal(m.Values)
+	require.NoError(t, err)
+	assert.Less(t, len(b), MemoryMost+2048)
+}
--- a/internal/plugin/engine/starlark.go
+++ b/internal/plugin/engine/starlark.go
@@ -145,6 +145,10 @@
 			if raw, err := base64.StdEncoding.DecodeString(text); err == nil {
 				members[key] = starlark.Bytes(raw)
 			}
+		} else if ok && key == "answer" {
+			if raw, err := base64.StdEncoding.DecodeString(text); err == nil {
+				members["answer_text"] = starlark.String(raw)
+			}
 		}
 	}
 	return starlarkstruct.FromStringDict(starlarkstruct.Default, members)
--- a/internal/proto/http1/http1.go
+++ b/internal/proto/http1/http1.go
@@ -40,6 +40,13 @@
 	return ""
 }
 
+// Each calls f with every header, in order.
+func (r *Response) Each(f func(name, value string)) {
+	for _, h := range r.header {
+		f(h.name, h.value)
+	}
+}
+
 type state int
 
 const (
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -58,6 +58,7 @@
 	Known     []standin.Instance // nil: no list is known at the start
 	Push      map[string]any     // the push front's file; nil: off
 	Idle      map[string]any     // the file for idle destinations; nil: its defaults
+	Plugins   map[string]any     // the plug-ins' file; nil: none
 }
 
 // Courier is a running courier.
@@ -69,7 +70,9 @@
 	tail   []string
 	counts chan map[string]any
 	up     chan map[string]any
-	exited chan error
+
+	replaced chan map[string]any
+	exited   chan error
 }
 
 const (
@@ -105,17 +108,21 @@
 	if cfg.Idle == nil {
 		cfg.Idle = map[string]any{}
 	}
+	if cfg.Plugins == nil {
+		cfg.Plugins = map[string]any{}
+	}
 	config, err := write("config.json", whole)
 	push, err2 := write("push.json", cfg.Push)
 	idle, err3 := write("idle.json", cfg.Idle)
-	if err := errors.Join(err, err2, err3); err != nil {
+	plugins, err4 := write("plugins.json", cfg.Plugins)
+	if err := errors.Join(err, err2, err3, err4); err != nil {
 		return nil, err
 	}
 	c := &Courier{
 		cmd: exec.Command(exe, "run", "--log-format=json"), counts: make(chan map[string]any, 16),
-		up: make(chan map[string]any, 1), exited: make(chan error, 1),
+		up: make(chan map[string]any, 1), replaced: make(chan map[string]any, 1), exited: make(chan error, 1),
 	}
-	c.cmd.Env = append(os.Environ(), "GW_CONFIG="+config, "GW_STATE="+state, "SNOWJUNCTION_PUSH="+push, "SNOWJUNCTION_IDLE="+idle)
+	c.cmd.Env = append(os.Environ(), "GW_CONFIG="+config, "GW_STATE="+state, "SNOWJUNCTION_PUSH="+push, "SNOWJUNCTION_IDLE="+idle, "SNOWJUNCTION_PLUGINS="+plugins)
 	out, err := c.cmd.StderrPipe()
 	if err != nil {
 		return nil, err
@@ -153,6 +160,11 @@
 		switch line["msg"] {
 		case "started":
 			c.up <- line
+		case "plug-ins replaced", "plug-ins not replaced":
+			select {
+			case c.replaced <- line:
+			default:
+			}
 		case "counters", "ended":
 			select {
 			case c.counts <- line:
@@ -200,8 +212,27 @@
 }
 
 // Resident is its resident memory in bytes.
-func (c *Courier) Resident() (int64, error) {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.cmd.Process.Pid))
+func (c *Courier) Resident() (int64, error) { return Resident(c.cmd.Process.Pid) }
+
+// Reload sends SIGHUP and waits until the plug-ins have been replaced.
+func (c *Courier) Reload() error {
+	if err := c.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		return err
+	}
+	select {
+	case line := <-c.replaced:
+		if line["msg"] != "plug-ins replaced" {
+			return fmt.Errorf("%v: %v", line["msg"], line["err"])
+		}
+		return nil
+	case <-time.After(startWithin):
+		return fmt.Errorf("the plug-ins are not replaced\n%s", c.Tail())
+	}
+}
+
+// Resident is the resident memory of a process in bytes.
+func Resident(pid int) (int64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, err
 	}
@@ -260,6 +291,6 @@
 	}
 	return map[string]any{
 		"listen": "127.0.0.1:0", "max_connections": 64, "retain_s": 300, "openapi": "openapi.json",
-		"asyncapi": "asyncapi.json", "hooks": "", "targets": targets,
+		"asyncapi": "asyncapi.json", "targets": targets,
 	}, nil
 }
--- a/internal/standin/farm.go
+++ b/internal/standin/farm.go
@@ -45,6 +45,9 @@
 	ends    []Endpoint
 	wg      sync.WaitGroup
 	closing chan struct{}
+
+	mu     sync.Mutex
+	shaped []string // X-Kitchen and the query of the last call that had them
 }
 
 // host is a partner with the lock that its connections share.
@@ -119,6 +122,14 @@
 	}
 }
 
+// LastShaped is the header X-Kitchen and the query of the last call that had that
+// header.
+func (f *Farm) LastShaped() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shaped
+}
+
 // Close ends all connections and waits for the listeners' ends.
 func (f *Farm) Close() {
 	close(f.closing)
@@ -159,6 +170,11 @@
 		http.Error(w, "no such thing", http.StatusBadRequest)
 		return
 	}
+	if k := r.Header.Get("X-Kitchen"); k != "" {
+		f.mu.Lock()
+		f.shaped = []string{k, r.URL.RawQuery}
+		f.mu.Unlock()
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, bodyMost+1))
 	if err != nil || len(body) > bodyMost {
 		http.Error(w, "too big", http.StatusBadRequest)
