measure hostile and plugins; reload in a clump, quarantine, admin socket tested

Need: the issue asks for ten thousand messages past hostile plug-ins, figures for what plug-ins cost, and tests on sockets for reload, quarantine and the admin socket.

--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -106,9 +106,19 @@
 
 type measureCommand struct {
 	Idle    idleCommand    `cmd:"" help:"What idle destinations cost, and how they wake."`
+	Hostile hostileCommand `cmd:"" help:"Ten thousand messages past hostile plug-ins; exit 0 only if every rule holds."`
 	Plugins pluginsCommand `cmd:"" help:"What plug-ins cost, and what a looping one does to other flows."`
 }
 
+type hostileCommand struct{ measure.Hostile }
+
+func (m hostileCommand) Run() (err error) {
+	if m.Exe, err = os.Executable(); err == nil {
+		err = m.Hostile.Run(os.Stdout)
+	}
+	return err
+}
+
 type pluginsCommand struct{ measure.Plugins }
 
 func (m pluginsCommand) Run() (err error) {
--- a/cmd/snowjunction/plugin_test.go
+++ b/cmd/snowjunction/plugin_test.go
@@ -216,3 +216,103 @@
 	s.until("m1", func() bool { return s.seen(1, "m1") })
 	assert.Zero(t, s.counts().Copies)
 }
+
+// handInOrder hands in messages of one key, one after another.
+func (s *stage) handInOrder(name string, dest uint32, n int, between func(i int)) {
+	for i := range n {
+		between(i)
+		v, _, err := s.client.Add(load.Message{
+			ID: fmt.Sprintf("%s-%d", name, i), Class: "order", Tenant: "town", Destination: dest, Left: 8 * time.Second,
+			Keyed: true, Key: 77, Seq: uint64(i + 1),
+		})
+		require.NoError(s.t, err)
+		require.Equal(s.t, load.Taken, v)
+	}
+}
+
+// Plug-ins are replaced in the middle of a clump for one key: nothing is lost,
+// comes twice or out of order, and the new version serves what comes later.
+func TestReloadInAClump(t *testing.T) {
+	folder := t.TempDir()
+	version := func(v string) {
+		writePlugin(t, folder, "shaper", map[string]any{
+			"version": v, "hooks": []string{"admit", "shape", "read"}, "touches": map[string]any{"headers": true},
+		}, "def admit(call):\n    return None\ndef shape(call):\n    return {'headers': {'X-Kitchen': '"+v+"'}}\ndef read(call):\n    return None\n")
+	}
+	version("1")
+	s := kitchen(t, 2, folder)
+	s.handInOrder("m", 1, 60, func(i int) {
+		if i%20 == 10 {
+			version(fmt.Sprint("2.", i))
+			require.NoError(t, s.Signal(syscall.SIGHUP))
+		}
+	})
+	s.until("every message's end", func() bool {
+		return s.client.Account(s.seen, s.directory.Notices(), nil).Delivered == 60
+	})
+	n := s.counts()
+	assert.Zero(t, n.Copies+n.OutOfOrder+n.InWait, "%+v", n)
+	_, err := s.Await("plug-ins replaced")
+	require.NoError(t, err)
+	version("last")
+	require.NoError(t, s.Signal(syscall.SIGHUP))
+	s.until("the last version", func() bool {
+		s.deliver(2, fmt.Sprint("x", time.Now().UnixNano()))
+		return s.farm.LastShaped()[0] == "last"
+	})
+}
+
+// A plug-in that fails goes into quarantine, its flows pass it by, and when it
+// answers again it comes back.
+func TestQuarantineAndReturn(t *testing.T) {
+	folder := t.TempDir()
+	writePlugin(t, folder, "moody", map[string]any{"hooks": []string{"admit"}, "budget": map[string]any{"time_ms": 40}},
+		"def admit(call):\n    return fail('no') if call.id.startswith('bad') else None\n")
+	s := kitchen(t, 2, folder)
+	for i := range 4 {
+		s.deliver(1, fmt.Sprint("bad", i))
+	}
+	_, err := s.Await("plug-in quarantine.*plugin=moody state=open")
+	require.NoError(t, err)
+	s.deliver(2, "by")
+	assert.NotEqual(t, "0", s.counters("plugins.moody.passed"))
+	i := 0
+	s.until("its return", func() bool {
+		s.deliver(1, fmt.Sprint("good", i))
+		i++
+		return s.counters("plugins.moody.state") == "closed"
+	})
+}
+
+// The admin socket lists the plug-ins of a running courier and has them read
+// anew; what it cannot do it says.
+func TestAdminSocket(t *testing.T) {
+	folder := t.TempDir()
+	write := func(v string) {
+		writePlugin(t, folder, "tail", map[string]any{"version": v, "hooks": []string{"ended"}}, "def ended(call):\n    return None\n")
+	}
+	write("1")
+	door := filepath.Join(folder, "door")
+	s := newStageWith(t, 1, map[string]any{}, func(s *stage) {
+		file := filepath.Join(s.Dir(), "plugins.json")
+		b, err := json.Marshal(map[string]any{"folder": folder, "admin": door})
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(file, b, 0o600))
+		s.Env = append(s.Env, "SNOWJUNCTION_PLUGINS="+file)
+	}, false)
+	out, code := command(t, nil, "plugin", "list", "--admin", door)
+	assert.Zero(t, code, out)
+	assert.Contains(t, out, `"name":"tail","version":"1"`)
+	write("2")
+	out, code = command(t, nil, "plugin", "list", "--admin", door, "--reload")
+	assert.Zero(t, code, out)
+	assert.Contains(t, out, `"version":"2"`)
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "tail", "p.star"), []byte("x = 1\n"), 0o600))
+	out, code = command(t, nil, "plugin", "list", "--admin", door, "--reload")
+	assert.Equal(t, exitFailed, code)
+	assert.Contains(t, out, "must define ended(call)")
+	s.deliver(1, "m1")
+	i, err := os.Stat(door)
+	require.NoError(t, err)
+	assert.Equal(t, os.FileMode(0o600), i.Mode().Perm())
+}
--- /dev/null
+++ b/internal/measure/hostile.go
@@ -0,0 +1,175 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"snowjunction/internal/plugin/manifest"
+	"snowjunction/internal/rig"
+	"snowjunction/internal/standin"
+	"snowjunction/internal/standin/load"
+	"snowjunction/internal/standin/partner"
+)
+
+// Hostile are the options of the run with hostile plug-ins.
+type Hostile struct {
+	Messages int    `default:"10000" help:"How many messages are handed in, over both fronts."`
+	Lanes    int    `default:"24" help:"Clients at once."`
+	Exe      string `kong:"-"`
+}
+
+// hostile are plug-ins that do what one must not, by destination.
+func hostile() []*manifest.Manifest {
+	read, shape := []manifest.Hook{manifest.Read}, []manifest.Hook{manifest.Shape}
+	list := []*manifest.Manifest{
+		starlark("loops", looping, []manifest.Hook{manifest.Admit, manifest.Shape, manifest.Read}, 1),
+		starlark("grows", "def shape(call):\n    return {'headers': {'X-A': ('y' * (1 << 29))[:3]}}\n", shape, 2),
+		starlark("breaks", "def read(call):\n    return 1 // 0\n", read, 3),
+		starlark("lies", `
+WAITS = [-1, 0, 315360000000, 'nan', None, [], 10]
+def read(call):
+    said = 'full' if call.status in (200, 500) else 'ok'
+    return {'outcome': said, 'wait_ms': WAITS[len(call.id) % len(WAITS)]}
+`, read, 4, 5),
+		starlark("floods", `
+HEADERS = {'X-%d' % i: 'v' for i in range(10000)}
+def shape(call):
+    h = {'X-Request-ID': 'other', 'Content-Length': '0', 'X-A': 'b\r\nX-Request-ID: other', ':path': '/'}
+    h.update(HEADERS)
+    return {'headers': h, 'path_suffix': '../../other', 'query': 'a b', 'body': '%'}
+`, shape, 6),
+		starlark("huge", "def read(call):\n    return {'outcome': 'x' * 1000000}\n", read, 7),
+	}
+	list[0].Budget.TimeMs, list[1].Budget.MemoryMB = 5, 1
+	return list
+}
+
+// Run plays it and returns an error if a message has not its one end or a rule
+// was broken.
+func (o Hostile) Run(out io.Writer) error {
+	dir, err := os.MkdirTemp("", "snowjunction-hostile-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	folder := filepath.Join(dir, "plugins")
+	for _, m := range hostile() {
+		if err := write(folder, m); err != nil {
+			return err
+		}
+	}
+	var specs []standin.Spec
+	for d := range uint32(9) {
+		specs = append(specs, standin.Spec{
+			Destination: d + 1, Endpoints: 2, HTTP2: d%2 == 1,
+			Profile: partner.Profile{Latency: 5 * time.Millisecond, Limit: 400, Report: true, Tells: 1},
+		})
+	}
+	farm, err := standin.NewFarm(specs)
+	if err != nil {
+		return err
+	}
+	defer farm.Close()
+	var listed, pushed []standin.Endpoint
+	for _, e := range farm.Endpoints() {
+		if e.HTTP2 {
+			pushed = append(pushed, e)
+		} else {
+			listed = append(listed, e)
+		}
+	}
+	directory, err := standin.NewDirectory(standin.List(listed))
+	if err != nil {
+		return err
+	}
+	defer directory.Close()
+	push, err := rig.PushFile(dir, standin.List(pushed))
+	if err != nil {
+		return err
+	}
+	settings := rig.Settings()
+	settings["family-info"].(map[string]any)["max-calls"] = 64
+	settings["limits"].(map[string]any)["most-held"] = 2000
+	settings["tenants"] = []any{map[string]any{"name": "town", "quota-rps": 5000}}
+	c, err := rig.Start(o.Exe, rig.Config{
+		Dir: dir, Discovery: directory.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024, Push: push,
+		Plugins: map[string]any{"folder": folder},
+	})
+	if err != nil {
+		return err
+	}
+	defer c.Kill()
+	for d, kind := range map[uint32]partner.Kind{4: partner.Error, 5: partner.Shut, 8: partner.Reset} {
+		if err := farm.With(d, func(p *partner.Partner) {
+			p.Add(partner.Fault{Kind: kind, Until: time.Hour, Share: 0.2})
+		}); err != nil {
+			return err
+		}
+	}
+	client := load.New(c.Addr, c.Push)
+	defer client.Close()
+	var wg sync.WaitGroup
+	for lane := range o.Lanes {
+		wg.Go(func() {
+			for n := range o.Messages / o.Lanes {
+				m := load.Message{
+					ID: fmt.Sprintf("h%d-%d", lane, n), Class: "status", Tenant: "town", Destination: uint32(lane%9 + 1),
+					Left: 3 * time.Second, Push: lane%3 == 0,
+				}
+				if lane%2 == 0 {
+					m.Class, m.Keyed, m.Key, m.Seq = "order", true, uint64(lane+1), uint64(n+1)
+				}
+				if v, after, _ := client.Add(m); v == load.Refused {
+					time.Sleep(min(max(after, 5*time.Millisecond), 50*time.Millisecond))
+				}
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	delivered := func(d uint32, id string) (seen bool) {
+		_ = farm.With(d, func(p *partner.Partner) { seen = p.Seen(id) })
+		return seen
+	}
+	var e load.Ends
+	var limit time.Time
+	for handed := false; ; time.Sleep(500 * time.Millisecond) {
+		e = client.Account(delivered, directory.Notices(), nil)
+		if !handed {
+			select {
+			case <-done:
+				handed, limit = true, time.Now().Add(10*time.Second)
+			default:
+			}
+			continue
+		}
+		if e.Open == 0 || time.Now().After(limit) {
+			break
+		}
+	}
+	var n partner.Counts
+	farm.Each(func(_ uint32, p *partner.Partner) {
+		n.Calls, n.Copies, n.OutOfOrder, n.InWait = n.Calls+p.Counts.Calls, n.Copies+p.Counts.Copies, n.OutOfOrder+p.Counts.OutOfOrder, n.InWait+p.Counts.InWait
+	})
+	resident, err := c.Resident()
+	if err != nil {
+		return fmt.Errorf("the courier is not up: %w", err)
+	}
+	counters, err := c.Counters(false)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%+v\ncalls %d, copies %d, out of order %d, in a wait %d; the courier holds %.1f MB\nplug-ins %v\n",
+		e, n.Calls, n.Copies, n.OutOfOrder, n.InWait, float64(resident)/1e6, counters["plugins"])
+	if broken := e.Open + e.Doubled + e.Unheard + n.Copies + n.OutOfOrder + n.InWait; broken > 0 {
+		return fmt.Errorf("%d times a rule was broken", broken)
+	}
+	return nil
+}
--- a/internal/measure/plugins.go
+++ b/internal/measure/plugins.go
@@ -77,7 +77,9 @@
 def forever(call):
     for i in range(1000000000):
         pass
-admit = shape = read = forever
+admit = forever
+shape = forever
+read = forever
 `
 
 func starlark(name, code string, hooks []manifest.Hook, destinations ...uint32) *manifest.Manifest {
@@ -300,13 +302,14 @@
 	}
 	fmt.Fprintf(out, "calls %+v, hosts %+v\n", f.Calls, f.Host)
 	loops := starlark("loops", looping, []manifest.Hook{manifest.Admit, manifest.Shape, manifest.Read}, others+1)
-	for name, list := range map[string][]*manifest.Manifest{
-		"none": nil, "starlark": {script}, "wasm": {module}, "looping": {loops},
-	} {
-		if f.Loads[name], f.Courier[name], err = o.load(list, nil); err != nil {
+	for _, x := range []struct {
+		name string
+		list []*manifest.Manifest
+	}{{"none", nil}, {"starlark", []*manifest.Manifest{script}}, {"wasm", []*manifest.Manifest{module}}, {"looping", []*manifest.Manifest{loops}}} {
+		if f.Loads[x.name], f.Courier[x.name], err = o.load(x.list, nil); err != nil {
 			return f, err
 		}
-		fmt.Fprintf(out, "%s: %+v\n", name, f.Loads[name])
+		fmt.Fprintf(out, "%s: %+v\n", x.name, f.Loads[x.name])
 	}
 	f.LoopingThroughputRatio = f.Loads["looping"].OthersPS / f.Loads["none"].OthersPS
 	var reload LoadCost
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -50,6 +50,7 @@
 	idle  []*conn
 	Sent  []Message
 	Heard map[string]Verdict
+	ended map[string]string // by id: ends that the push front has told; it forgets them
 }
 
 type conn struct {
@@ -63,7 +64,7 @@
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
 	return &Client{
-		addr: addr, push: push, Heard: map[string]Verdict{},
+		addr: addr, push: push, Heard: map[string]Verdict{}, ended: map[string]string{},
 		http: &http.Client{Transport: &http.Transport{Protocols: &p}},
 	}
 }
@@ -210,7 +211,20 @@
 }
 
 // pushState is what the push front tells of a message's life; "": nothing.
-func (c *Client) pushState(id string) string {
+func (c *Client) pushState(id string) (state string) {
+	c.mu.Lock()
+	state = c.ended[id]
+	c.mu.Unlock()
+	if state != "" {
+		return state
+	}
+	defer func() {
+		if state != "" && state != "taken" {
+			c.mu.Lock()
+			c.ended[id] = state
+			c.mu.Unlock()
+		}
+	}()
 	ctx, cancel := context.WithTimeout(context.Background(), answerWithin)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.push+"/message/"+id, nil)
