--- a/cmd/snowjunction/plugin_test.go
+++ b/cmd/snowjunction/plugin_test.go
@@ -80,13 +80,7 @@
 }
 
 func (s *stage) counts() (sum partner.Counts) {
-	s.farm.Each(func(_ uint32, p *partner.Partner) {
-		n := p.Counts
-		sum.Delivered += n.Delivered
-		sum.Copies += n.Copies
-		sum.OutOfOrder += n.OutOfOrder
-		sum.InWait += n.InWait
-	})
+	s.farm.Each(func(_ uint32, p *partner.Partner) { sum.Add(p.Counts) })
 	return sum
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -97,33 +97,17 @@
 	for _, r := range roles {
 		specs = append(specs, r.spec)
 	}
-	farm, err := standin.NewFarm(specs)
-	if err != nil {
-		return err
-	}
-	defer farm.Close()
-	var listed, pushed []standin.Endpoint
-	for _, e := range farm.Endpoints() {
-		if e.HTTP2 {
-			pushed = append(pushed, e)
-		} else {
-			listed = append(listed, e)
-		}
-	}
-	directory, err := standin.NewDirectory(standin.List(listed))
-	if err != nil {
-		return err
-	}
-	defer directory.Close()
-	push, err := rig.PushFile(dir, standin.List(pushed))
+	kitchen, err := rig.NewKitchen(dir, specs)
 	if err != nil {
 		return err
 	}
+	defer kitchen.Close()
+	farm, directory := kitchen.Farm, kitchen.Directory
 	settings := rig.Settings()
 	settings["family-info"].(map[string]any)["max-calls"] = 32
 	settings["limits"].(map[string]any)["most-held"] = 400
 	courier, err := rig.Start(o.Exe, rig.Config{
-		Dir: dir, Discovery: directory.Addr(), Settings: settings, MemoryMB: 64, Sockets: 512, Push: push,
+		Dir: dir, Discovery: directory.Addr(), Settings: settings, MemoryMB: 64, Sockets: 512, Push: kitchen.Push,
 	})
 	if err != nil {
 		return err
@@ -134,29 +118,18 @@
 	if err := faults(farm, farm.Now()+o.Over/4); err != nil {
 		return err
 	}
-	drained := time.AfterFunc(o.Over/2, func() {
-		for _, x := range standin.List(listed) {
-			if x.Cell == 9 && x.InstanceID == "p9-0" {
-				x.Lifecycle = "Terminating"
-				directory.Change(x)
-			}
-		}
-	})
+	drained := time.AfterFunc(o.Over/2, func() { kitchen.Drain("p9-0") })
 	defer drained.Stop()
 	client := load.New(courier.Addr, courier.Push)
 	defer client.Close()
 	handIn(client, o, len(roles))
-	delivered := func(d uint32, id string) (seen bool) {
-		_ = farm.With(d, func(p *partner.Partner) { seen = p.Seen(id) })
-		return seen
-	}
 	all := func(load.Message) bool { return true }
 	for limit := time.Now().Add(settleWithin); time.Now().Before(limit); time.Sleep(200 * time.Millisecond) {
-		if e := client.Account(delivered, directory.Notices(), all); e.Open == 0 {
+		if e := client.Account(kitchen.Delivered, directory.Notices(), all); e.Open == 0 {
 			break
 		}
 	}
-	return report(o.Out, roles, farm, client, delivered, directory.Notices())
+	return report(o.Out, roles, farm, client, kitchen.Delivered, directory.Notices())
 }
 
 // handIn plays the clients: half of the messages carry keys, each key's one
@@ -200,12 +173,11 @@
 
 func report(out io.Writer, roles []role, farm *standin.Farm, client *load.Client, delivered func(uint32, string) bool, notices map[string][]standin.Notice) error {
 	w := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "partner\thanded in\ttaken\trefused\tfailed\tunheard\tdelivered\treturned\tgiven up\topen\tdoubled\tcalls\tlate\tcopies\tout of order\tin a wait\tfell")
+	fmt.Fprintln(w, "partner\thanded in\ttaken\trefused\tfailed\tunheard\tdelivered\treturned\tgiven up\topen\tdoubled\tcalls\tlate\tcopies\tout of order\tin a wait\tfell\tdrained")
 	var sum load.Ends
-	var broken, calls int
 	row := func(name string, e load.Ends, n partner.Counts) {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", name, e.Handed, e.Taken, e.Refused,
-			e.Failed, e.Unheard, e.Delivered, e.Returned, e.Given, e.Open, e.Doubled, n.Calls, n.Late, n.Copies, n.OutOfOrder, n.InWait, n.Fell)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", name, e.Handed, e.Taken, e.Refused,
+			e.Failed, e.Unheard, e.Delivered, e.Returned, e.Given, e.Open, e.Doubled, n.Calls, n.Late, n.Copies, n.OutOfOrder, n.InWait, n.Fell, n.Drained)
 	}
 	var all partner.Counts
 	for _, r := range roles {
@@ -216,10 +188,7 @@
 		}
 		row(r.name, e, n)
 		sum.Add(e)
-		calls += n.Calls
-		broken += n.Copies + n.OutOfOrder + n.InWait + n.Fell
-		all.Calls, all.Late, all.Copies = all.Calls+n.Calls, all.Late+n.Late, all.Copies+n.Copies
-		all.OutOfOrder, all.InWait, all.Fell = all.OutOfOrder+n.OutOfOrder, all.InWait+n.InWait, all.Fell+n.Fell
+		all.Add(n)
 	}
 	row("all", sum, all)
 	if err := w.Flush(); err != nil {
@@ -228,8 +197,8 @@
 	switch {
 	case sum.Open+sum.Doubled+sum.Unheard > 0:
 		return fmt.Errorf("%d messages have no end, %d more than one, %d no answer", sum.Open, sum.Doubled, sum.Unheard)
-	case broken > 0:
-		return fmt.Errorf("%d times a rule was broken", broken)
+	case all.Broken() > 0:
+		return fmt.Errorf("%d times a rule was broken", all.Broken())
 	case sum.Delivered == 0:
 		return fmt.Errorf("nothing was delivered")
 	}
--- a/internal/measure/hostile.go
+++ b/internal/measure/hostile.go
@@ -69,34 +69,18 @@
 			Profile: partner.Profile{Latency: 5 * time.Millisecond, Limit: 400, Report: true, Tells: 1},
 		})
 	}
-	farm, err := standin.NewFarm(specs)
-	if err != nil {
-		return err
-	}
-	defer farm.Close()
-	var listed, pushed []standin.Endpoint
-	for _, e := range farm.Endpoints() {
-		if e.HTTP2 {
-			pushed = append(pushed, e)
-		} else {
-			listed = append(listed, e)
-		}
-	}
-	directory, err := standin.NewDirectory(standin.List(listed))
-	if err != nil {
-		return err
-	}
-	defer directory.Close()
-	push, err := rig.PushFile(dir, standin.List(pushed))
+	kitchen, err := rig.NewKitchen(dir, specs)
 	if err != nil {
 		return err
 	}
+	defer kitchen.Close()
+	farm, directory := kitchen.Farm, kitchen.Directory
 	settings := rig.Settings()
 	settings["family-info"].(map[string]any)["max-calls"] = 64
 	settings["limits"].(map[string]any)["most-held"] = 2000
 	settings["tenants"] = []any{map[string]any{"name": "town", "quota-rps": 5000}}
 	c, err := rig.Start(o.Exe, rig.Config{
-		Dir: dir, Discovery: directory.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024, Push: push,
+		Dir: dir, Discovery: directory.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024, Push: kitchen.Push,
 		Plugins: map[string]any{"folder": folder},
 	})
 	if err != nil {
@@ -134,14 +118,12 @@
 		wg.Wait()
 		close(done)
 	}()
-	delivered := func(d uint32, id string) (seen bool) {
-		_ = farm.With(d, func(p *partner.Partner) { seen = p.Seen(id) })
-		return seen
-	}
+	drain := time.AfterFunc(time.Second, func() { kitchen.Drain("p9-0") })
+	defer drain.Stop()
 	var e load.Ends
 	var limit time.Time
 	for handed := false; ; time.Sleep(500 * time.Millisecond) {
-		e = client.Account(delivered, directory.Notices(), nil)
+		e = client.Account(kitchen.Delivered, directory.Notices(), nil)
 		if !handed {
 			select {
 			case <-done:
@@ -154,10 +136,11 @@
 			break
 		}
 	}
-	var n partner.Counts
-	farm.Each(func(_ uint32, p *partner.Partner) {
-		n.Calls, n.Copies, n.OutOfOrder, n.InWait = n.Calls+p.Counts.Calls, n.Copies+p.Counts.Copies, n.OutOfOrder+p.Counts.OutOfOrder, n.InWait+p.Counts.InWait
-	})
+	for d := uint32(1); d <= 9; d++ {
+		x := client.Account(kitchen.Delivered, directory.Notices(), func(m load.Message) bool { return m.Destination == d })
+		fmt.Fprintf(out, "destination %d: %+v\n", d, x)
+	}
+	n := kitchen.Counts()
 	resident, err := c.Resident()
 	if err != nil {
 		return fmt.Errorf("the courier is not up: %w", err)
@@ -166,9 +149,9 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "%+v\ncalls %d, copies %d, out of order %d, in a wait %d; the courier holds %.1f MB\nplug-ins %v\n",
-		e, n.Calls, n.Copies, n.OutOfOrder, n.InWait, float64(resident)/1e6, counters["plugins"])
-	if broken := e.Open + e.Doubled + e.Unheard + n.Copies + n.OutOfOrder + n.InWait; broken > 0 {
+	fmt.Fprintf(out, "%+v\ncalls %d, copies %d, out of order %d, in a wait %d, after a drain %d; the courier holds %.1f MB\nplug-ins %v\n%v turns %v longest %v us\n",
+		e, n.Calls, n.Copies, n.OutOfOrder, n.InWait, n.Drained, float64(resident)/1e6, counters["plugins"], counters["n"], counters["turns"], counters["longest_turn_us"])
+	if broken := e.Open + e.Doubled + e.Unheard + n.Broken(); broken > 0 {
 		return fmt.Errorf("%d times a rule was broken", broken)
 	}
 	return nil
--- a/internal/standin/farm.go
+++ b/internal/standin/farm.go
@@ -47,7 +47,8 @@
 	closing chan struct{}
 
 	mu     sync.Mutex
-	shaped []string // X-Kitchen and the query of the last call that had them
+	drains map[string]time.Time // by address: since when
+	shaped []string             // X-Kitchen and the query of the last call that had them
 }
 
 // host is a partner with the lock that its connections share.
@@ -122,6 +123,27 @@
 	}
 }
 
+// Drains notes that an endpoint's draining is told now.
+func (f *Farm) Drains(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.drains == nil {
+		f.drains = map[string]time.Time{}
+	}
+	f.drains[addr] = time.Now()
+}
+
+// drained tells whether an endpoint should get nothing any more.
+func (f *Farm) drained(addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.drains[addr]
+	return ok && time.Since(at) > drainGrace
+}
+
+// drainGrace is how long calls to an endpoint that drains are let through.
+const drainGrace = time.Second
+
 // LastShaped is the header X-Kitchen and the query of the last call that had that
 // header.
 func (f *Farm) LastShaped() []string {
@@ -183,6 +205,9 @@
 	c := f.call(id, body)
 	h.mu.Lock()
 	a := h.p.Begin(f.Now(), c)
+	if f.drained(addr.String()) {
+		h.p.Counts.Drained++
+	}
 	h.mu.Unlock()
 	written := false
 	defer func() {
--- a/internal/standin/partner/partner.go
+++ b/internal/standin/partner/partner.go
@@ -81,8 +81,19 @@
 	Peak                              float64 // most calls, as a multiple of what the limit allowed then
 	Over                              int     // calls beyond the limit
 	Fell                              int     // times that it has fallen over
+	Drained                           int     // calls to an endpoint over a second after it was told to drain
 }
 
+// Add sums up; of the peaks the highest stands.
+func (n *Counts) Add(x Counts) {
+	n.Calls, n.Delivered, n.Refused, n.Failed = n.Calls+x.Calls, n.Delivered+x.Delivered, n.Refused+x.Refused, n.Failed+x.Failed
+	n.Late, n.Copies, n.OutOfOrder, n.InWait = n.Late+x.Late, n.Copies+x.Copies, n.OutOfOrder+x.OutOfOrder, n.InWait+x.InWait
+	n.Over, n.Fell, n.Drained, n.Peak = n.Over+x.Over, n.Fell+x.Fell, n.Drained+x.Drained, max(n.Peak, x.Peak)
+}
+
+// Broken is how often its caller has broken a rule that it can see.
+func (n Counts) Broken() int { return n.Copies + n.OutOfOrder + n.InWait + n.Fell + n.Drained }
+
 // Partner is one partner system.
 type Partner struct {
 	Profile Profile
