Plug-in hosts no longer inherit connections, which kept the poller spinning

Cause: nbio duplicates each descriptor without close-on-exec. A plug-in's host that was started meanwhile inherited it, so that a connection closed here stayed open, its peer waited on, and the poller turned on it for ever: strace showed 24,395 epoll_wait calls in a second on two descriptors that are no connections any more, 77% of a core in the kernel, late answers and lost ends.

Change: the descriptor is marked close-on-exec while no process can be started; a test looks at the flag.

Tests with -race pass.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	stdnet "net"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -59,7 +60,15 @@
 // attach gives the connection to the engine. All of that happens on the loop's
 // goroutine, so that neither data nor an end can come before its handler.
 func (c *Conn) attach(raw stdnet.Conn) bool {
+	// nbio duplicates the descriptor for whatever process is started next to
+	// inherit: a plug-in's host would keep the connection open after its end
+	// here, and the poller would turn for ever on what is no connection any more.
+	syscall.ForkLock.RLock()
 	nc, err := nbio.NBConn(raw)
+	if err == nil {
+		syscall.CloseOnExec(nc.Hash()) // which is the descriptor
+	}
+	syscall.ForkLock.RUnlock()
 	if err != nil {
 		raw.Close()
 		return false
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -6,6 +6,7 @@
 	stdnet "net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -203,3 +204,19 @@
 	assert.Equal(t, Limit, more.code)
 	assert.Equal(t, 2, b.engine.Open())
 }
+
+// A process that is started must not inherit connections: it would keep them open
+// after their end here, and the engine would turn on them for ever.
+func TestConnectionsAreNotInherited(t *testing.T) {
+	b := newBench(t, 4)
+	l, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	e := &end{}
+	c := b.engine.Dial("test", l.Addr().String(), e)
+	b.until(func() bool { return e.opened })
+	flags, _, errno := syscall.Syscall(syscall.SYS_FCNTL, uintptr(c.nc.Hash()), syscall.F_GETFD, 0)
+	require.Zero(t, errno)
+	assert.NotZero(t, flags&syscall.FD_CLOEXEC)
+	c.Close(Shutdown)
+}
