--- a/courier.go
+++ b/courier.go
@@ -83,7 +83,7 @@
 	gapGrowth   = 1.25 // of the first gap of a kind, a refused repeat; as much less a successful one
 	paceLeft    = 0.15 // no growth while less of the limit is reported left
 	paceBurst   = 0.3  // seconds of pace that may go at once
-	paceCareful = 0.85 // of the even share, at a destination woken a moment ago: with a call in hand it stays under
+	paceCareful = 0.85 // of the even share, where woken a moment ago: with a call in hand it stays under
 	trialPart   = 0.9  // of the outage so far: the longest time between trials for the fall budget's sake
 	tries       = 2.0  // of the capacity: what the fleet sends meanwhile, with repeats and clients' own
 	coldSafety  = 1.1  // of the fall budget: a limit is set below what the destination can do
@@ -856,7 +856,8 @@
 	for _, t := range c.s.Tenants {
 		total += t.Quota
 	}
-	return math.Max(leastPart*total/float64(max(1, c.listed, len(c.order))), 1/seconds(max(c.s.FallTime, c.s.Tick)))
+	part := leastPart * total / float64(max(1, c.listed, len(c.order)))
+	return math.Max(part, 1/seconds(max(c.s.FallTime, c.s.Tick)))
 }
 
 // trial asks closed endpoints, one at a time on a route: a probe where allowed,
