Plug-ins: memory survives a version, SIGHUP reads off the loop, hosts do not tick

Change: the first call after a takeover carries the memory; start, SIGHUP and check read through one function, SIGHUP and the admin socket on a goroutine and one after another; answers are read and shapes guarded where the pipe is read; the heap is looked at during calls only; a host that is not ready in 30 s fails its version; waiting flows count. Tests for each, the memory's with versions.

--- a/cmd/snowjunction/plugin_test.go
+++ b/cmd/snowjunction/plugin_test.go
@@ -90,8 +90,11 @@
 	folder := t.TempDir()
 	writePlugin(t, folder, "gate", map[string]any{"hooks": []string{"admit"}, "sees": sees(2)},
 		"def admit(call):\n    return {'after_ms': 2500}\n")
-	writePlugin(t, folder, "tail", map[string]any{"hooks": []string{"ended"}, "sees": sees(3)},
-		"def ended(call):\n    keep('n', str(int(recall('n') or '0') + 1))\n    print('end', recall('n'), call.id, call.state)\n")
+	tail := func(version string) {
+		writePlugin(t, folder, "tail", map[string]any{"version": version, "hooks": []string{"ended"}, "sees": sees(3)},
+			"def ended(call):\n    keep('n', str(int(recall('n') or '0') + 1))\n    print('end', recall('n'), call.id, call.state)\n")
+	}
+	tail("1")
 	writePlugin(t, folder, "shaper", map[string]any{"hooks": []string{"shape"}, "sees": sees(4), "touches": map[string]any{"headers": true, "path": true}},
 		"def shape(call):\n    return {'headers': {'X-Kitchen': call.endpoint}, 'query': 'a=1'}\n")
 	s := kitchen(t, 4, folder)
@@ -103,6 +106,7 @@
 	s.deliver(3, "m3")
 	_, err = s.Await(`text="end 1 m3 delivered"`)
 	require.NoError(t, err)
+	tail("2")
 	require.NoError(t, s.Signal(syscall.SIGHUP))
 	_, err = s.Await("plug-ins replaced")
 	require.NoError(t, err)
@@ -197,8 +201,7 @@
 	require.NoError(t, s.Stop(syscall.SIGTERM))
 }
 
-// A courier that is killed while a hook runs owes what it had taken on, and no
-// host outlives it for long.
+// A courier that is killed while a hook runs owes what it had taken on.
 func TestKilledWhileAHookRuns(t *testing.T) {
 	folder := t.TempDir()
 	writePlugin(t, folder, "slow", map[string]any{"hooks": []string{"shape"}, "sees": sees(1), "budget": map[string]any{"time_ms": 40, "steps": 100000000}},
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -19,11 +19,16 @@
 		c.refuse(f, drainAfter)
 		return
 	}
+	if c.full() {
+		c.refuse(f, c.Settings.MaxRetry/2)
+		return
+	}
 	c.ids[f.name()] = f
 	if c.Plugins == nil {
 		c.admitted(f)
 		return
 	}
+	c.asked++
 	// A plug-in that is asked about one message of a key and not about the next
 	// must not let that overtake.
 	key := f.msg.Key
@@ -40,6 +45,12 @@
 	c.ask(f, key)
 }
 
+// full tells that no further flow can be held, with those counted that wait for
+// plug-ins.
+func (c *Core) full() bool {
+	return c.Settings.MaxHeld > 0 && c.held+c.asked >= c.Settings.MaxHeld
+}
+
 // ask asks the plug-ins about a flow, then goes on with it and with the next of
 // its key.
 func (c *Core) ask(f *flow, key uint64) {
@@ -55,6 +66,7 @@
 		delete(c.asking, key)
 	}
 	asked := c.Plugins.Admit(f.msg, func(pass bool, after time.Duration) {
+		c.asked--
 		if pass {
 			c.admitted(f)
 		} else {
@@ -64,6 +76,7 @@
 		next()
 	})
 	if !asked {
+		c.asked--
 		c.admitted(f)
 		next()
 	}
@@ -79,8 +92,7 @@
 	// wait for its deadline.
 	dest := snowjunction.DestinationID(f.msg.Destination)
 	unheard := c.routes.awake[dest] == nil && !c.routes.listedAnywhere(dest) && !c.routes.heard.has(dest, c.Loop.Now())
-	full := c.Settings.MaxHeld > 0 && c.held >= c.Settings.MaxHeld
-	if full || unheard || !c.Journal.Room(len(f.msg.Body)+len(f.msg.ID)+len(f.msg.IdempotencyKey)) {
+	if c.full() || unheard || !c.Journal.Room(len(f.msg.Body)+len(f.msg.ID)+len(f.msg.IdempotencyKey)) {
 		c.refuse(f, c.Settings.MaxRetry/2)
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,6 +99,7 @@
 	fresh    []*flow            // not answered yet
 	asking   map[uint64][]*flow // by key: flows that wait as a plug-in is asked about an earlier one
 	held     int
+	asked    int // flows that wait for plug-ins, and are not held yet
 	calls    int
 	routes   routes
 	owing    map[uint64][]*flow // by key: flows whose turn waits for the settling of an end
--- a/internal/core/plugins_test.go
+++ b/internal/core/plugins_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -181,3 +182,22 @@
 	assert.Zero(t, b.c.Counters.Results[snowjunction.TimedOut])
 	assert.EqualValues(t, 1, b.c.Counters.Results[snowjunction.OK])
 }
+
+// Flows that wait for a plug-in are held like others: they do not pile up.
+func TestWaitingForPluginsIsBounded(t *testing.T) {
+	b, p := newPluginBench(t, "admit m0")
+	b.add("m0", "order", 9)
+	var rest []*[]Answer
+	for i := 1; i <= 20; i++ {
+		rest = append(rest, b.add(fmt.Sprint("m", i), "order", 9))
+	}
+	refused := 0
+	for _, got := range rest {
+		refused += len(*got)
+	}
+	assert.Equal(t, 11, refused, "ten may be held in all")
+	p.admits["m0"](true, 0)
+	b.step(20 * ms)
+	assert.Equal(t, 9, b.c.Held(), "the module sheds one, as it holds over 92%")
+	assert.Zero(t, b.c.asked)
+}
--- a/internal/daemon/check.go
+++ b/internal/daemon/check.go
@@ -2,12 +2,8 @@
 
 import (
 	"errors"
-	"fmt"
 
-	"snowjunction"
-	"snowjunction/internal/config"
 	"snowjunction/internal/plugin"
-	"snowjunction/internal/plugin/manifest"
 	"snowjunction/internal/schema"
 )
 
@@ -25,35 +21,14 @@
 			mistakes = append(mistakes, err.Error())
 		}
 	}
-	names, settings := config.Names{}, snowjunction.Settings{}
-	cfg, err := config.Load(o.Env)
-	if err == nil {
-		names, settings = cfg.Names, cfg.Settings
-		if _, err = snowjunction.New(cfg.Settings); err != nil {
-			err = fmt.Errorf("configuration %s: %w", o.Env("GW_CONFIG"), err)
-		}
-	}
-	add("configuration", err)
-	file := path(o.Env, "SNOWJUNCTION_PUSH", pushFile)
-	push, err := config.LoadPush(file, names)
-	add(file, err)
-	if err == nil {
-		_, _, err = descriptions(push)
-		add(file, err)
+	f := readFiles(o.Env, nil, add)
+	if f.push != nil {
+		_, _, err := descriptions(f.push)
+		add("", err)
 	}
-	file = path(o.Env, "SNOWJUNCTION_IDLE", idleFile)
-	_, err = config.LoadIdle(file, settings)
-	add(file, err)
-	file = path(o.Env, "SNOWJUNCTION_PLUGINS", pluginsFile)
-	plugins, err := config.LoadPlugins(file)
-	add(file, err)
-	if err == nil && plugins.Folder != "" {
-		list, err := manifest.LoadAll(plugins.Folder)
-		add(plugins.Folder, err)
-		for _, m := range list {
-			for _, why := range plugin.Check(o.Host, m) {
-				mistakes = append(mistakes, m.Dir+": "+why)
-			}
+	for _, m := range f.manifests {
+		for _, why := range plugin.Check(o.Host, m) {
+			mistakes = append(mistakes, m.Dir+": "+why)
 		}
 	}
 	return mistakes
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,7 +16,6 @@
 	"syscall"
 	"time"
 
-	"snowjunction"
 	"snowjunction/internal/admin"
 	"snowjunction/internal/config"
 	"snowjunction/internal/core"
@@ -26,16 +25,12 @@
 	"snowjunction/internal/idlestore"
 	"snowjunction/internal/net"
 	"snowjunction/internal/plugin"
-	"snowjunction/internal/plugin/manifest"
 	"snowjunction/internal/store"
 )
 
 const (
 	memoryShare = 0.6 // of the machine's memory, for the heap: the folder's files count too
 	descriptors = 32  // besides connections: journal, log, epoll, listeners
-	pushFile    = "deploy/push.json"
-	idleFile    = "deploy/idle.json"
-	pluginsFile = "deploy/plugins.json"
 )
 
 // A planned stop: decisions go on for a while, calls out are waited for, and
@@ -55,22 +50,23 @@
 
 // courier is the program's parts.
 type courier struct {
-	cfg      *config.Config
-	env      func(string) string
-	pushPath string
-	log      *slog.Logger
-	loop     *core.Loop
-	journal  *store.Journal
-	engine   *net.Engine
-	core     *core.Core
-	plugins  *plugin.Set
-	idle     *config.Idle
-	store    *idlestore.Store // nil: none
+	cfg     *config.Config
+	env     func(string) string
+	log     *slog.Logger
+	loop    *core.Loop
+	journal *store.Journal
+	engine  *net.Engine
+	core    *core.Core
+	plugins *plugin.Set
+	idle    *config.Idle
+	store   *idlestore.Store // nil: none
 
-	door       *admin.Socket // nil: none
-	replugging bool
-	platform   *platform.Front
-	push       *push.Front
+	door     string             // path of the admin socket; "": none
+	socket   *admin.Socket      // nil: none
+	reading  bool               // files are being read anew
+	reloads  []func(why string) // asked for meanwhile
+	platform *platform.Front
+	push     *push.Front
 }
 
 // Options are what the command line and the environment say.
@@ -119,8 +115,8 @@
 	c.loop.Run()
 	c.platform.Close()
 	c.push.Close()
-	if c.door != nil {
-		c.door.Close()
+	if c.socket != nil {
+		c.socket.Close()
 	}
 	c.plugins.Close()
 	if c.store != nil {
@@ -132,32 +128,22 @@
 
 // build reads what the courier is told and makes its parts.
 func build(o Options) (*courier, []*store.Message, error) {
-	cfg, err := config.Load(o.Env)
+	f, err := readAll(o.Env, nil)
 	if err != nil {
 		return nil, nil, err
 	}
+	cfg, pushCfg := f.cfg, f.push
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * memoryShare))
-	c := &courier{cfg: cfg, env: o.Env, pushPath: path(o.Env, "SNOWJUNCTION_PUSH", pushFile), loop: core.NewLoop(time.Now)}
+	c := &courier{cfg: cfg, env: o.Env, idle: f.idle, door: f.plugins.Admin, loop: core.NewLoop(time.Now)}
 	c.log = o.Logger().With("courier", cfg.Name)
-	pushCfg, err := config.LoadPush(c.pushPath, cfg.Names)
-	if err != nil {
-		return nil, nil, err
-	}
 	api, life, err := descriptions(pushCfg)
 	if err != nil {
 		return nil, nil, err
 	}
-	if c.idle, err = config.LoadIdle(path(o.Env, "SNOWJUNCTION_IDLE", idleFile), cfg.Settings); err != nil {
-		return nil, nil, err
-	}
-	list, err := c.manifests()
-	if err != nil {
-		return nil, nil, err
-	}
-	if c.plugins = plugin.New(plugin.Config{Loop: c.loop, Log: c.log, Command: o.Host}); len(list) > 0 {
+	if c.plugins = plugin.New(plugin.Config{Loop: c.loop, Log: c.log, Command: o.Host}); len(f.manifests) > 0 {
 		why, done := "", false
-		c.plugins.Replace(list, func(err string) { why, done = err, true })
+		c.plugins.Replace(f.manifests, func(err string) { why, done = err, true })
 		if c.loop.RunUntil(func() bool { return done }); why != "" {
 			return nil, nil, errors.New(why)
 		}
@@ -203,14 +189,6 @@
 	return c, left, err
 }
 
-// path is the file that a variable names, or where it lies by default.
-func path(env func(string) string, name, other string) string {
-	if p := env(name); p != "" {
-		return p
-	}
-	return other
-}
-
 // descriptions reads the push front's documents, if it is on.
 func descriptions(p *config.Push) (*describe.API, *describe.Life, error) {
 	if p.Listen == "" {
@@ -256,62 +234,79 @@
 		debug.FreeOSMemory()
 		c.count("counters")
 	case syscall.SIGHUP:
-		c.reload()
+		c.reload(func(string) {})
 	default:
 		c.drain()
 	}
 }
 
-// reload reads the files anew. The platform may have moved to another address
-// and the push front's targets may be others; what else differs waits for a
-// restart. Where one is wrong, none changes anything.
-func (c *courier) reload() {
-	cfg, err := config.Load(c.env)
-	if err == nil {
-		_, err = snowjunction.New(cfg.Settings)
-	}
-	if err != nil {
-		c.log.Error("configuration not read again", "err", err)
-		return
+// reload reads the files anew. The platform may have moved to another address,
+// and the push front's targets and the plug-ins may be others; what else differs
+// waits for a restart. Where one is wrong, none changes anything. Reading takes a
+// while, schemas and modules among it, and is not the loop's to do: what comes
+// meanwhile is read after that.
+func (c *courier) reload(done func(why string)) {
+	c.reloads = append(c.reloads, done)
+	if !c.reading {
+		c.read()
 	}
-	p, err := config.LoadPush(c.pushPath, c.cfg.Names)
-	if err != nil {
-		c.log.Error("configuration not read again", "err", err)
-		return
-	}
-	idle, err := config.LoadIdle(path(c.env, "SNOWJUNCTION_IDLE", idleFile), cfg.Settings)
-	if err != nil {
-		c.log.Error("configuration not read again", "err", err)
-		return
+}
+
+func (c *courier) read() {
+	c.reading = true
+	asked := c.reloads
+	c.reloads = nil
+	go func() {
+		f, err := readAll(c.env, &c.cfg.Names)
+		c.loop.Post(func() {
+			c.reread(f, err, func(why string) {
+				c.reading = false
+				for _, done := range asked {
+					done(why)
+				}
+				if len(c.reloads) > 0 {
+					c.read()
+				}
+			})
+		})
+	}()
+}
+
+// reread takes what has been read.
+func (c *courier) reread(f files, err error, done func(why string)) {
+	if err == nil {
+		err = c.push.Relist(f.push.Targets)
 	}
-	list, err := c.manifests()
 	if err != nil {
 		c.log.Error("configuration not read again", "err", err)
+		done(err.Error())
 		return
 	}
-	later := c.cfg.Differs(cfg)
-	if *idle != *c.idle {
+	later := c.cfg.Differs(f.cfg)
+	if *f.idle != *c.idle {
 		later = append(later, "idle destinations")
 	}
 	if len(later) > 0 {
 		c.log.Warn("these wait for a restart", "values", later)
 	}
-	if err := c.push.Relist(p.Targets); err != nil {
-		c.log.Error("configuration not read again", "err", err)
-		return
-	}
-	c.platform.Move(cfg.Discovery)
-	c.replug(list, func(string) {})
-	c.log.Info("configuration read again", "discovery", cfg.Discovery, "targets", len(p.Targets))
+	c.platform.Move(f.cfg.Discovery)
+	c.log.Info("configuration read again", "discovery", f.cfg.Discovery, "targets", len(f.push.Targets))
+	c.plugins.Replace(f.manifests, func(why string) {
+		if why != "" {
+			c.log.Error("plug-ins not replaced", "err", why)
+		} else {
+			c.log.Info("plug-ins replaced", "n", len(f.manifests))
+		}
+		done(why)
+	})
 }
 
 // openDoor opens the admin socket, where there is to be one.
-func (c *courier) openDoor() error {
-	p, err := config.LoadPlugins(path(c.env, "SNOWJUNCTION_PLUGINS", pluginsFile))
-	if err != nil || p.Admin == "" {
-		return err
+func (c *courier) openDoor() (err error) {
+	if c.door == "" {
+		return nil
 	}
-	c.door, err = admin.Listen(p.Admin, func(r admin.Request, done func(admin.Reply)) {
+	c.socket, err = admin.Listen(c.door, func(r admin.Request, done func(admin.Reply)) {
 		c.loop.Post(func() { c.asked(r, done) })
 	})
 	return err
@@ -323,46 +318,12 @@
 	case "plugins":
 		done(admin.Reply{Value: c.plugins.List()})
 	case "reload":
-		list, err := c.manifests()
-		if err != nil {
-			done(admin.Reply{Error: err.Error()})
-			return
-		}
-		c.replug(list, func(why string) { done(admin.Reply{Error: why, Value: c.plugins.List()}) })
+		c.reload(func(why string) { done(admin.Reply{Error: why, Value: c.plugins.List()}) })
 	default:
 		done(admin.Reply{Error: fmt.Sprintf("no request %q: there are plugins and reload", r.Do)})
 	}
 }
 
-// manifests reads the plug-ins that there are to be.
-func (c *courier) manifests() ([]*manifest.Manifest, error) {
-	p, err := config.LoadPlugins(path(c.env, "SNOWJUNCTION_PLUGINS", pluginsFile))
-	if err != nil || p.Folder == "" {
-		return nil, err
-	}
-	return manifest.LoadAll(p.Folder)
-}
-
-// replug has the plug-ins replaced, whole or not at all.
-func (c *courier) replug(list []*manifest.Manifest, done func(why string)) {
-	if c.replugging {
-		why := "they are just being replaced"
-		c.log.Warn("plug-ins not replaced", "err", why)
-		done(why)
-		return
-	}
-	c.replugging = true
-	c.plugins.Replace(list, func(why string) {
-		c.replugging = false
-		if why != "" {
-			c.log.Error("plug-ins not replaced", "err", why)
-		} else {
-			c.log.Info("plug-ins replaced", "n", len(list))
-		}
-		done(why)
-	})
-}
-
 func (c *courier) count(why string) {
 	t := c.loop.Turns()
 	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(),
--- /dev/null
+++ b/internal/daemon/files.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"fmt"
+
+	"snowjunction"
+	"snowjunction/internal/config"
+	"snowjunction/internal/plugin/manifest"
+)
+
+// The operator files, where no variable names others.
+const (
+	pushFile    = "deploy/push.json"
+	idleFile    = "deploy/idle.json"
+	pluginsFile = "deploy/plugins.json"
+)
+
+// files are what the courier is told, as start, SIGHUP and check read it.
+type files struct {
+	cfg       *config.Config
+	push      *config.Push
+	idle      *config.Idle
+	plugins   *config.Plugins
+	manifests []*manifest.Manifest
+}
+
+// readFiles reads all files. What is wrong with one is told with its name; the
+// others are read all the same. Lists are read by names, those of the
+// configuration if that is nil.
+func readFiles(env func(string) string, names *config.Names, wrong func(file string, err error)) (f files) {
+	tell := func(file string, err error) {
+		if err != nil {
+			wrong(file, err)
+		}
+	}
+	path := func(name, other string) string {
+		if p := env(name); p != "" {
+			return p
+		}
+		return other
+	}
+	settings := snowjunction.Settings{}
+	cfg, err := config.Load(env)
+	if err == nil {
+		f.cfg, settings = cfg, cfg.Settings
+		if names == nil {
+			names = &cfg.Names
+		}
+		if _, err = snowjunction.New(settings); err != nil {
+			err = fmt.Errorf("configuration %s: %w", env("GW_CONFIG"), err)
+		}
+	}
+	tell("configuration", err)
+	if names == nil {
+		names = &config.Names{}
+	}
+	file := path("SNOWJUNCTION_PUSH", pushFile)
+	f.push, err = config.LoadPush(file, *names)
+	tell(file, err)
+	file = path("SNOWJUNCTION_IDLE", idleFile)
+	f.idle, err = config.LoadIdle(file, settings)
+	tell(file, err)
+	file = path("SNOWJUNCTION_PLUGINS", pluginsFile)
+	f.plugins, err = config.LoadPlugins(file)
+	tell(file, err)
+	if err == nil && f.plugins.Folder != "" {
+		f.manifests, err = manifest.LoadAll(f.plugins.Folder)
+		tell(f.plugins.Folder, err)
+	}
+	return f
+}
+
+// readAll is readFiles for whoever needs all of them right: the first mistake is
+// the error.
+func readAll(env func(string) string, names *config.Names) (f files, err error) {
+	f = readFiles(env, names, func(_ string, e error) {
+		if err == nil {
+			err = e
+		}
+	})
+	return f, err
+}
--- a/internal/plugin/check.go
+++ b/internal/plugin/check.go
@@ -1,13 +1,13 @@
 package plugin
 
 import (
-	"encoding/json"
 	"io"
 	"log/slog"
 	"time"
 
 	"snowjunction/internal/core"
 	"snowjunction/internal/plugin/breaker"
+	"snowjunction/internal/plugin/engine"
 	"snowjunction/internal/plugin/guard"
 	"snowjunction/internal/plugin/host"
 	"snowjunction/internal/plugin/manifest"
@@ -18,7 +18,7 @@
 func Try(command []string, m *manifest.Manifest, log io.Writer, calls ...host.Call) (answers []host.Answer, why string) {
 	loop := core.NewLoop(time.Now)
 	s := New(Config{Loop: loop, Command: command, Log: slog.New(slog.NewTextHandler(log, nil))})
-	p := &plug{set: s, m: m, breaker: breaker.New(breaker.Default), memory: newMemory(nil), fixed: map[guard.Rule]uint64{}}
+	p := &plug{set: s, m: m, breaker: breaker.New(breaker.Default), memory: engine.NewMemory(nil), fixed: map[guard.Rule]uint64{}}
 	samples := m.Samples
 	m.Samples = nil
 	defer func() { m.Samples = samples }()
@@ -31,9 +31,9 @@
 			break
 		}
 		done := false
-		x := &call{hook: c.Hook, text: c.Call, done: func(out json.RawMessage) {
-			a := host.Answer{Out: out}
-			if out == nil {
+		x := &call{hook: c.Hook, text: c.Call, done: func(r *reply) {
+			a := host.Answer{Out: r.out()}
+			if r == nil {
 				a.Error = p.lastWhy
 			}
 			answers, done = append(answers, a), true
--- a/internal/plugin/host/host.go
+++ b/internal/plugin/host/host.go
@@ -19,7 +19,6 @@
 	"runtime/metrics"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,11 +38,16 @@
 	ID   uint64          `json:"id"`
 	Hook manifest.Hook   `json:"hook"`
 	Call json.RawMessage `json:"call"`
+
+	// With Recall, Memory takes the place of what the plug-in remembers.
+	Recall bool              `json:"recall,omitempty"`
+	Memory map[string]string `json:"memory,omitempty"`
 }
 
 // Answer is the answer's frame; that to Hello has the ID 0.
 type Answer struct {
 	ID      uint64            `json:"id"`
+	Hook    manifest.Hook     `json:"hook,omitempty"` // of the call
 	Out     json.RawMessage   `json:"out,omitempty"`
 	Error   string            `json:"error,omitempty"`
 	Reason  string            `json:"reason,omitempty"` // time, steps, trap or form
@@ -90,8 +94,8 @@
 	return nil
 }
 
-// A call may have the heap grow by its budget's memory beyond heapOwn; a watcher
-// looks every watchEvery. What is allocated faster meets the system's bound, which
+// A call may have the heap grow by its budget's memory beyond heapOwn; that is
+// looked at every watchEvery. What is allocated faster meets the system's bound, which
 // has to leave room for what only counts there, such as 8 MB of stack a thread.
 const (
 	heapOwn    = 48 << 20
@@ -133,7 +137,6 @@
 		return Write(out, Answer{Error: err.Error()})
 	}
 	defer e.Close()
-	w := watch(uint64(m.Budget.MemoryMB)<<20 + heapOwn)
 	if err := Write(out, Answer{Log: t.log}); err != nil {
 		return err
 	}
@@ -145,12 +148,15 @@
 			return err
 		}
 		t.log = nil
+		if c.Recall {
+			t.Memory = engine.NewMemory(c.Memory)
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), m.Budget.Time())
-		w.in.Store(true)
+		watch := watchHeap(uint64(m.Budget.MemoryMB)<<20 + heapOwn)
 		text, err := e.Call(ctx, c.Hook, c.Call)
-		w.in.Store(false)
+		watch.Stop()
 		cancel()
-		a := Answer{ID: c.ID, Out: text, Changes: t.Changes(), Log: t.log}
+		a := Answer{ID: c.ID, Hook: c.Hook, Out: text, Changes: t.Changes(), Log: t.log}
 		if err == nil && !json.Valid(text) {
 			err = engine.ErrForm
 		}
@@ -179,7 +185,7 @@
 // not allow is left: the courier ends a host that runs over its time anyway.
 func confine(memoryMB int) {
 	most := uint64(memoryMB)<<20 + systemOwn + mapped()
-	runtime.GOMAXPROCS(2) // one for the watcher
+	runtime.GOMAXPROCS(2) // one to look at the heap
 	debug.SetMemoryLimit(int64(memoryMB)<<20 + heapOwn)
 	_ = syscall.Setrlimit(rlimitData, &syscall.Rlimit{Cur: most, Max: most})
 	_ = syscall.Setrlimit(syscall.RLIMIT_CORE, &syscall.Rlimit{})
@@ -202,27 +208,19 @@
 	return pages * uint64(os.Getpagesize())
 }
 
-// watcher ends the process where a call has the heap grow too much.
-type watcher struct{ in atomic.Bool }
-
-func watch(most uint64) *watcher {
-	w := &watcher{}
-	go func() {
-		heap := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
-		for range time.Tick(watchEvery) {
-			if !w.in.Load() {
-				continue
-			}
-			if metrics.Read(heap); heap[0].Value.Uint64() > most {
-				os.Exit(exitMemory)
-			}
+// watchHeap ends the process where a call has the heap grow too much, until the
+// timer is stopped. Calls are mostly over before it looks.
+func watchHeap(most uint64) *time.Timer {
+	heap := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	var t *time.Timer
+	t = time.AfterFunc(watchEvery, func() {
+		if metrics.Read(heap); heap[0].Value.Uint64() > most {
+			os.Exit(exitMemory)
 		}
-	}()
-	return w
+		t.Reset(watchEvery)
+	})
+	return t
 }
 
 // exitMemory is the exit code of a host whose plug-in took too much memory.
 const exitMemory = 9
-
-// StartWithin is how long a host may take to be ready.
-const StartWithin = 30 * time.Second
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -9,6 +9,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math"
@@ -31,6 +32,8 @@
 	Log     *slog.Logger
 	Command []string // that starts a host process
 	Breaker breaker.Config
+
+	StartWithin time.Duration // for a host to be ready; 0: half a minute
 }
 
 // Set is the plug-ins that are loaded, in the order in which they are asked.
@@ -57,6 +60,7 @@
 	told    time.Duration // when corrections were logged last
 	untold  int           // corrections since
 	retired bool          // it ends once its calls have: another version serves
+	recall  bool          // the host's memory is not the one that counts
 	again   time.Duration // after which its host was started again last
 	lastWhy string
 	onUp    func(err string)
@@ -73,7 +77,7 @@
 	hook   manifest.Hook
 	text   json.RawMessage
 	ticket breaker.Ticket
-	done   func(out json.RawMessage) // nil: without an answer; called once
+	done   func(*reply) // nil: without an answer; called once
 	limit  *core.Timer
 	sent   bool
 	over   bool // nobody waits for it any more
@@ -91,6 +95,9 @@
 	if cfg.Breaker == (breaker.Config{}) {
 		cfg.Breaker = breaker.Default
 	}
+	if cfg.StartWithin <= 0 {
+		cfg.StartWithin = startWithin
+	}
 	return &Set{cfg: cfg, begun: cfg.Loop.Now(), sees: map[manifest.Hook]bool{}}
 }
 
@@ -115,13 +122,15 @@
 			done(failed)
 			return
 		}
+		// What a plug-in remembers survives, and nothing of what its samples have
+		// had it remember.
+		for _, x := range next {
+			if !slices.Contains(s.plugs, x) {
+				x.memory, x.recall = engine.NewMemory(s.remembered(x.m.Name)), true
+			}
+		}
 		for _, p := range s.plugs {
 			if !slices.Contains(next, p) {
-				for _, x := range next {
-					if x.m.Name == p.m.Name { // what it remembers survives
-						x.memory = newMemory(p.memory.Values)
-					}
-				}
 				p.retire()
 			}
 		}
@@ -140,7 +149,7 @@
 			next = append(next, p)
 			continue
 		}
-		p := &plug{set: s, m: m, breaker: breaker.New(s.cfg.Breaker), memory: newMemory(s.remembered(m.Name)), fixed: map[guard.Rule]uint64{}}
+		p := &plug{set: s, m: m, breaker: breaker.New(s.cfg.Breaker), memory: engine.NewMemory(nil), fixed: map[guard.Rule]uint64{}}
 		next, fresh = append(next, p), append(fresh, p)
 		waiting++
 	}
@@ -220,15 +229,30 @@
 				p.set.cfg.Log.Warn("plug-in cannot start again", "plugin", p.m.Name, "err", why)
 			}
 		},
-		func(a host.Answer) {
+		func(r *reply) {
 			if p.proc == self {
-				p.answer(a)
+				p.answer(r)
 			}
 		},
 		func() { p.gone(self) })
 	p.proc = self
+	within := p.set.cfg.StartWithin
+	p.set.cfg.Loop.After(within, func() {
+		if p.proc == self && !p.ready {
+			why := fmt.Sprintf("its host is not ready within %v", within)
+			if p.onUp != nil {
+				p.onUp(why)
+			} else {
+				p.set.cfg.Log.Warn("plug-in cannot start again", "plugin", p.m.Name, "err", why)
+			}
+			self.kill()
+		}
+	})
 }
 
+// startWithin is how long a host may take to be ready: a module is compiled then.
+const startWithin = 30 * time.Second
+
 // up begins the work of a host that is ready, with the samples if it is new.
 func (p *plug) up(self *process) {
 	if p.proc != self {
@@ -249,8 +273,8 @@
 		return
 	}
 	x := p.m.Samples[i]
-	p.push(&call{hook: x.Hook, text: x.Call, done: func(out json.RawMessage) {
-		switch why := Differs(x.Want, out); {
+	p.push(&call{hook: x.Hook, text: x.Call, done: func(r *reply) {
+		switch why := Differs(x.Want, r.out()); {
 		case p.onUp == nil:
 		case why != "":
 			p.onUp("sample " + x.Name + ": " + why)
@@ -319,7 +343,7 @@
 
 // ask puts a question to a plug-in. done is called once, perhaps within ask,
 // with nil where there is no answer.
-func (p *plug) ask(h manifest.Hook, v any, done func(json.RawMessage)) {
+func (p *plug) ask(h manifest.Hook, v any, done func(*reply)) {
 	ticket, ok := p.breaker.Allow(p.set.now())
 	if !ok || len(p.queue) >= queueMost || p.proc == nil || !p.ready && len(p.queue) > 0 {
 		if ok {
@@ -358,7 +382,11 @@
 		}
 		c.sent = true
 		p.out = c
-		if !p.proc.send(host.Call{ID: c.id, Hook: c.hook, Call: c.text}) {
+		x := host.Call{ID: c.id, Hook: c.hook, Call: c.text, Recall: p.recall}
+		if p.recall {
+			x.Memory, p.recall = maps.Clone(p.memory.Values), false
+		}
+		if !p.proc.send(x) {
 			p.proc.kill()
 		}
 	}
@@ -388,28 +416,24 @@
 }
 
 // answer takes what the host says.
-func (p *plug) answer(a host.Answer) {
+func (p *plug) answer(r *reply) {
 	c := p.out
-	if c == nil || c.id != a.ID {
+	if c == nil || c.id != r.ID || c.hook != r.Hook {
 		p.proc.kill() // it answers what was not asked
 		return
 	}
-	for k, v := range a.Changes {
+	for k, v := range r.Changes {
 		p.memory.Set(k, v)
 	}
-	p.memory.Changes()
-	for _, line := range a.Log[:min(len(a.Log), 4)] {
+	p.memory.Changes() // they are nobody's here
+	for _, line := range r.Log[:min(len(r.Log), 4)] {
 		p.set.cfg.Log.Info("plug-in prints", "plugin", p.m.Name, "text", line)
 	}
-	if a.Error != "" {
-		p.end(c, nil, a.Error)
-		return
-	}
-	p.end(c, a.Out, "")
+	p.end(c, r, r.Error)
 }
 
 // end frees the host and ends its call.
-func (p *plug) end(c *call, out json.RawMessage, why string) {
+func (p *plug) end(c *call, r *reply, why string) {
 	p.out = nil
 	if !c.over {
 		if why != "" {
@@ -418,7 +442,7 @@
 			p.counts.Answered++
 			p.again = 0
 			p.judge(c, true)
-			p.finish(c, out)
+			p.finish(c, r)
 		}
 	}
 	p.next()
@@ -441,10 +465,10 @@
 	}
 }
 
-func (p *plug) finish(c *call, out json.RawMessage) {
+func (p *plug) finish(c *call, r *reply) {
 	c.over = true
 	c.limit.Stop()
-	c.done(out)
+	c.done(r)
 }
 
 func (p *plug) judge(c *call, ok bool) {
@@ -492,21 +516,12 @@
 		Again: m.Again, Attempts: m.Attempts, LeftMs: m.Deadline.Sub(s.cfg.Loop.Now()).Milliseconds(),
 	}
 	if m.Key != 0 {
-		f.Key = hex(m.Key)
+		f.Key = fmt.Sprintf("%016x", m.Key)
 	}
 	f.Body = base64.StdEncoding.EncodeToString(m.Body[:min(len(m.Body), p.m.Budget.BodyBytes)])
 	return f
 }
 
-func hex(v uint64) string {
-	const digits = "0123456789abcdef"
-	var b [16]byte
-	for i := range b {
-		b[15-i] = digits[v>>(4*i)&15]
-	}
-	return string(b[:])
-}
-
 // chain asks the plug-ins that serve a hook and see the message, in turn, until
 // each returns true. It returns false if none does: end is not called then.
 func (s *Set) chain(h manifest.Hook, m *store.Message, each func(p *plug, next func(more bool)), end func()) bool {
@@ -545,14 +560,10 @@
 func (s *Set) Admit(m *store.Message, done func(pass bool, after time.Duration)) bool {
 	pass, after := true, time.Duration(0)
 	return s.chain(manifest.Admit, m, func(p *plug, next func(bool)) {
-		p.ask(manifest.Admit, s.flow(m, p), func(out json.RawMessage) {
-			var said struct {
-				AfterMs json.RawMessage `json:"after_ms"`
-			}
-			if out != nil && json.Unmarshal(out, &said) == nil && said.AfterMs != nil {
-				ms, _ := number(said.AfterMs)
+		p.ask(manifest.Admit, s.flow(m, p), func(r *reply) {
+			if r != nil && r.refuses {
 				var rules []guard.Rule
-				after, rules = guard.Admit(ms)
+				after, rules = guard.Admit(r.afterMs)
 				p.correct(rules)
 				pass = false
 			}
@@ -561,15 +572,6 @@
 	}, func() { done(pass, after) })
 }
 
-// number reads a number; what is none is NaN.
-func number(text json.RawMessage) (float64, bool) {
-	var v float64
-	if json.Unmarshal(text, &v) != nil {
-		return math.NaN(), false
-	}
-	return v, true
-}
-
 // Shape asks what to add to a request, as Admit does.
 func (s *Set) Shape(m *store.Message, to core.Entry, done func(core.Shape)) bool {
 	shape := core.Shape{}
@@ -577,32 +579,10 @@
 		p.ask(manifest.Shape, struct {
 			flow
 			Endpoint string `json:"endpoint"`
-		}{s.flow(m, p), to.Name}, func(out json.RawMessage) {
-			var said struct {
-				Headers map[string]string `json:"headers"`
-				Suffix  string            `json:"path_suffix"`
-				Query   string            `json:"query"`
-				Body    *string           `json:"body"`
-			}
-			switch {
-			case out == nil:
-			case json.Unmarshal(out, &said) != nil:
-				p.correct([]guard.Rule{guard.Header})
-			default:
-				x := guard.Shape{Suffix: said.Suffix, Query: said.Query}
-				for _, name := range slices.Sorted(maps.Keys(said.Headers)) {
-					x.Headers = append(x.Headers, guard.HeaderField{Name: name, Value: said.Headers[name]})
-				}
-				if said.Body != nil {
-					b, err := base64.StdEncoding.DecodeString(*said.Body)
-					x.Body, x.HasBody = b, err == nil
-					if err != nil {
-						p.correct([]guard.Rule{guard.Body})
-					}
-				}
-				x, rules := guard.Shaped(x, p.m.Allowed())
-				p.correct(rules)
-				merge(&shape, x)
+		}{s.flow(m, p), to.Name}, func(r *reply) {
+			if r != nil {
+				p.correct(r.rules)
+				merge(&shape, r.shape)
 			}
 			next(true)
 		})
@@ -655,20 +635,9 @@
 		}{
 			s.flow(m, p), to.Name, r.Answer.Status, headers,
 			base64.StdEncoding.EncodeToString(r.Answer.Body[:min(len(r.Answer.Body), p.m.Budget.BodyBytes)]),
-		}, func(out json.RawMessage) {
-			var said struct {
-				Outcome json.RawMessage `json:"outcome"`
-				WaitMs  json.RawMessage `json:"wait_ms"`
-			}
-			if out != nil && json.Unmarshal(out, &said) == nil {
-				word := guard.Said{HasWait: said.WaitMs != nil}
-				if said.Outcome != nil && json.Unmarshal(said.Outcome, &word.Outcome) != nil {
-					word.Outcome = "?"
-				}
-				if word.HasWait {
-					word.WaitMs, _ = number(said.WaitMs)
-				}
-				got, rules := guard.Read(guard.Reading{Outcome: r.Outcome, Wait: r.Wait}, word)
+		}, func(x *reply) {
+			if x != nil {
+				got, rules := guard.Read(guard.Reading{Outcome: r.Outcome, Wait: r.Wait}, x.word)
 				p.correct(rules)
 				r.Outcome, r.Wait = got.Outcome, got.Wait
 			}
@@ -686,7 +655,7 @@
 		p.ask(manifest.Ended, struct {
 			flow
 			State string `json:"state"`
-		}{s.flow(m, p), m.State.String()}, func(json.RawMessage) {})
+		}{s.flow(m, p), m.State.String()}, func(*reply) {})
 		next(true)
 	}, func() {})
 }
@@ -724,5 +693,3 @@
 	}
 	return slog.GroupValue(attrs...)
 }
-
-func newMemory(values map[string]string) *engine.Memory { return engine.NewMemory(values) }
--- a/internal/plugin/process.go
+++ b/internal/plugin/process.go
@@ -27,10 +27,11 @@
 const answerMost = 1 << 20
 
 // startProcess starts a host for m. up is posted with an error or nil once the
-// plug-in is ready or cannot be made so; answer for each answer; gone once, when
-// the process has ended.
+// plug-in is ready or cannot be made so; answer for each answer, read and guarded
+// as far as that can be done away from the loop; gone once, when the process has
+// ended.
 func startProcess(command []string, m *manifest.Manifest, memory map[string]string, post func(func()),
-	up func(a host.Answer, err error), answer func(host.Answer), gone func()) *process {
+	up func(a host.Answer, err error), answer func(*reply), gone func()) *process {
 	p := &process{calls: make(chan any, callsMost), quit: make(chan struct{})}
 	go func() {
 		defer post(gone)
@@ -85,7 +86,8 @@
 				if host.Read(r, answerMost, &a) != nil {
 					break
 				}
-				post(func() { answer(a) })
+				x := newReply(a, m.Allowed())
+				post(func() { answer(x) })
 			}
 		}
 		close(done)
