One way to read operator files, to settle runs and to time; claims mended in docs

Need: the change said the same thing in several places, timed by hand what a library times, and some sentences in docs had no run behind them.

--- a/cmd/snowjunction/plugin_test.go
+++ b/cmd/snowjunction/plugin_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"snowjunction/internal/measure"
 	"snowjunction/internal/standin/load"
 	"snowjunction/internal/standin/partner"
 )
@@ -132,20 +133,7 @@
 // what the guard drops is counted.
 func TestHostilePlugins(t *testing.T) {
 	folder := t.TempDir()
-	hooks := func(names ...string) []string { return names }
-	all := map[string]any{"headers": true, "path": true, "body": true}
-	writePlugin(t, folder, "loops", map[string]any{"hooks": hooks("admit", "shape", "read", "ended"), "sees": sees(1), "budget": map[string]any{"time_ms": 5, "steps": 100000000}},
-		"def forever(call):\n    for i in range(1000000000):\n        pass\nadmit = forever\nshape = forever\nread = forever\nended = forever\n")
-	writePlugin(t, folder, "grows", map[string]any{"hooks": hooks("shape"), "sees": sees(2), "touches": all, "budget": map[string]any{"time_ms": 40, "memory_mb": 1}},
-		"def shape(call):\n    return {'headers': {'X-A': ('y' * (1 << 29))[:3]}}\n")
-	writePlugin(t, folder, "breaks", map[string]any{"hooks": hooks("read"), "sees": sees(3)},
-		"def read(call):\n    return 1 // 0\n")
-	writePlugin(t, folder, "lies", map[string]any{"hooks": hooks("read"), "sees": sees(4, 5)},
-		"WAITS = [-1, 0, 315360000000, 'nan', None, [], 10]\ndef read(call):\n    said = 'full' if call.status in (200, 500) else 'ok'\n    return {'outcome': said, 'wait_ms': WAITS[len(call.id) % len(WAITS)]}\n")
-	writePlugin(t, folder, "floods", map[string]any{"hooks": hooks("shape"), "sees": sees(6), "touches": all, "budget": map[string]any{"steps": 1000000, "time_ms": 40}},
-		"HEADERS = {'X-%d' % i: 'v' for i in range(10000)}\ndef shape(call):\n    h = {'X-Request-ID': 'other', 'Content-Length': '0', 'X-A': 'b\\r\\nX-Request-ID: other', ':path': '/'}\n    h.update(HEADERS)\n    return {'headers': h, 'path_suffix': '../../other', 'query': 'a b', 'body': '%'}\n")
-	writePlugin(t, folder, "huge", map[string]any{"hooks": hooks("read", "ended"), "sees": sees(7)},
-		"def read(call):\n    return {'outcome': 'x' * 1000000}\ndef ended(call):\n    return {'x': 'y' * 10000000}\n")
+	require.NoError(t, measure.HostilePlugins(folder))
 	s := kitchen(t, 9, folder)
 	for d, kind := range map[uint32]partner.Kind{4: partner.Error, 5: partner.Shut} {
 		require.NoError(t, s.farm.With(d, func(p *partner.Partner) {
--- a/internal/config/idle.go
+++ b/internal/config/idle.go
@@ -1,17 +1,10 @@
 package config
 
 import (
-	"errors"
-	"fmt"
-	"os"
-	"path/filepath"
 	"time"
 
-	"github.com/valyala/fastjson"
-
 	"snowjunction"
 	"snowjunction/internal/dormancy"
-	"snowjunction/internal/schema"
 )
 
 // Idle is the operator file for idle destinations.
@@ -33,19 +26,9 @@
 // that its defaults follow. A store's path starts from the file's folder. A file
 // that is not there leaves the defaults.
 func LoadIdle(path string, s snowjunction.Settings) (*Idle, error) {
-	b, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		b, err = []byte("{}"), nil
-	}
+	v, err := operatorFile(path, "idle")
 	if err != nil {
-		return nil, fmt.Errorf("read the file for idle destinations: %w", err)
-	}
-	if err := schema.Check("idle", b); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	v, err := fastjson.ParseBytes(b)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, err
 	}
 	d := dormancy.Default(s)
 	for key, to := range map[string]*time.Duration{
@@ -58,13 +41,9 @@
 	d.Awake = positive(v.GetInt("awake_most"), d.Awake)
 	d.Memory = positive(v.GetInt("memory_kb")<<10, d.Memory)
 	d.First = v.GetBool("careful_first")
-	i := &Idle{
+	return &Idle{
 		Dormancy: d, ListBytes: positive(v.GetInt("list_mb"), defaultListMB) << 20,
 		ListEntries: positive(v.GetInt("list_entries"), defaultListEntries),
-		Store:       text(v, "store"), StoreBytes: int64(positive(v.GetInt("store_mb"), defaultStoreMB)) << 20,
-	}
-	if i.Store != "" && !filepath.IsAbs(i.Store) {
-		i.Store = filepath.Join(filepath.Dir(path), i.Store)
-	}
-	return i, nil
+		Store:       beside(path, v, "store"), StoreBytes: int64(positive(v.GetInt("store_mb"), defaultStoreMB)) << 20,
+	}, nil
 }
--- a/internal/config/push.go
+++ b/internal/config/push.go
@@ -4,14 +4,11 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/valyala/fastjson"
 
 	"snowjunction/internal/core"
-	"snowjunction/internal/schema"
 )
 
 // Push is the file of the push front.
@@ -33,38 +30,22 @@
 // LoadPush reads the push front's file. Paths in it start from its folder. A
 // file that is not there leaves the front off.
 func LoadPush(path string, names Names) (*Push, error) {
-	b, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return &Push{}, nil
-	}
+	v, err := operatorFile(path, "push")
 	if err != nil {
-		return nil, fmt.Errorf("read the push front's file: %w", err)
-	}
-	if err := schema.Check("push", b); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, err
 	}
-	p, err := parsePush(b, filepath.Dir(path), names)
+	p, err := push(path, v, names)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return p, nil
 }
 
-func parsePush(b []byte, dir string, names Names) (*Push, error) {
-	v, err := fastjson.ParseBytes(b)
-	if err != nil {
-		return nil, err
-	}
-	beside := func(key string) string {
-		if s := text(v, key); s != "" && !filepath.IsAbs(s) {
-			return filepath.Join(dir, s)
-		}
-		return text(v, key)
-	}
+func push(path string, v *fastjson.Value, names Names) (*Push, error) {
 	p := &Push{
 		Listen: text(v, "listen"), MaxConns: positive(v.GetInt("max_connections"), defaultPushConns),
 		Retain:  time.Duration(positive(v.GetInt("retain_s"), defaultRetain)) * time.Second,
-		OpenAPI: beside("openapi"), AsyncAPI: beside("asyncapi"),
+		OpenAPI: beside(path, v, "openapi"), AsyncAPI: beside(path, v, "asyncapi"),
 	}
 	if p.Listen != "" {
 		if _, err := netip.ParseAddrPort(p.Listen); err != nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -103,11 +103,8 @@
 	}
 	defer kitchen.Close()
 	farm, directory := kitchen.Farm, kitchen.Directory
-	settings := rig.Settings()
-	settings["family-info"].(map[string]any)["max-calls"] = 32
-	settings["limits"].(map[string]any)["most-held"] = 400
 	courier, err := rig.Start(o.Exe, rig.Config{
-		Dir: dir, Discovery: directory.Addr(), Settings: settings, MemoryMB: 64, Sockets: 512, Push: kitchen.Push,
+		Dir: dir, Discovery: directory.Addr(), Settings: rig.Large(32, 400, 100), MemoryMB: 64, Sockets: 512, Push: kitchen.Push,
 	})
 	if err != nil {
 		return err
@@ -123,12 +120,7 @@
 	client := load.New(courier.Addr, courier.Push)
 	defer client.Close()
 	handIn(client, o, len(roles))
-	all := func(load.Message) bool { return true }
-	for limit := time.Now().Add(settleWithin); time.Now().Before(limit); time.Sleep(200 * time.Millisecond) {
-		if e := client.Account(kitchen.Delivered, directory.Notices(), all); e.Open == 0 {
-			break
-		}
-	}
+	kitchen.Settle(client, settleWithin)
 	return report(o.Out, roles, farm, client, kitchen.Delivered, directory.Notices())
 }
 
--- a/internal/dormancy/dormancy.go
+++ b/internal/dormancy/dormancy.go
@@ -159,12 +159,13 @@
 
 // Room tells whether a further destination may wake, and if not, in how long.
 func (b *Book) Room(now time.Duration) (bool, time.Duration) {
-	if b.awake < b.cfg.Awake || b.idle.Len() > 0 {
-		if free, _ := b.room(now); free || b.awake < b.cfg.Awake {
-			return true, 0
-		}
+	if b.awake < b.cfg.Awake {
+		return true, 0
+	}
+	free, at := b.room(now)
+	if free && b.idle.Len() > 0 {
+		return true, 0
 	}
-	_, at := b.room(now)
 	return false, max(at-now, time.Second)
 }
 
--- a/internal/groups/groups.go
+++ b/internal/groups/groups.go
@@ -1,7 +1,7 @@
 // Package groups holds target groups: the endpoints that a front lists. It does
 // no I/O, reads no clock and starts no goroutine.
 //
-// A Table is compact: an endpoint takes under 80 bytes without a pointer in
+// A Table is compact: an endpoint takes about 82 bytes without a pointer in
 // them, whatever is listed, and a change costs what it holds. Nothing else in
 // the program needs to exist for a destination that no flow has called for.
 package groups
@@ -12,6 +12,7 @@
 	"fmt"
 	"iter"
 	"net/netip"
+	"unsafe"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -79,7 +80,7 @@
 
 // Bytes is about what the table takes.
 func (t *Table) Bytes() int {
-	n := t.names.bytes() + t.addrs.bytes() + t.heads.bytes() + len(t.chunks)*chunkSize*56
+	n := t.names.bytes() + t.addrs.bytes() + t.heads.bytes() + len(t.chunks)*chunkSize*int(unsafe.Sizeof(entry{}))
 	for _, s := range t.long {
 		n += len(s) + 32
 	}
--- a/internal/measure/hostile.go
+++ b/internal/measure/hostile.go
@@ -26,7 +26,7 @@
 func hostile() []*manifest.Manifest {
 	read, shape := []manifest.Hook{manifest.Read}, []manifest.Hook{manifest.Shape}
 	list := []*manifest.Manifest{
-		starlark("loops", looping, []manifest.Hook{manifest.Admit, manifest.Shape, manifest.Read}, 1),
+		starlark("loops", looping, []manifest.Hook{manifest.Admit, manifest.Shape, manifest.Read, manifest.Ended}, 1),
 		starlark("grows", "def shape(call):\n    return {'headers': {'X-A': ('y' * (1 << 29))[:3]}}\n", shape, 2),
 		starlark("breaks", "def read(call):\n    return 1 // 0\n", read, 3),
 		starlark("lies", `
@@ -42,12 +42,24 @@
     h.update(HEADERS)
     return {'headers': h, 'path_suffix': '../../other', 'query': 'a b', 'body': '%'}
 `, shape, 6),
-		starlark("huge", "def read(call):\n    return {'outcome': 'x' * 1000000}\n", read, 7),
+		starlark("huge", "def read(call):\n    return {'outcome': 'x' * 1000000}\ndef ended(call):\n    return {'x': 'y' * 10000000}\n",
+			[]manifest.Hook{manifest.Read, manifest.Ended}, 7),
 	}
-	list[0].Budget.TimeMs, list[1].Budget.MemoryMB = 5, 1
+	loops, grows, floods := &list[0].Budget, &list[1].Budget, &list[4].Budget
+	loops.TimeMs, grows.TimeMs, grows.MemoryMB, floods.TimeMs = 5, 40, 1, 40
 	return list
 }
 
+// HostilePlugins writes them into a folder.
+func HostilePlugins(folder string) error {
+	for _, m := range hostile() {
+		if err := write(folder, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Run plays it and returns an error if a message has not its one end or a rule
 // was broken.
 func (o Hostile) Run(out io.Writer) error {
@@ -57,10 +69,8 @@
 	}
 	defer os.RemoveAll(dir)
 	folder := filepath.Join(dir, "plugins")
-	for _, m := range hostile() {
-		if err := write(folder, m); err != nil {
-			return err
-		}
+	if err := HostilePlugins(folder); err != nil {
+		return err
 	}
 	var specs []standin.Spec
 	for d := range uint32(9) {
@@ -75,12 +85,8 @@
 	}
 	defer kitchen.Close()
 	farm, directory := kitchen.Farm, kitchen.Directory
-	settings := rig.Settings()
-	settings["family-info"].(map[string]any)["max-calls"] = 64
-	settings["limits"].(map[string]any)["most-held"] = 2000
-	settings["tenants"] = []any{map[string]any{"name": "town", "quota-rps": 5000}}
 	c, err := rig.Start(o.Exe, rig.Config{
-		Dir: dir, Discovery: directory.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024, Push: kitchen.Push,
+		Dir: dir, Discovery: directory.Addr(), Settings: rig.Large(64, 2000, 5000), MemoryMB: 192, Sockets: 1024, Push: kitchen.Push,
 		Plugins: map[string]any{"folder": folder},
 	})
 	if err != nil {
@@ -97,6 +103,7 @@
 	client := load.New(c.Addr, c.Push)
 	defer client.Close()
 	var wg sync.WaitGroup
+	handed := make(chan struct{})
 	for lane := range o.Lanes {
 		wg.Go(func() {
 			for n := range o.Messages / o.Lanes {
@@ -113,29 +120,26 @@
 			}
 		})
 	}
-	done := make(chan struct{})
-	go func() {
-		wg.Wait()
-		close(done)
-	}()
 	drain := time.AfterFunc(time.Second, func() { kitchen.Drain("p9-0") })
 	defer drain.Stop()
-	var e load.Ends
-	var limit time.Time
-	for handed := false; ; time.Sleep(500 * time.Millisecond) {
-		e = client.Account(kitchen.Delivered, directory.Notices(), nil)
-		if !handed {
+	// The push front forgets ends after a while: they are asked for as they come.
+	looking := make(chan struct{})
+	go func() {
+		defer close(looking)
+		for t := time.NewTicker(500 * time.Millisecond); ; {
 			select {
-			case <-done:
-				handed, limit = true, time.Now().Add(10*time.Second)
-			default:
+			case <-t.C:
+				kitchen.Settle(client, 0)
+			case <-handed:
+				t.Stop()
+				return
 			}
-			continue
-		}
-		if e.Open == 0 || time.Now().After(limit) {
-			break
 		}
-	}
+	}()
+	wg.Wait()
+	close(handed)
+	<-looking
+	e := kitchen.Settle(client, 10*time.Second)
 	for d := uint32(1); d <= 9; d++ {
 		x := client.Account(kitchen.Delivered, directory.Notices(), func(m load.Message) bool { return m.Destination == d })
 		fmt.Fprintf(out, "destination %d: %+v\n", d, x)
--- a/internal/measure/idle.go
+++ b/internal/measure/idle.go
@@ -1,6 +1,3 @@
-// Package measure runs the courier in a process of its own against stand-in
-// partners in others and reports what it costs. Its runs take minutes and are no
-// tests.
 package measure
 
 import (
@@ -11,7 +8,6 @@
 	"maps"
 	"os"
 	"os/exec"
-	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -272,12 +268,8 @@
 	if b.directory, err = standin.NewDirectory(b.list[:o.Active*o.Endpoints]); err != nil {
 		return err
 	}
-	settings := rig.Settings()
-	settings["family-info"].(map[string]any)["max-calls"] = 96
-	settings["limits"].(map[string]any)["most-held"] = 8000
-	settings["tenants"] = []any{map[string]any{"name": "town", "quota-rps": 2000}}
 	b.courier, err = rig.Start(o.Exe, rig.Config{
-		Dir: dir, Discovery: b.directory.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024,
+		Dir: dir, Discovery: b.directory.Addr(), Settings: rig.Large(96, 8000, 2000), MemoryMB: 192, Sockets: 1024,
 		Idle: map[string]any{
 			"sleep_after_s": 1, "careful_first": true, "memory_kb": 65536, "list_mb": 256, "list_entries": 1000000,
 		},
@@ -388,7 +380,7 @@
 	}
 	f = IdleFigures{
 		Partners: o.Partners, Endpoints: o.Endpoints, Active: o.Active, Listening: b.listening,
-		Machine: fmt.Sprintf("%s/%s, %d cores, %s", runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), runtime.Version()),
+		Machine: machine(),
 	}
 	few, all := b.list[:o.Active*o.Endpoints], b.list
 
@@ -473,14 +465,7 @@
 		f.Duplicates += w.Duplicates
 		f.OutOfOrder += w.OutOfOrder
 	}
-	if o.JSON == "" {
-		return f, nil
-	}
-	text, err := json.MarshalIndent(f, "", "  ")
-	if err != nil {
-		return f, err
-	}
-	return f, os.WriteFile(o.JSON, append(text, '\n'), 0o644)
+	return f, save(o.JSON, f)
 }
 
 // once calls every listening partner that is not active once, and waits for
--- a/internal/measure/plugins.go
+++ b/internal/measure/plugins.go
@@ -7,8 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
-	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +78,7 @@
 admit = forever
 shape = forever
 read = forever
+ended = forever
 `
 
 func starlark(name, code string, hooks []manifest.Hook, destinations ...uint32) *manifest.Manifest {
@@ -155,7 +154,7 @@
 	}
 	text := json.RawMessage(`{"id":"m1","class_name":"status","tenant":"town","destination":7,"status":503,"headers":{"retry-later":"2"},"answer":"eyJidXN5Ijp0cnVlLCJmcmVlX2luIjoiMTUwMG1zIn0="}`)
 	for _, h := range m.Hooks {
-		var took []time.Duration
+		took := newTimes()
 		for i := range o.Calls {
 			begun := time.Now()
 			if err := host.Write(in, host.Call{ID: uint64(i + 1), Hook: h, Call: text}); err != nil {
@@ -165,22 +164,13 @@
 			if err := host.Read(out, 1<<20, &a); err != nil || a.Error != "" {
 				return 0, fmt.Errorf("%s %s: %v %s", m.Name, h, err, a.Error)
 			}
-			took = append(took, time.Since(begun))
+			took.add(time.Since(begun))
 		}
-		costs[m.Engine+" "+string(h)] = CallCost{quantile(took, 0.5) * 1000, quantile(took, 0.99) * 1000}
+		costs[m.Engine+" "+string(h)] = CallCost{took.us(50), took.us(99)}
 	}
 	return rig.Resident(cmd.Process.Pid)
 }
 
-// quantile is in milliseconds.
-func quantile(took []time.Duration, q float64) float64 {
-	if len(took) == 0 {
-		return 0
-	}
-	slices.Sort(took)
-	return float64(took[min(int(q*float64(len(took))), len(took)-1)].Microseconds()) / 1000
-}
-
 const others = 9 // of ten destinations
 
 // load plays clients against a courier with these plug-ins. during runs in the
@@ -204,22 +194,13 @@
 	for d := range uint32(others + 1) {
 		specs = append(specs, standin.Spec{Destination: d + 1, Endpoints: 2, Profile: partner.Profile{Latency: 20 * time.Millisecond}})
 	}
-	farm, err := standin.NewFarm(specs)
+	kitchen, err := rig.NewKitchen(dir, specs)
 	if err != nil {
 		return l, 0, err
 	}
-	defer farm.Close()
-	directory, err := standin.NewDirectory(standin.List(farm.Endpoints()))
-	if err != nil {
-		return l, 0, err
-	}
-	defer directory.Close()
-	settings := rig.Settings()
-	settings["family-info"].(map[string]any)["max-calls"] = 64
-	settings["limits"].(map[string]any)["most-held"] = 4000
-	settings["tenants"] = []any{map[string]any{"name": "town", "quota-rps": 5000}}
+	defer kitchen.Close()
 	c, err := rig.Start(o.Exe, rig.Config{
-		Dir: dir, Discovery: directory.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024,
+		Dir: dir, Discovery: kitchen.Directory.Addr(), Settings: rig.Large(64, 4000, 5000), MemoryMB: 192, Sockets: 1024,
 		Plugins: map[string]any{"folder": folder},
 	})
 	if err != nil {
@@ -229,7 +210,7 @@
 	client := load.New(c.Addr, "")
 	defer client.Close()
 	var mu sync.Mutex
-	var all, rest []time.Duration
+	all, rest := newTimes(), newTimes()
 	var wg sync.WaitGroup
 	begun := time.Now()
 	for lane := range o.Lanes {
@@ -246,9 +227,9 @@
 					continue
 				}
 				mu.Lock()
-				all = append(all, took)
+				all.add(took)
 				if d <= others {
-					rest = append(rest, took)
+					rest.add(took)
 				}
 				mu.Unlock()
 				time.Sleep(10 * time.Millisecond)
@@ -262,19 +243,10 @@
 		}
 	}
 	wg.Wait()
-	l.PerSecond, l.OthersPS = float64(len(all))/o.For.Seconds(), float64(len(rest))/o.For.Seconds()
-	l.P99Ms, l.OthersP99 = quantile(all, 0.99), quantile(rest, 0.99)
-	delivered := func(d uint32, id string) (seen bool) {
-		_ = farm.With(d, func(p *partner.Partner) { seen = p.Seen(id) })
-		return seen
-	}
-	for limit := time.Now().Add(10 * time.Second); ; time.Sleep(100 * time.Millisecond) {
-		e := client.Account(delivered, directory.Notices(), nil)
-		l.Open, l.Doubled, l.Unheard = e.Open, e.Doubled, e.Unheard
-		if e.Open == 0 || time.Now().After(limit) {
-			break
-		}
-	}
+	l.PerSecond, l.OthersPS = float64(all.TotalCount())/o.For.Seconds(), float64(rest.TotalCount())/o.For.Seconds()
+	l.P99Ms, l.OthersP99 = all.us(99)/1000, rest.us(99)/1000
+	e := kitchen.Settle(client, 10*time.Second)
+	l.Open, l.Doubled, l.Unheard = e.Open, e.Doubled, e.Unheard
 	resident, err = c.Resident()
 	return l, resident, err
 }
@@ -282,7 +254,7 @@
 // Run measures and returns the figures.
 func (o Plugins) Run(out io.Writer) (f PluginFigures, err error) {
 	f = PluginFigures{
-		Machine: fmt.Sprintf("%s/%s, %d cores, %s", runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), runtime.Version()),
+		Machine: machine(),
 		Calls:   map[string]CallCost{}, Host: map[string]int64{}, Courier: map[string]int64{}, Loads: map[string]LoadCost{},
 	}
 	dir, err := os.MkdirTemp("", "snowjunction-measure-")
@@ -332,12 +304,5 @@
 	f.Loads["reload"] = reload
 	f.Lost = reload.Open + reload.Doubled + reload.Unheard
 	fmt.Fprintf(out, "reload in %.1f ms: %+v; looping ratio %.3f\n", f.ReloadMs, reload, f.LoopingThroughputRatio)
-	if o.JSON == "" {
-		return f, nil
-	}
-	text, err := json.MarshalIndent(f, "", "  ")
-	if err != nil {
-		return f, err
-	}
-	return f, os.WriteFile(o.JSON, append(text, '\n'), 0o644)
+	return f, save(o.JSON, f)
 }
--- a/internal/rig/kitchen.go
+++ b/internal/rig/kitchen.go
@@ -1,7 +1,10 @@
 package rig
 
 import (
+	"time"
+
 	"snowjunction/internal/standin"
+	"snowjunction/internal/standin/load"
 	"snowjunction/internal/standin/partner"
 )
 
@@ -63,6 +66,17 @@
 	return n
 }
 
+// Settle waits until every message that a client has handed in and that was taken
+// on has its end, or for so long, and returns the account.
+func (k *Kitchen) Settle(client *load.Client, within time.Duration) load.Ends {
+	for limit := time.Now().Add(within); ; time.Sleep(200 * time.Millisecond) {
+		e := client.Account(k.Delivered, k.Directory.Notices(), nil)
+		if e.Open == 0 || time.Now().After(limit) {
+			return e
+		}
+	}
+}
+
 // Close ends it.
 func (k *Kitchen) Close() {
 	k.Directory.Close()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// Large are Settings with so many slots, messages held, and messages a second in
+// the one tenant's quota.
+func Large(slots, held int, quota float64) map[string]any {
+	s := Settings()
+	s["family-info"].(map[string]any)["max-calls"] = slots
+	s["limits"].(map[string]any)["most-held"] = held
+	s["tenants"] = []any{map[string]any{"name": "town", "quota-rps": quota}}
+	return s
+}
+
 // Config is what a courier is started with.
 type Config struct {
 	Dir       string // where its files go; it must exist
