Plug-ins send other bodies only where the operator says that the partner allows it

Need: a body transform was the manifest's word alone; WebAssembly was measured on one hook, and no hostile module had run on sockets.

Change: deploy/plugins.json names the destinations whose partners' descriptions allow other bodies, and the set drops and counts the rest; measure plugins builds a module that serves all four hooks; a hostile module reads a partner's answers in a test on sockets.

--- a/cmd/snowjunction/plugin_test.go
+++ b/cmd/snowjunction/plugin_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -301,3 +302,33 @@
 	require.NoError(t, err)
 	assert.Equal(t, os.FileMode(0o600), i.Mode().Perm())
 }
+
+// A hostile WebAssembly module reads the answers of one partner: it loops, traps,
+// grows and answers nonsense, each call on its own, and the messages end. One that
+// it calls a failure though it was delivered may go again, as its class allows.
+func TestHostileModule(t *testing.T) {
+	folder := t.TempDir()
+	writePlugin(t, folder, "module", map[string]any{
+		"engine": "wasm", "code": "m.wasm", "hooks": []string{"read"}, "sees": sees(1, 2),
+		"budget": map[string]any{"time_ms": 40, "memory_mb": 24},
+	}, "")
+	cmd := exec.Command("go", "build", "-buildmode=c-shared", "-o", filepath.Join(folder, "module", "m.wasm"), ".")
+	cmd.Dir = "../../internal/plugin/engine/testdata/hostile"
+	cmd.Env = append(os.Environ(), "GOOS=wasip1", "GOARCH=wasm", "GOFLAGS=")
+	out, err := cmd.CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	s := kitchen(t, 3, folder)
+	words := []string{"loop", "panic", "grow", "outside", "huge", "nonsense", "full", "error", "ok"}
+	for i := range 54 {
+		d := uint32(i%3 + 1)
+		s.add(d, fmt.Sprintf("%s-%d", words[i%len(words)], i))
+	}
+	var e load.Ends
+	s.until("every message's end", func() bool {
+		e = s.client.Account(s.seen, s.directory.Notices(), nil)
+		return e.Open == 0
+	})
+	assert.Zero(t, e.Unheard+e.Failed, "%+v", e)
+	assert.NotEqual(t, "0", s.counters("plugins.module.failed"))
+	s.deliver(3, "last")
+}
--- a/internal/config/plugins.go
+++ b/internal/config/plugins.go
@@ -2,8 +2,9 @@
 
 // Plugins is the plug-ins' operator file.
 type Plugins struct {
-	Folder string // holds a folder for each; "": none
-	Admin  string // path of the admin socket; "": none
+	Folder string   // holds a folder for each; "": none
+	Admin  string   // path of the admin socket; "": none
+	Bodies []uint32 // destinations whose descriptions allow other bodies
 }
 
 // LoadPlugins reads the plug-ins' file. Paths in it start from its folder. A file
@@ -13,5 +14,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Plugins{Folder: beside(path, v, "folder"), Admin: beside(path, v, "admin")}, nil
+	p := &Plugins{Folder: beside(path, v, "folder"), Admin: beside(path, v, "admin")}
+	for _, d := range v.GetArray("bodies") {
+		p.Bodies = append(p.Bodies, uint32(d.GetUint64())) // the schema has seen to its bounds
+	}
+	return p, nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if c.plugins = plugin.New(plugin.Config{Loop: c.loop, Log: c.log, Command: o.Host}); len(f.manifests) > 0 {
+	if c.plugins = plugin.New(plugin.Config{Loop: c.loop, Log: c.log, Command: o.Host, Bodies: f.plugins.Bodies}); len(f.manifests) > 0 {
 		why, done := "", false
 		c.plugins.Replace(f.manifests, func(err string) { why, done = err, true })
 		if c.loop.RunUntil(func() bool { return done }); why != "" {
@@ -290,6 +290,7 @@
 		c.log.Warn("these wait for a restart", "values", later)
 	}
 	c.platform.Move(f.cfg.Discovery)
+	c.plugins.AllowBodies(f.plugins.Bodies)
 	c.log.Info("configuration read again", "discovery", f.cfg.Discovery, "targets", len(f.push.Targets))
 	c.plugins.Replace(f.manifests, func(why string) {
 		if why != "" {
--- a/internal/measure/plugins.go
+++ b/internal/measure/plugins.go
@@ -20,13 +20,13 @@
 
 // Plugins are the options of the measurement of plug-ins.
 type Plugins struct {
-	Calls   int           `default:"2000" help:"Calls to each hook of each engine."`
-	For     time.Duration `default:"6s" help:"How long load lasts for each set of plug-ins."`
-	Lanes   int           `default:"20" help:"Clients at once."`
-	Wasm    string        `placeholder:"FILE" help:"A module by the plug-in protocol with a read hook; not given, the example is built with go."`
-	Example string        `default:"example/plugins-wasm/hints" help:"Folder of the example."`
-	JSON    string        `placeholder:"FILE" help:"Where the figures go."`
-	Exe     string        `kong:"-"`
+	Calls  int           `default:"2000" help:"Calls to each hook of each engine."`
+	For    time.Duration `default:"6s" help:"How long load lasts for each set of plug-ins."`
+	Lanes  int           `default:"20" help:"Clients at once."`
+	Wasm   string        `placeholder:"FILE" help:"A module by the plug-in protocol that serves every hook; not given, one is built with go."`
+	Source string        `default:"internal/measure/module" help:"Folder that it is built from."`
+	JSON   string        `placeholder:"FILE" help:"Where the figures go."`
+	Exe    string        `kong:"-"`
 }
 
 // PluginFigures are what the measurement shows.
@@ -59,6 +59,8 @@
 	Unheard   int     `json:"unheard"`
 }
 
+var every = []manifest.Hook{manifest.Admit, manifest.Shape, manifest.Read, manifest.Ended}
+
 const everyHook = `
 def admit(call):
     return None
@@ -109,22 +111,24 @@
 func (o Plugins) module(dir string) (*manifest.Manifest, error) {
 	path := o.Wasm
 	if path == "" {
-		path = filepath.Join(dir, "hints.wasm")
+		path = filepath.Join(dir, "module.wasm")
 		cmd := exec.Command("go", "build", "-buildmode=c-shared", "-o", path, ".")
-		cmd.Dir = o.Example
+		cmd.Dir = o.Source
 		cmd.Env = append(os.Environ(), "GOOS=wasip1", "GOARCH=wasm")
 		if text, err := cmd.CombinedOutput(); err != nil {
-			return nil, fmt.Errorf("build the example (or name a module with --wasm): %w: %s", err, text)
+			return nil, fmt.Errorf("build the module (or name a module with --wasm): %w: %s", err, text)
 		}
 	}
 	b, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	return &manifest.Manifest{
-		Name: "wasm", Version: "1", Protocol: 1, Engine: "wasm", Code: "p.wasm", Hooks: []manifest.Hook{manifest.Read}, Text: b,
+	m := &manifest.Manifest{
+		Name: "wasm", Version: "1", Protocol: 1, Engine: "wasm", Code: "p.wasm", Hooks: every, Text: b,
 		Budget: manifest.Budget{TimeMs: 20, Steps: 1000, MemoryMB: 32, BodyBytes: 4096},
-	}, nil
+	}
+	m.Touches.Headers = true
+	return m, nil
 }
 
 // calls times calls to a host process, and tells its resident memory.
@@ -262,7 +266,7 @@
 		return f, err
 	}
 	defer os.RemoveAll(dir)
-	script := starlark("script", everyHook, []manifest.Hook{manifest.Admit, manifest.Shape, manifest.Read, manifest.Ended})
+	script := starlark("script", everyHook, every)
 	module, err := o.module(dir)
 	if err != nil {
 		return f, err
--- a/internal/plugin/engine/testdata/hostile/main.go
+++ b/internal/plugin/engine/testdata/hostile/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"unsafe"
 )
 
@@ -25,7 +26,8 @@
 		ID string `json:"id"`
 	}
 	_ = json.Unmarshal(call[:size], &c)
-	switch c.ID {
+	word, _, _ := strings.Cut(c.ID, "-")
+	switch word {
 	case "loop":
 		for i := 0; ; i++ {
 			answer = append(answer[:0], byte(i))
@@ -45,7 +47,7 @@
 	case "nonsense":
 		answer = []byte("no json")
 	default:
-		answer = []byte(`{"outcome":"` + c.ID + `"}`)
+		answer = []byte(`{"outcome":"` + word + `"}`)
 	}
 	return int64(uintptr(unsafe.Pointer(&answer[0])))<<32 | int64(len(answer))
 }
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -33,6 +33,10 @@
 	Command []string // that starts a host process
 	Breaker breaker.Config
 
+	// Bodies are the destinations to which a plug-in may send another body, if its
+	// manifest says so too.
+	Bodies []uint32
+
 	StartWithin time.Duration // for a host to be ready; 0: half a minute
 }
 
@@ -190,6 +194,9 @@
 	return nil
 }
 
+// AllowBodies names the destinations to which plug-ins may send other bodies.
+func (s *Set) AllowBodies(destinations []uint32) { s.cfg.Bodies = destinations }
+
 // Close ends all host processes.
 func (s *Set) Close() {
 	for _, p := range s.plugs {
@@ -582,6 +589,10 @@
 		}{s.flow(m, p), to.Name}, func(r *reply) {
 			if r != nil {
 				p.correct(r.rules)
+				if r.shape.HasBody && !slices.Contains(s.cfg.Bodies, m.Destination) {
+					r.shape.Body, r.shape.HasBody = nil, false
+					p.correct([]guard.Rule{guard.Body})
+				}
 				merge(&shape, r.shape)
 			}
 			next(true)
--- a/internal/plugin/plugin_test.go
+++ b/internal/plugin/plugin_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"snowjunction/internal/core"
+	"snowjunction/internal/plugin/guard"
 	"snowjunction/internal/plugin/host"
 	"snowjunction/internal/plugin/manifest"
 	"snowjunction/internal/store"
@@ -125,3 +126,26 @@
 	assert.Empty(t, b.List())
 	assert.False(t, b.Admit(&store.Message{ID: "m"}, nil), "nobody is asked")
 }
+
+// Another body goes only where the manifest says that the plug-in touches bodies
+// and the operator that the partner allows it.
+func TestBodies(t *testing.T) {
+	b := newBench(t, "plugin-host", 0)
+	m := script("1", "def shape(call):\n    return {'body': b'other'}\n")
+	m.Hooks = []manifest.Hook{manifest.Shape}
+	shape := func(destination uint32) (s core.Shape) {
+		done := false
+		require.True(t, b.Shape(&store.Message{ID: "m", Destination: destination}, core.Entry{}, func(x core.Shape) { s, done = x, true }))
+		b.until(func() bool { return done })
+		return s
+	}
+	b.AllowBodies([]uint32{7})
+	require.Empty(t, b.replace(m))
+	assert.False(t, shape(7).HasBody, "the manifest does not say so")
+	touching := *m
+	touching.Touches.Body = true
+	require.Empty(t, b.replace(&touching))
+	assert.Equal(t, core.Shape{Body: []byte("other"), HasBody: true}, shape(7))
+	assert.False(t, shape(8).HasBody, "its partner does not allow it")
+	assert.EqualValues(t, 1, b.List()[0].Rules[guard.Body])
+}
