A courier the directory turns away pauses for its part of the fleet

Cause: discovery.again in internal/front/platform came back after 50 ms whatever the answer, at every courier in the same step. Ruled out: told waits (the answer has none), and the list calls of the start, which were all served. Change: internal/patience, without clock or socket: pauses grow with the fleet (that all together ask as often as two did), double while turned away up to 4 s, and are drawn from a range. Attempts and ends are logged at level debug, to be counted over a fleet.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -219,6 +219,7 @@
 // refuse gives a flow that is not taken on its fixed response.
 func (c *Core) refuse(f *flow, after time.Duration) {
 	c.Counters.Refused++
+	c.traceEnd(f, "turned_away", after)
 	if c.ids[f.name()] == f && f.id == 0 {
 		delete(c.ids, f.name())
 	}
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -70,6 +70,7 @@
 	answer := f.answer
 	f.answer = nil
 	c.drop(f)
+	c.traceEnd(f, "refused", after)
 	if s == store.Returned {
 		c.Counters.Refused++
 		answer(Answer{Verdict: Fixed, After: after}, nil)
@@ -97,6 +98,7 @@
 	case store.Returned:
 		c.Counters.Returned++
 	}
+	c.traceEnd(f, s.String(), after)
 	if c.Plugins != nil {
 		c.Plugins.Ended(f.msg)
 	}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -1,6 +1,10 @@
 package core
 
 import (
+	"context"
+	"log/slog"
+	"time"
+
 	"snowjunction"
 	"snowjunction/internal/store"
 )
@@ -54,11 +58,34 @@
 		ev.Kept = a.call.Kept()
 		ev.Fresh = ev.Kept == 0
 	}
+	c.traceAttempt(a, &ev)
 	c.feed(ev)
 	c.forget(f)
 	c.checkIdle()
 }
 
+// traceAttempt tells of one attempt at level debug: counted over a fleet, such lines
+// show what each courier's own counters cannot.
+func (c *Core) traceAttempt(a *attempt, ev *snowjunction.AttemptEnded) {
+	if !c.Log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	m := a.flow.msg
+	c.Log.Debug("attempt", "dest", m.Destination, "class", m.Class, "endpoint", a.endpoint, "no", a.no,
+		"outcome", outcomes[ev.Outcome], "took_ms", ev.Took.Milliseconds(), "wait_ms", ev.Wait.Milliseconds(),
+		"kept_ms", ev.Kept.Milliseconds(), "report", ev.Report)
+}
+
+// traceEnd tells of an end, as traceAttempt of an attempt.
+func (c *Core) traceEnd(f *flow, how string, after time.Duration) {
+	if !c.Log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	m := f.msg
+	c.Log.Debug("end", "dest", m.Destination, "class", m.Class, "attempts", m.Attempts, "as", how,
+		"left_ms", m.Deadline.Sub(c.Loop.Now()).Milliseconds(), "after_ms", after.Milliseconds(), "held", c.held)
+}
+
 func mayHaveRun(o snowjunction.Outcome) bool {
 	switch o {
 	case snowjunction.Full, snowjunction.ConnectFailed, snowjunction.Moot:
--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -9,6 +9,7 @@
 	"snowjunction/internal/core"
 	"snowjunction/internal/groups"
 	"snowjunction/internal/net"
+	"snowjunction/internal/patience"
 	"snowjunction/internal/proto/http1"
 	"snowjunction/internal/proto/listing"
 )
@@ -28,17 +29,15 @@
 	reader     *listing.Reader // of the answer that comes
 	news       *groups.List
 	watching   bool // the answer that comes is to a watch
-	bad        int  // lists in a row that could not be taken
+	patience   *patience.Patience
 }
 
 const (
 	watchFor   = 20 * time.Second
 	askNow     = time.Millisecond
 	watchSlack = 3 * time.Second // past which a watch without an answer is lost
-	watchAgain = 50 * time.Millisecond
 	openWithin = time.Second     // past which a connection will not come up
 	listWithin = 2 * time.Second // past which a list asked for at once is lost
-	badMost    = 5 * time.Second // between lists that cannot be taken, at most: it doubles up to this
 )
 
 // watch asks for what is newer than the list held, on the connection there is
@@ -93,13 +92,25 @@
 }
 
 // again gives the connection up and watches anew a moment later.
-func (d *discovery) again(code net.Code) {
+func (d *discovery) again(code net.Code) { d.later(code, d.patience.Lost()) }
+
+// later gives the connection up and watches anew after a pause.
+func (d *discovery) later(code net.Code, pause time.Duration) {
 	if d.conn != nil {
 		d.conn.Close(code)
 		d.conn = nil
 	}
 	d.limit.Stop()
-	d.limit = d.front.Loop.After(watchAgain, d.watch)
+	d.limit = d.front.Loop.After(pause, d.watch)
+}
+
+// after is how long an answer asks to stay away, in whole seconds; 0: it does not say.
+func after(r *http1.Response) time.Duration {
+	n, err := strconv.ParseUint(r.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Second
 }
 
 // move begins anew at another address. Its agent may count generations on its
@@ -109,6 +120,7 @@
 		return
 	}
 	d.known = false
+	d.patience.Served() // another agent: what the old one refused says nothing of it
 	if d.conn != nil {
 		d.conn.Close(net.Moved)
 		d.conn = nil
@@ -153,10 +165,13 @@
 		d.conn = nil
 	}
 	if r.Status != 200 {
-		d.front.Log.Warn("discovery answers with an error", "status", r.Status)
-		d.again(net.Finished)
+		pause := d.patience.Refused(after(r))
+		d.front.Log.Warn("discovery answers with an error", "status", r.Status, "pause_ms", pause.Milliseconds())
+		d.later(net.Finished, pause)
 		return
 	}
+	d.patience.Served()
+	d.front.Log.Debug("discovery answers", "generation", d.reader.Generation, "full", d.reader.Full, "entries", d.reader.Entries)
 	if err := d.reader.End(); err != nil {
 		d.refuse(err)
 		return
@@ -175,7 +190,7 @@
 		d.refuse(err)
 		return
 	}
-	d.generation, d.known, d.held, d.agent, d.bad = d.reader.Generation, true, true, d.front.Discovery, 0
+	d.generation, d.known, d.held, d.agent = d.reader.Generation, true, true, d.front.Discovery
 	d.front.core.Spoken(d.front.Number)
 	if d.watching && d.front.core.Recheck(d.front.Number) > 0 {
 		d.known = false // the whole list again: what it leaves out is in doubt
@@ -191,13 +206,7 @@
 	d.front.Log.Warn("discovery's list cannot be read", "err", err, "entries", d.reader.Entries, "bytes", d.reader.Size())
 	d.front.core.Refused(d.front.Number, d.news, err)
 	d.known = false
-	d.bad++
-	if d.conn != nil {
-		d.conn.Close(net.Protocol)
-		d.conn = nil
-	}
-	d.limit.Stop()
-	d.limit = d.front.Loop.After(min(watchAgain<<min(d.bad-1, 10), badMost), d.watch)
+	d.later(net.Protocol, d.patience.Unread())
 }
 
 func (d *discovery) close() {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -12,6 +12,7 @@
 	"snowjunction/internal/config"
 	"snowjunction/internal/core"
 	"snowjunction/internal/net"
+	"snowjunction/internal/patience"
 	"snowjunction/internal/store"
 )
 
@@ -58,6 +59,7 @@
 	}
 	f := &Front{Config: cfg, clients: map[*client]bool{}, targets: map[*target]bool{}}
 	f.discovery.front = f
+	f.discovery.patience = patience.New(cfg.Settings.Fleet, cfg.Settings.Seed)
 	f.notices.front = f
 	return f
 }
--- /dev/null
+++ b/internal/patience/patience.go
@@ -0,0 +1,72 @@
+// Package patience decides how long a courier waits before it asks its directory
+// again. It knows no clock and no socket.
+//
+// One courier that asks again after 50 ms costs a directory nothing. Eighty that are
+// turned away together and each come back after 50 ms are over a thousand calls a
+// second, and none of them is served. So the pauses grow with the fleet, that all
+// couriers together ask about as often as two did, double while the directory turns
+// the asker away, and are drawn from a range, so that those who were turned away
+// together do not come back together.
+package patience
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// pause is that of a courier of a fleet of two, or alone.
+	pause = 50 * time.Millisecond
+	// Most bounds each pause: what the directory has to tell is to be heard within
+	// seconds, whatever the fleet's size.
+	Most = 4 * time.Second
+	// unreadMost bounds those between lists that cannot be taken.
+	unreadMost = 5 * time.Second
+)
+
+// Patience is one courier's, towards one directory.
+type Patience struct {
+	rng     *rand.Rand
+	base    time.Duration
+	refused int // calls in a row that were answered with an error
+	unread  int // lists in a row that could not be taken
+}
+
+// New returns the patience of one of so many couriers; a fleet under one counts as
+// one. The seed is the courier's own: two that draw alike would ask together.
+func New(fleet int, seed uint64) *Patience {
+	return &Patience{
+		rng:  rand.New(rand.NewPCG(seed, 0x70617469656e6365)),
+		base: min(pause*time.Duration(max(2, min(fleet, 1<<20)))/2, Most),
+	}
+}
+
+// Lost is the pause after a connection that broke or did not come up.
+func (p *Patience) Lost() time.Duration { return p.draw(p.base) }
+
+// Refused is the pause after an answer that is an error. What it tells to wait, 0 for
+// nothing, is the least, up to Most.
+func (p *Patience) Refused(told time.Duration) time.Duration {
+	d := grown(p.base, p.refused, Most)
+	p.refused++
+	return max(p.draw(d), min(told, Most))
+}
+
+// Unread is the pause after a list that could not be taken.
+func (p *Patience) Unread() time.Duration {
+	d := grown(p.base, p.unread, unreadMost)
+	p.unread++
+	return p.draw(d)
+}
+
+// Served tells that a list has been taken: the next pause is the first again.
+func (p *Patience) Served() { p.refused, p.unread = 0, 0 }
+
+func grown(d time.Duration, times int, most time.Duration) time.Duration {
+	return min(d<<min(times, 16), most)
+}
+
+// draw is a pause between half of d and d.
+func (p *Patience) draw(d time.Duration) time.Duration {
+	return d/2 + time.Duration(p.rng.Int64N(int64(d/2)+1))
+}
