One courier keeps each limit's account and grants its calls to the fleet

Need: with the directory heard, most was lost to limits. Cause: in refill (courier.go) a limit's even share is too small to pace one courier, so each went by a gap after its own refusals alone (refused, judge): doubled on a refusal, halved on a success, it rests where half the calls are refused. Ruled out: capacity (the reports show it left), told waits (a fifth of the refusals have one), repeats (a sixth of the calls). A keeper that is silent is passed over; where none answers, a courier goes by what it knows. Only where the even share is no pace; two couriers act as before. deploy/fleet.json turns it off.

--- a/api.go
+++ b/api.go
@@ -16,11 +16,12 @@
 
 // Settings is what a courier is told once, at its start.
 type Settings struct {
-	Seed  uint64        // source of this courier's randomness
-	Fleet int           // couriers of this tier, this one included
-	Tick  time.Duration // shortest time between two calls of Handle
-	Zone  int           // this courier's zone
-	Zones int           // number of zones
+	Seed   uint64        // source of this courier's randomness
+	Fleet  int           // couriers of this tier, this one included
+	Number int           // of this courier among them
+	Tick   time.Duration // shortest time between two calls of Handle
+	Zone   int           // this courier's zone
+	Zones  int           // number of zones
 
 	Classes []Class
 	Tenants []Tenant
@@ -54,6 +55,8 @@
 	FallMultiple float64       // sent more than this many times its present capacity
 	FallTime     time.Duration // for this long, it falls over
 
+	Notes bool // couriers can tell each other things
+
 	Tuning *Tuning // nil: the module's own
 }
 
@@ -259,6 +262,12 @@
 	}
 	// Withdrawn tells that nothing more is owed for a request.
 	Withdrawn struct{ Request RequestID }
+	// Heard is what another courier of the fleet has told. It may come late, out of
+	// turn or never.
+	Heard struct {
+		Peer  int // its number
+		Notes []Note
+	}
 	// Timer is a SetTimer come due.
 	Timer struct{ Token uint64 }
 )
@@ -273,6 +282,20 @@
 func (ProbeEnded) event()    {}
 func (Withdrawn) event()     {}
 func (Timer) event()         {}
+func (Heard) event()         {}
+
+// Note is what one courier tells another of one destination: what it wishes, or what
+// the other may call.
+type Note struct {
+	Destination DestinationID
+	Asks        bool // the sender wishes to make Calls calls, the first of them worth Rank
+	Grants      bool // the receiver may make Calls calls; 0: its wish waits
+	Calls       int
+	Rank        int     // up to 255
+	Back        int     // granted calls that were not made, less those made without a grant
+	Refused     int     // calls that were refused above the limit
+	Limit       float64 // as an answer has told it, in calls a second; 0: nothing new
+}
 
 // Action is something to do now.
 type Action interface{ action() }
@@ -320,6 +343,11 @@
 		Destination DestinationID
 		State       *State // nil: nothing is known
 	}
+	// Tell tells another courier of the fleet, by its number.
+	Tell struct {
+		Peer  int
+		Notes []Note
+	}
 	// Log is a line for on-call staff.
 	Log struct{ Text string }
 )
@@ -335,6 +363,7 @@
 func (Asleep) action()    {}
 func (Seen) action()      {}
 func (Log) action()       {}
+func (Tell) action()      {}
 
 // State is what the module knows of a destination. All times are relative to
 // the moment at which it was handed out, latencies are in seconds and rates in
--- a/cmd/snowjunction/fleet_test.go
+++ b/cmd/snowjunction/fleet_test.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"net"
 	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"snowjunction"
+	"snowjunction/internal/notes"
 	"snowjunction/internal/scenario"
 )
 
@@ -66,3 +69,53 @@
 		`)
 	}
 }
+
+// One courier of eighty asks the keeper of a limit over the wire before it calls, and
+// calls once it is granted that. What cannot be read does it no harm.
+func TestAsksKeeper(t *testing.T) {
+	keeper, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { keeper.Close() })
+	own, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, own.Close())
+	c := scenario.NewCourier(t)
+	c.Settings["fleet-size"], c.Settings["my-number"] = 80, 79
+	c.Settings["limits"].(map[string]any)["may-tell"] = true
+	peers := make([]string, 80)
+	for i := range peers {
+		peers[i] = keeper.LocalAddr().String() // all of them are this one
+	}
+	peers[79] = own.LocalAddr().String()
+	c.Peers = map[string]any{"peer_listen": peers[79], "peers": peers}
+	c.Targets = []scenario.Target{{Name: "s-1", Addr: c.Play.Server("target"), Cell: 7}}
+	c.Play.Let("ok", "HTTP/1.1 200 OK\r\nX-Server-Load: x0=0.8,x1=44\r\nContent-Length: 0\r\n\r\n")
+	c.Play.Let("ADD", "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\n")
+	c.Play.Let("STATUS", "\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\n")
+	require.NoError(t, c.Start())
+	c.Play.Run(`
+		client dial c
+		c send "$ADDm1$STATUSx\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "...\r\n\r\nx"
+		t send "$ok"
+		c send "$ADDm2$STATUSy\r\n"
+		c expect "+OK\r\n"
+	`)
+	buf := make([]byte, 512)
+	n, from, err := keeper.ReadFrom(buf)
+	require.NoError(t, err)
+	items, err := notes.Read(buf[:n])
+	require.NoError(t, err)
+	require.True(t, items[0].Asks)
+	assert.Equal(t, 44.0, items[0].Limit)
+	for _, b := range append(notes.Write([]snowjunction.Note{{Destination: 7, Grants: true, Calls: 1}}), nil, []byte("bad"), make([]byte, 4000)) {
+		_, err = keeper.WriteTo(b, from)
+		require.NoError(t, err)
+	}
+	c.Play.Run(`
+		t expect "...\r\n\r\ny"
+		t send "$ok"
+	`)
+}
--- a/courier.go
+++ b/courier.go
@@ -269,11 +269,15 @@
 		if !c.ready(r) {
 			continue
 		}
+		n := len(open)
 		for _, e := range r.eps {
 			if e.Phase == Ready && e.state != down && !(e.Doubtful && len(e.calls) > 0) && c.coldRoom(e) {
 				open = append(open, e)
 			}
 		}
+		if len(open) > n && !c.inTurn(r) {
+			open = open[:n]
+		}
 	}
 	if c.scratch = open; len(open) == 0 {
 		return nil, nil
@@ -320,7 +324,7 @@
 	if dt == 0 && r.pace > 0 {
 		return
 	}
-	if share*seconds(c.prompt) < shareLeast*float64(c.s.Fleet) {
+	if c.thin(r) {
 		r.pace = 0
 		return
 	}
@@ -457,6 +461,7 @@
 	if b == nil || b.size >= d.kind.BundleMax {
 		b, weight = c.open(e), 1.0
 		rt.bucket.tokens--
+		c.called(rt)
 		if c.warm(e) {
 			b.idled = c.now - e.idle[len(e.idle)-1]
 			e.idle = e.idle[:len(e.idle)-1]
@@ -594,6 +599,7 @@
 			r.limit = v
 		}
 	}
+	c.reported(r, len(values))
 }
 
 // judge lets the first outcome of a call move window, pace and gate.
@@ -770,6 +776,7 @@
 		case r.pace > 0:
 			share := c.evenShare(r)
 			r.pace = math.Max(share*paceFloor, math.Min(r.pace, share*c.t.PaceStart)*paceCut)
+		case c.limited(r, wait):
 		case r.limit > 0:
 			r.gap = min(max(2*r.gap, c.repeatGap[r.dest.kindNo]), gapMost*c.prompt)
 			r.waitUntil = max(r.waitUntil, c.now+wait+c.jitter(r.gap))
@@ -813,11 +820,6 @@
 	}
 }
 
-// jitter spreads d by a quarter either way, so that couriers fall out of step.
-func (c *Courier) jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (0.75 + 0.5*c.rng.Float64()))
-}
-
 func (c *Courier) backOff(e *endpoint) {
 	unit := float64(c.s.ConnectTimeout)
 	next := math.Max(firstTrial*unit, float64(e.backoff)*trialGrowth)
--- /dev/null
+++ b/fleet_test.go
@@ -0,0 +1,105 @@
+package snowjunction
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// member is one courier of a fleet of 80 under test, with what it has told.
+type member struct {
+	*Courier
+	t    *testing.T
+	told []Tell
+	sent int
+}
+
+func newMember(t *testing.T, number int, notes bool) *member {
+	c, err := New(Settings{
+		Fleet: 80, Number: number, Notes: notes, Tick: time.Millisecond, Slots: 8, MaxAttempts: 6,
+		Classes: []Class{{Effect: Safe, Aim: 1500 * time.Millisecond, Deadline: 8 * time.Second, Worth: 2, LateShare: 0.1}},
+		Report:  []ReportField{AllowanceLeft, LimitRate}, ConnectTimeout: 1500 * time.Millisecond,
+	})
+	require.NoError(t, err)
+	m := &member{Courier: c, t: t}
+	m.at(0, List{Kind: ListFull, Endpoints: []Endpoint{{ID: 1, Destination: 7, Phase: Ready}}})
+	return m
+}
+
+// at feeds events and answers each call at once: done, with a limit of 44 calls a second.
+func (m *member) at(now time.Duration, events ...Event) {
+	m.told = nil
+	for first := true; first || len(events) > 0; first = false {
+		actions := m.Handle(now, events)
+		events = nil
+		for _, a := range actions {
+			switch a := a.(type) {
+			case Tell:
+				m.told = append(m.told, a)
+			case Send:
+				m.sent++
+				events = append(events, AttemptEnded{
+					Request: a.Request, Endpoint: a.Endpoint, Took: 20 * time.Millisecond, Done: true, Report: []float64{0.8, 44},
+				})
+			}
+		}
+		now += time.Millisecond
+	}
+}
+
+func handed(id RequestID) Request { return Request{ID: id, Destination: 7, Deadline: 8 * time.Second} }
+
+// A courier of a large fleet asks a limit's keeper before it calls, calls what it is
+// granted, and calls by itself where nobody answers. Where it cannot ask it calls at once.
+func TestAsksBeforeItCalls(t *testing.T) {
+	m := newMember(t, 79, true)
+	m.at(time.Second, handed(1))
+	assert.Equal(t, 1, m.sent, "no limit is known")
+	m.at(2*time.Second, handed(2))
+	assert.Equal(t, 1, m.sent)
+	require.Len(t, m.told, 1)
+	n := m.told[0].Notes[0]
+	assert.Equal(t, Note{Destination: 7, Asks: true, Calls: 1, Rank: n.Rank, Back: 0, Limit: 44}, n)
+	assert.Greater(t, n.Rank, 150)
+	keeper := m.told[0].Peer
+	m.at(2020*time.Millisecond, Heard{Peer: keeper, Notes: []Note{{Destination: 7, Grants: true}}})
+	assert.Equal(t, 1, m.sent, "it waits")
+	m.at(2050*time.Millisecond, Heard{Peer: keeper, Notes: []Note{{Destination: 7, Grants: true, Calls: 1}, {Destination: 8, Grants: true, Calls: 1}}})
+	assert.Equal(t, 2, m.sent)
+	m.at(3*time.Second, handed(3))
+	for now := 3 * time.Second; m.sent < 3; now += 10 * time.Millisecond {
+		require.Less(t, now, 4500*time.Millisecond, "the keeper is dead")
+		m.at(now)
+	}
+
+	alone := newMember(t, 79, false)
+	for id := RequestID(1); id < 5; id++ {
+		alone.at(time.Duration(id)*time.Second, handed(id))
+		assert.Equal(t, int(id), alone.sent)
+		assert.Empty(t, alone.told)
+	}
+}
+
+// The keeper grants what the limit allows and no more, and holds back after a refusal.
+func TestKeeperGrants(t *testing.T) {
+	m := newMember(t, 3, true)
+	granted := func(from, to time.Duration) (n int) {
+		for now := from; now < to; now += 5 * time.Millisecond {
+			m.at(now)
+			for _, x := range m.told {
+				n += x.Notes[0].Calls
+			}
+		}
+		return n
+	}
+	m.at(time.Second, Heard{Peer: 9, Notes: []Note{{Destination: 7, Limit: 40}}})
+	for peer := range 60 {
+		m.at(2*time.Second, Heard{Peer: peer + 10, Notes: []Note{{Destination: 7, Asks: true, Calls: 1, Rank: 10}}})
+	}
+	n := granted(2*time.Second, 2900*time.Millisecond)
+	assert.InDelta(t, 35, n, 4)
+	m.at(2900*time.Millisecond, Heard{Peer: 9, Notes: []Note{{Destination: 7, Refused: 1}}})
+	assert.Zero(t, granted(2901*time.Millisecond, 2980*time.Millisecond))
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,6 +31,34 @@
 	Settings  snowjunction.Settings
 	Columns   []string // names of the load report's values
 	Names     Names
+	Peers     Peers
+}
+
+// Peers are the other couriers of the fleet and how they are reached.
+type Peers struct {
+	Listen string   // where their notes come in; empty: they send none
+	Each   []string // addresses by number, this courier's own included
+}
+
+// Reach tells whether notes can go to and fro.
+func (p Peers) Reach() bool { return p.Listen != "" && len(p.Each) > 1 }
+
+// peers decodes the addresses. Without one that can be used there are no notes: the
+// courier does without.
+func peers(v *fastjson.Value) (p Peers) {
+	ok := func(addr string) bool {
+		_, err := netip.ParseAddrPort(addr)
+		return err == nil
+	}
+	p.Listen = text(v, "peer_listen")
+	for _, a := range v.GetArray("peers") {
+		addr, _ := a.StringBytes()
+		p.Each = append(p.Each, string(addr))
+	}
+	if !ok(p.Listen) || !v.GetBool("settings", "limits", "may-tell") {
+		return Peers{}
+	}
+	return p
 }
 
 // Limits are those of the machine.
@@ -123,6 +151,7 @@
 		return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", text(v, "seed"))
 	}
 	c.Settings = settings(seed, set)
+	c.Peers = peers(v)
 	for _, col := range set.GetArray("report", "columns") {
 		name, _ := col.StringBytes()
 		c.Columns = append(c.Columns, string(name))
@@ -149,6 +178,7 @@
 		{"listen", c.Listen == other.Listen},
 		{"limits", c.Limits == other.Limits},
 		{"settings", reflect.DeepEqual(c.Settings, settings) && slices.Equal(c.Columns, other.Columns)},
+		{"peers", reflect.DeepEqual(c.Peers, other.Peers)},
 		{"dcs and models", reflect.DeepEqual(c.Names, other.Names)},
 	} {
 		if !v.same {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -104,3 +104,31 @@
 	assert.Empty(t, p.Listen, "off on the platform")
 	assert.Equal(t, filepath.FromSlash("../../deploy/openapi.json"), p.OpenAPI)
 }
+
+// Couriers send notes only where the platform lets them and names addresses that can be
+// used; the operator file may turn that off.
+func TestPeers(t *testing.T) {
+	parse := func(more, may string) Peers {
+		c, err := Parse([]byte(`{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1",
+			"settings":{"my-number":1,"limits":{"may-tell":`+may+`}}`+more+`}`), func(string) string { return "x" })
+		require.NoError(t, err)
+		assert.Equal(t, 1, c.Settings.Number)
+		return c.Peers
+	}
+	both := `,"peer_listen":"127.0.0.1:3","peers":["127.0.0.1:4","127.0.0.1:5"]`
+	assert.Equal(t, Peers{Listen: "127.0.0.1:3", Each: []string{"127.0.0.1:4", "127.0.0.1:5"}}, parse(both, "true"))
+	assert.True(t, parse(both, "true").Reach())
+	for more, may := range map[string]string{
+		both: "false", `,"peer_listen":"x","peers":["127.0.0.1:4","127.0.0.1:5"]`: "true",
+		`,"peer_listen":"127.0.0.1:3","peers":["127.0.0.1:4"]`: "true", `,"peers":7`: "true", ``: "true",
+	} {
+		assert.False(t, parse(more, may).Reach(), more)
+	}
+	for text, want := range map[string]bool{`{}`: true, `{"notes":true}`: true, `{"notes":false}`: false} {
+		path := filepath.Join(t.TempDir(), "fleet.json")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		f, err := LoadFleet(path)
+		require.NoError(t, err)
+		assert.Equal(t, want, f.Notes)
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -36,7 +36,7 @@
 	family, limits, contract := v.Get("family-info"), v.Get("limits"), v.Get("contract")
 	weights := text(v, "weights")
 	out := snowjunction.Settings{
-		Seed: seed, Fleet: v.GetInt("fleet-size"), Tick: millis(v, "quantum-ms"),
+		Seed: seed, Fleet: v.GetInt("fleet-size"), Number: v.GetInt("my-number"), Tick: millis(v, "quantum-ms"),
 		Zone: v.GetInt("zone"), Zones: len(v.GetArray("dcs")),
 		Slots: family.GetInt("max-calls"), Halving: text(family, "late") == "halving",
 		MaxHeld: limits.GetInt("most-held"), MaxAttempts: limits.GetInt("max-attempts"),
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -27,6 +27,9 @@
 	Withdrawn uint64
 	Failed    uint64
 	Returned  uint64
+	Told      uint64 // notes to the fleet
+	Noted     uint64 // notes of other couriers
+	Unread    uint64 // those that could not be read
 	Results   [snowjunction.Moot + 1]uint64
 
 	serial uint32
@@ -48,7 +51,7 @@
 		slog.Uint64("restored", n.Restored), slog.Uint64("sent", n.Sent), slog.Uint64("unsent", n.Unsent),
 		slog.Uint64("late", n.Late), slog.Uint64("delivered", n.Delivered),
 		slog.Uint64("withdrawn", n.Withdrawn), slog.Uint64("failed", n.Failed),
-		slog.Uint64("returned", n.Returned),
+		slog.Uint64("returned", n.Returned), slog.Uint64("told", n.Told), slog.Uint64("noted", n.Noted), slog.Uint64("unread", n.Unread),
 	}
 	for o, count := range n.Results {
 		attrs = append(attrs, slog.Uint64(outcomes[o], count))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,6 +64,12 @@
 	Ended(m *store.Message)
 }
 
+// Fleet is the other couriers.
+type Fleet interface {
+	// Tell tells one of them, by its number. What cannot be sent is lost.
+	Tell(peer int, notes []snowjunction.Note)
+}
+
 // Shape is what is added to a request. It has passed the guard.
 type Shape struct {
 	Headers       []HeaderField
@@ -90,6 +96,7 @@
 	// Directories are those of the fronts, by number, whose lists may be old or wrong;
 	// what another front lists is true.
 	Directories map[int]Directory
+	Fleet       Fleet           // nil: there is none, or nothing can be told to it
 	Heard       func(front int) // nil, or called after news of a front's list, and when its directory has vouched for it
 }
 
@@ -225,6 +232,12 @@
 	c.admitFresh()
 }
 
+// Noted takes what a courier of the fleet, by its number, has told.
+func (c *Core) Noted(peer int, notes []snowjunction.Note) {
+	c.Counters.Noted++
+	c.feed(snowjunction.Heard{Peer: peer, Notes: notes})
+}
+
 func (c *Core) do(a snowjunction.Action) {
 	switch a := a.(type) {
 	case snowjunction.Send:
@@ -247,6 +260,11 @@
 		c.asleep(a)
 	case snowjunction.Seen:
 		c.seen(a)
+	case snowjunction.Tell:
+		if c.Fleet != nil {
+			c.Counters.Told++
+			c.Fleet.Tell(a.Peer, a.Notes)
+		}
 	case snowjunction.Watch: // the fronts watch their lists unasked
 	default:
 		c.Log.Error("the module asked for what this program does not do", "action", fmt.Sprintf("%T", a))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,21 +53,23 @@
 
 // courier is the program's parts.
 type courier struct {
-	cfg      *config.Config
-	env      func(string) string
-	log      *slog.Logger
-	loop     *core.Loop
-	journal  *store.Journal
-	engine   *net.Engine
-	core     *core.Core
-	plugins  *plugin.Set
-	idle     *config.Idle
-	dir      *config.Directory
-	begin    platform.Begin
-	recalled []learnt.Record
-	cache    *dircache.Cache  // nil: the list is not kept
-	learnt   *learnt.Store    // nil: nothing is
-	store    *idlestore.Store // nil: none
+	cfg       *config.Config
+	env       func(string) string
+	log       *slog.Logger
+	loop      *core.Loop
+	journal   *store.Journal
+	engine    *net.Engine
+	core      *core.Core
+	plugins   *plugin.Set
+	idle      *config.Idle
+	dir       *config.Directory
+	begin     platform.Begin
+	recalled  []learnt.Record
+	cache     *dircache.Cache  // nil: the list is not kept
+	learnt    *learnt.Store    // nil: nothing is
+	store     *idlestore.Store // nil: none
+	fleet     *config.Fleet
+	datagrams *net.Datagrams // nil: no notes
 
 	door     string             // path of the admin socket; "": none
 	socket   *admin.Socket      // nil: none
@@ -123,6 +125,9 @@
 	c.loop.Run()
 	c.platform.Close()
 	c.push.Close()
+	if c.datagrams != nil {
+		c.datagrams.Close()
+	}
 	if c.socket != nil {
 		c.socket.Close()
 	}
@@ -149,7 +154,7 @@
 	cfg, pushCfg := f.cfg, f.push
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * memoryShare))
-	c := &courier{cfg: cfg, env: o.Env, idle: f.idle, dir: f.directory, door: f.plugins.Admin, loop: core.NewLoop(time.Now)}
+	c := &courier{cfg: cfg, env: o.Env, idle: f.idle, dir: f.directory, fleet: f.fleet, door: f.plugins.Admin, loop: core.NewLoop(time.Now)}
 	c.log = o.Logger().With("courier", cfg.Name)
 	api, life, err := descriptions(pushCfg)
 	if err != nil {
@@ -199,6 +204,7 @@
 			coreCfg.Beyond = c.store
 		}
 	}
+	c.join(&coreCfg)
 	coreCfg.Plugins = c.plugins
 	c.core, err = core.New(coreCfg)
 	return c, left, err
@@ -306,6 +312,9 @@
 	if *f.directory != *c.dir {
 		later = append(later, "directory")
 	}
+	if *f.fleet != *c.fleet {
+		later = append(later, "fleet")
+	}
 	if *f.idle != *c.idle {
 		later = append(later, "idle destinations")
 	}
--- a/internal/daemon/files.go
+++ b/internal/daemon/files.go
@@ -14,6 +14,7 @@
 	idleFile      = "deploy/idle.json"
 	pluginsFile   = "deploy/plugins.json"
 	directoryFile = "deploy/directory.json"
+	fleetFile     = "deploy/fleet.json"
 )
 
 // files are what the courier is told, as start, SIGHUP and check read it.
@@ -23,6 +24,7 @@
 	idle      *config.Idle
 	plugins   *config.Plugins
 	directory *config.Directory
+	fleet     *config.Fleet
 	manifests []*manifest.Manifest
 }
 
@@ -77,6 +79,9 @@
 			file, f.directory.Room(), f.cfg.Bytes())
 	}
 	tell(file, err)
+	file = path("SNOWJUNCTION_FLEET", fleetFile)
+	f.fleet, err = config.LoadFleet(file)
+	tell(file, err)
 	file = path("SNOWJUNCTION_PLUGINS", pluginsFile)
 	f.plugins, err = config.LoadPlugins(file)
 	tell(file, err)
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"snowjunction"
+	"snowjunction/internal/core"
+	"snowjunction/internal/net"
+	"snowjunction/internal/notes"
+)
+
+// fleet is the other couriers, told by datagrams.
+type fleet struct{ socket *net.Datagrams }
+
+// Tell sends notes to one of them.
+func (f fleet) Tell(peer int, items []snowjunction.Note) {
+	for _, b := range notes.Write(items) {
+		f.socket.Send(peer, b)
+	}
+}
+
+// join opens the way to the other couriers, where the configuration names one and the
+// operator file allows it. What cannot be opened costs the notes, not the start.
+func (c *courier) join(cfg *core.Config) {
+	p := c.cfg.Peers
+	if !c.fleet.Notes || !p.Reach() {
+		return
+	}
+	socket, err := net.Exchange(p.Listen, p.Each, notes.Most, c.loop.Post, c.log, c.noted)
+	if err != nil {
+		c.log.Warn("no notes between couriers", "err", err)
+		return
+	}
+	c.datagrams = socket
+	cfg.Fleet, cfg.Settings.Notes = fleet{socket}, true
+	c.log.Info("notes between couriers", "listen", socket.Addr(), "peers", len(p.Each))
+}
+
+// noted reads what a peer has told. What cannot be read is dropped.
+func (c *courier) noted(peer int, b []byte) {
+	if peer == c.cfg.Settings.Number {
+		return
+	}
+	items, err := notes.Read(b)
+	if err != nil {
+		c.core.Counters.Unread++
+		return
+	}
+	c.core.Noted(peer, items)
+}
--- /dev/null
+++ b/internal/lease/holder.go
@@ -0,0 +1,150 @@
+package lease
+
+import "time"
+
+const (
+	answerIn    = 120 * time.Millisecond // past which an ask or its answer is taken for lost
+	asksMost    = 2                      // asks without an answer, after which a keeper is passed over
+	passedFor   = 2 * time.Second        // so long
+	keepersMost = 3                      // in line, before a courier goes by what it knows alone
+	aloneFor    = 400 * time.Millisecond
+	askAgain    = 500 * time.Millisecond // while a wish waits, so that its keeper goes on holding it
+	grantFor    = 250 * time.Millisecond // past which a granted call goes back
+	owedMost    = 20
+)
+
+// Line is the couriers as one of them sees them: who keeps which account, and who has
+// not answered of late.
+type Line struct {
+	Fleet, Self int
+	passed      map[int]time.Duration // until then
+}
+
+// NewLine returns the line of a fleet of so many, as courier self sees it.
+func NewLine(fleet, self int) *Line {
+	return &Line{Fleet: fleet, Self: self, passed: map[int]time.Duration{}}
+}
+
+// Keeper is who keeps the account of a destination now; false: nobody answers.
+func (l *Line) Keeper(dest uint32, now time.Duration) (peer int, ok bool) {
+	first := int((uint64(dest) * 0x9e3779b97f4a7c15 >> 32) % uint64(max(1, l.Fleet)))
+	for i := range min(keepersMost, l.Fleet) {
+		p := (first + i) % l.Fleet
+		if p == l.Self || now >= l.passed[p] {
+			return p, true
+		}
+	}
+	return 0, false
+}
+
+// Heard tells that a courier has said something.
+func (l *Line) Heard(peer int) { delete(l.passed, peer) }
+
+// Pass passes a courier over for a while.
+func (l *Line) Pass(peer int, now time.Duration) { l.passed[peer] = now + passedFor }
+
+// Holder is what one courier may call at one destination.
+type Holder struct {
+	calls   int
+	until   time.Duration // the calls are good
+	back    int           // calls that were granted and not made, less those made and not granted
+	keeper  int
+	asked   time.Duration // when the last ask went; 0: none is open
+	tries   int           // asks without an answer
+	again   time.Duration // the wish is told anew then
+	n, rank int           // as told
+	alone   time.Duration // until then this courier goes by what it knows
+	wanted  bool          // a message could go but for a grant
+}
+
+// May tells whether a call may go now. Where it may not, the wish is noted.
+func (h *Holder) May(now time.Duration) bool {
+	h.expire(now)
+	if h.calls > 0 || now < h.alone {
+		return true
+	}
+	h.wanted = true
+	return false
+}
+
+func (h *Holder) expire(now time.Duration) {
+	if h.calls > 0 && now >= h.until {
+		h.back += h.calls
+		h.calls = 0
+	}
+}
+
+// Called counts a call that was made; one that was not granted is owed.
+func (h *Holder) Called() {
+	if h.calls > 0 {
+		h.calls--
+	} else if h.back > -owedMost {
+		h.back--
+	}
+}
+
+// Granted takes a keeper's grant.
+func (h *Holder) Granted(now time.Duration, peer, calls int) {
+	h.answered(now, peer)
+	h.expire(now)
+	h.calls += calls
+	h.until = now + grantFor
+	if h.n -= calls; h.n <= 0 {
+		h.asked = 0
+	}
+}
+
+// Queued takes a keeper's word that the wish waits.
+func (h *Holder) Queued(now time.Duration, peer int) { h.answered(now, peer) }
+
+func (h *Holder) answered(now time.Duration, peer int) {
+	if peer == h.keeper {
+		h.tries = 0
+		h.again = now + askAgain
+	}
+}
+
+// Ask is what is to be asked now, of whom, with n messages waiting of which the first is
+// worth rank. With n 0 a wish that is open is taken back. next is when to look again.
+func (h *Holder) Ask(now time.Duration, dest uint32, n, rank int, l *Line) (peer, back int, ask bool, next time.Duration) {
+	h.expire(now)
+	wanted := h.wanted && h.calls == 0
+	h.wanted = false
+	if n == 0 {
+		if ask = h.asked > 0 && h.tries == 0 || h.back > 0; ask {
+			peer, back = h.keeper, h.back
+		}
+		h.asked, h.n, h.back = 0, 0, 0
+		return peer, back, ask, 0
+	}
+	if !wanted {
+		return 0, 0, false, 0
+	}
+	if h.asked > 0 && h.tries > 0 && now-h.asked >= answerIn && h.tries >= asksMost {
+		l.Pass(h.keeper, now)
+		h.asked = 0
+	}
+	peer, ok := l.Keeper(dest, now)
+	if !ok {
+		h.alone, h.asked, h.back = now+aloneFor, 0, 0
+		return 0, 0, false, now
+	}
+	due := h.asked == 0 || peer != h.keeper || n > h.n || h.tries > 0 && now-h.asked >= answerIn || h.tries == 0 && now >= h.again
+	if !due {
+		if h.tries > 0 {
+			return 0, 0, false, h.asked + answerIn
+		}
+		return 0, 0, false, h.again
+	}
+	if peer != h.keeper || h.asked == 0 {
+		h.tries = 0
+	}
+	back = h.back
+	h.keeper, h.asked, h.n, h.rank, h.back = peer, max(now, 1), n, rank, 0
+	if peer == l.Self {
+		h.tries, h.again = 0, now+askAgain
+		return peer, back, true, h.again
+	}
+	h.tries++
+	return peer, back, true, now + answerIn
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,255 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const ms = time.Millisecond
+
+// partner counts every call of the last second, refused ones too: kept over its limit it
+// takes nothing at all.
+type partner struct {
+	limit float64
+	calls []time.Duration
+}
+
+func (p *partner) call(now time.Duration) bool {
+	for len(p.calls) > 0 && p.calls[0] <= now-time.Second {
+		p.calls = p.calls[1:]
+	}
+	p.calls = append(p.calls, now)
+	return float64(len(p.calls)) <= p.limit
+}
+
+// play has a fleet of 80 call a partner for 30 s, at load times its limit. Notes take
+// 2 to 38 ms and some are lost. It returns the share of the calls refused, and the calls
+// taken over those that the limit allows or were wished for.
+func play(seed uint64, load, lost float64, dead map[int]bool) (refused, taken float64) {
+	const fleet = 80
+	rng := rand.New(rand.NewPCG(seed, 1))
+	p := &partner{limit: 40}
+	type news struct {
+		at       time.Duration
+		from, to int
+		grant    bool
+		n, back  int
+		refused  bool
+		limit    float64
+	}
+	var wire []news
+	send := func(now time.Duration, x news) {
+		if rng.Float64() >= lost && !dead[x.from] && !dead[x.to] {
+			x.at = now + time.Duration(2+rng.IntN(37))*ms
+			wire = append(wire, x)
+		}
+	}
+	holders, lines, ledgers, waiting := [fleet]Holder{}, [fleet]*Line{}, [fleet]*Ledger{}, [fleet]int{}
+	news2 := [fleet]news{}
+	for i := range fleet {
+		lines[i], ledgers[i] = NewLine(fleet, i), NewLedger()
+	}
+	wished, sent, full := 0, 0, 0
+	for now := ms; now < 30*time.Second; now += ms {
+		if rng.Float64() < load*p.limit/1000 {
+			i := rng.IntN(fleet)
+			if !dead[i] {
+				waiting[i]++
+				wished++
+			}
+		}
+		due := wire
+		wire = nil
+		for _, x := range due {
+			switch {
+			case x.at > now:
+				wire = append(wire, x)
+			case x.grant && x.n > 0:
+				holders[x.to].Granted(now, x.from, x.n)
+			case x.grant:
+				holders[x.to].Queued(now, x.from)
+			default:
+				l := ledgers[x.to]
+				l.Report(now, x.limit)
+				if x.refused {
+					l.Refused(now)
+				}
+				l.Ask(now, x.from, x.n, 100, x.back)
+				send(now, news{from: x.to, to: x.from, grant: true})
+			}
+		}
+		for i := range fleet {
+			for _, g := range ledgers[i].Grants(now) {
+				send(now, news{from: i, to: g.Peer, grant: true, n: g.Calls})
+			}
+			for waiting[i] > 0 && holders[i].May(now) {
+				holders[i].Called()
+				sent++
+				news2[i].limit = p.limit
+				if !p.call(now) {
+					full++
+					news2[i].refused = true
+					break
+				}
+				waiting[i]--
+			}
+			if peer, back, ask, _ := holders[i].Ask(now, 7, waiting[i], 100, lines[i]); ask {
+				x := news2[i]
+				x.from, x.to, x.n, x.back = i, peer, waiting[i], back
+				news2[i] = news{}
+				send(now, x)
+			}
+		}
+	}
+	return float64(full) / float64(sent), float64(sent-full) / min(float64(wished), 30*p.limit)
+}
+
+// Eighty couriers that each call a partner once in seconds keep together to its limit,
+// at and over its full load, where each alone would be refused; also where notes get
+// lost, and where those who should keep the account are dead.
+func TestFleetKeepsToLimit(t *testing.T) {
+	first, _ := NewLine(80, 0).Keeper(7, 0)
+	for name, tc := range map[string]struct {
+		load, lost     float64
+		dead           map[int]bool
+		refused, taken float64
+	}{
+		"light":        {0.6, 0, nil, 0.02, 0.98},
+		"full":         {1, 0, nil, 0.05, 0.82},
+		"over":         {1.5, 0, nil, 0.05, 0.82},
+		"notes lost":   {1.2, 0.05, nil, 0.1, 0.75},
+		"keepers dead": {1.2, 0, map[int]bool{first: true, (first + 1) % 80: true}, 0.1, 0.75},
+	} {
+		refused, taken := play(1, tc.load, tc.lost, tc.dead)
+		assert.LessOrEqual(t, refused, tc.refused, "%s: refused", name)
+		assert.GreaterOrEqual(t, taken, tc.taken, "%s: taken", name)
+	}
+}
+
+func TestLedgerGrantsByWorth(t *testing.T) {
+	l := NewLedger()
+	l.Report(0, 10)
+	require.Len(t, grants(l, 0), 0)
+	for peer, rank := range []int{50, 200, 100, 200} {
+		l.Ask(0, peer, 2, rank, 0)
+	}
+	var order []int
+	for now := time.Duration(0); len(order) < 8; now += 10 * ms {
+		require.Less(t, now, 2*time.Second)
+		order = append(order, grants(l, now)...)
+	}
+	assert.Equal(t, []int{1, 3, 1, 3, 2, 2, 0, 0}, order)
+	assert.Zero(t, l.Next(time.Second))
+}
+
+func grants(l *Ledger, now time.Duration) (peers []int) {
+	for _, g := range l.Grants(now) {
+		for range g.Calls {
+			peers = append(peers, g.Peer)
+		}
+	}
+	return peers
+}
+
+// rateOf is how many calls a second an account grants to whoever asks for many.
+func rateOf(l *Ledger, from time.Duration) (n int) {
+	for now := from; now < from+time.Second; now += ms {
+		l.Ask(now, 1, 100, 1, 0)
+		n += len(grants(l, now))
+	}
+	return n
+}
+
+// A limit that is cut or restored is taken at once; noise moves it little; what cannot be
+// a limit not at all.
+func TestLedgerFollowsLimit(t *testing.T) {
+	l := NewLedger()
+	l.Report(0, 100)
+	assert.InDelta(t, 97, rateOf(l, 0), 15)
+	l.Report(time.Second, 25)
+	assert.Equal(t, 25.0, l.Rate())
+	assert.InDelta(t, 25, rateOf(l, time.Second), 4)
+	l.Report(2*time.Second, 30)
+	assert.Less(t, l.Rate(), 26.0)
+	l.Report(2*time.Second, 100)
+	assert.InDelta(t, 100, rateOf(l, 2*time.Second), 15)
+	for _, v := range []float64{0, -1} {
+		l.Report(3*time.Second, v)
+		assert.Equal(t, 100.0, l.Rate())
+	}
+}
+
+// Refusals hold grants back a moment and lower them for longer; calls given back come
+// again, and those made without leave are owed.
+func TestLedgerLearns(t *testing.T) {
+	l := NewLedger()
+	l.Report(0, 100)
+	sound := rateOf(l, 0)
+	for at := time.Second; at < 3*time.Second; at += 250 * ms {
+		l.Refused(at)
+	}
+	assert.Empty(t, grants(l, 2760*ms+50*ms))
+	assert.Less(t, rateOf(l, 3*time.Second), sound)
+	l.Ask(4*time.Second, 2, 0, 0, -50)
+	assert.LessOrEqual(t, rateOf(l, 4*time.Second), sound-40)
+}
+
+// A wish that is not made again ends: its courier has.
+func TestWishEnds(t *testing.T) {
+	l := NewLedger()
+	l.Report(0, 10)
+	l.Ask(0, 1, 5, 200, -30)
+	later := askedFor + 2*time.Second
+	l.Ask(later, 2, 1, 1, 0)
+	assert.Equal(t, []int{2}, grants(l, later))
+	assert.Zero(t, l.Next(later))
+}
+
+// One that hears nothing asks again, then the next in line, then goes by what it knows;
+// what it calls then is owed, and who speaks again is asked again.
+func TestHolderWithoutKeeper(t *testing.T) {
+	line, h, asked := NewLine(80, 99), Holder{}, []int{}
+	now := ms
+	for ; !h.May(now); now += ms {
+		require.Less(t, now, 2*time.Second)
+		if peer, _, ask, _ := h.Ask(now, 7, 1, 100, line); ask {
+			asked = append(asked, peer)
+		}
+	}
+	first := asked[0]
+	assert.Equal(t, []int{first, first, first + 1, first + 1, first + 2, first + 2}, asked)
+	h.Called()
+	line.Heard(first + 1)
+	for ; h.May(now); now += ms {
+	}
+	peer, back, ask, _ := h.Ask(now, 7, 1, 100, line)
+	assert.True(t, ask)
+	assert.Equal(t, first+1, peer)
+	assert.Equal(t, -1, back)
+}
+
+// A grant is good for a while; what is not called goes back.
+func TestGrantEnds(t *testing.T) {
+	line, h := NewLine(80, 99), Holder{}
+	assert.False(t, h.May(ms))
+	peer, _, ask, _ := h.Ask(ms, 7, 2, 100, line)
+	require.True(t, ask)
+	h.Queued(20*ms, peer)
+	h.May(30 * ms)
+	_, _, ask, next := h.Ask(30*ms, 7, 2, 100, line)
+	assert.False(t, ask, "it waits")
+	assert.Equal(t, 20*ms+askAgain, next)
+	h.Granted(40*ms, peer, 2)
+	assert.True(t, h.May(50*ms))
+	h.Called()
+	assert.False(t, h.May(40*ms+grantFor))
+	_, back, ask, _ := h.Ask(40*ms+grantFor, 7, 1, 100, line)
+	assert.True(t, ask)
+	assert.Equal(t, 1, back)
+	_, _, ask, _ = h.Ask(400*ms, 7, 0, 0, line)
+	assert.False(t, ask, "its answer is still out: the wish ends by itself")
+}
--- /dev/null
+++ b/internal/lease/ledger.go
@@ -0,0 +1,187 @@
+// Package lease splits a destination's limit among the couriers of a large fleet. It
+// knows no clock, no socket and no goroutine.
+//
+// A courier that meets a destination once a second learns its limit too late alone: by
+// the time its next call is refused, eighty others have found the same out, each with a
+// refused call that used the limit up. So one courier keeps the account of each
+// destination, its keeper, and the others ask it before they call. The keeper grants
+// calls at the rate of the limit, to the messages worth most in the whole fleet first.
+//
+// Which courier keeps an account follows from the destination's number, so that nobody
+// has to agree with anybody. A keeper that does not answer is passed over for a while,
+// and the next in line keeps an account of its own; where nobody answers, a courier goes
+// by what it knows alone. Notes may be lost or late, and two keepers may be at work for
+// a while: the limit is then passed by as much, and refusals put the accounts right.
+package lease
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	blend      = 0.15                    // weight of one report in the limit
+	jump       = 1.5                     // times its last value: the limit has been cut or restored
+	burst      = 0.1                     // seconds of the limit that may go at once
+	pause      = 0.1                     // seconds of the limit owed after a refusal
+	trustStart = 0.97                    // of the limit that the fleet goes up to
+	trustLeast = 0.6                     //
+	trustCut   = 0.96                    // on a refusal, once in trustEvery
+	trustGrow  = 0.03                    // a second without one
+	trustMost  = 1.02                    //
+	trustEvery = 200 * time.Millisecond  //
+	askedFor   = 1200 * time.Millisecond // an ask that is not made again has been served or its courier has ended
+	askersMost = 4096
+)
+
+// Ledger is a keeper's account of one destination.
+type Ledger struct {
+	rate   float64 // limit in calls a second, of all couriers; 0: not known, all is granted
+	trust  float64
+	tokens float64 // calls that may be granted now
+	at     time.Duration
+	cutAt  time.Duration
+	used   time.Duration // asked last
+	asks   []*ask        // in order of their first coming
+	by     map[int]*ask
+}
+
+type ask struct {
+	peer, n, rank int
+	at            time.Duration
+}
+
+// Grant is what one courier may call.
+type Grant struct{ Peer, Calls int }
+
+// NewLedger returns the account of a destination of which nothing is known.
+func NewLedger() *Ledger { return &Ledger{trust: trustStart, by: map[int]*ask{}} }
+
+// Rate is the limit as it is known, in calls a second; 0: not at all.
+func (l *Ledger) Rate() float64 { return l.rate }
+
+// Used is when the account was asked last.
+func (l *Ledger) Used() time.Duration { return l.used }
+
+// Report takes a limit that an answer to any courier has told.
+func (l *Ledger) Report(now time.Duration, limit float64) {
+	if !(limit > 0) || math.IsInf(limit, 0) {
+		return
+	}
+	l.fill(now)
+	switch {
+	case l.rate == 0 || math.Max(limit/l.rate, l.rate/limit) > jump:
+		l.rate = limit
+		l.tokens = math.Min(l.tokens, l.most())
+	default:
+		l.rate += blend * (limit - l.rate)
+	}
+}
+
+// Refused takes a refusal above the limit.
+func (l *Ledger) Refused(now time.Duration) {
+	l.fill(now)
+	l.tokens = math.Min(l.tokens, -l.rate*pause)
+	if l.cutAt == 0 || now-l.cutAt >= trustEvery {
+		l.trust, l.cutAt = math.Max(trustLeast, l.trust*trustCut), now
+	}
+}
+
+// Ask takes a courier's wish for n calls, the first of them worth rank; it replaces the
+// wish before. Back are granted calls that it has not made, or less those it has made
+// without a grant.
+func (l *Ledger) Ask(now time.Duration, peer, n, rank, back int) {
+	l.fill(now)
+	l.used = now
+	l.tokens = math.Min(l.tokens+float64(back), l.most())
+	a := l.by[peer]
+	switch {
+	case n <= 0:
+		l.drop(a)
+	case a == nil && len(l.asks) < askersMost:
+		a = &ask{peer: peer, n: n, rank: rank, at: now}
+		l.by[peer] = a
+		l.asks = append(l.asks, a)
+	case a != nil:
+		a.n, a.rank, a.at = n, rank, now
+	}
+}
+
+// Grants hands out what the limit allows by now: one call after another, each to the
+// wish worth most, of equals to the one that came first.
+func (l *Ledger) Grants(now time.Duration) (out []Grant) {
+	l.fill(now)
+	for i := 0; i < len(l.asks); {
+		if a := l.asks[i]; now-a.at > askedFor {
+			l.drop(a)
+			continue
+		}
+		i++
+	}
+	at := map[int]int{}
+	for len(l.asks) > 0 && (l.rate == 0 || l.tokens >= 1) {
+		best := l.asks[0]
+		for _, a := range l.asks[1:] {
+			if a.rank > best.rank {
+				best = a
+			}
+		}
+		calls := 1
+		if l.rate == 0 {
+			calls = best.n
+		}
+		l.tokens -= float64(calls)
+		if i, ok := at[best.peer]; ok {
+			out[i].Calls += calls
+		} else {
+			at[best.peer] = len(out)
+			out = append(out, Grant{best.peer, calls})
+		}
+		if best.n -= calls; best.n <= 0 {
+			l.drop(best)
+		} else { // its next message is worth no more: others of the same worth go first
+			l.asks = append(without(l.asks, best), best)
+		}
+	}
+	return out
+}
+
+// Next is when there will be more to grant; 0: nobody waits.
+func (l *Ledger) Next(now time.Duration) time.Duration {
+	if len(l.asks) == 0 || l.rate == 0 {
+		return 0
+	}
+	return now + max(seconds((1-l.tokens)/(l.rate*l.trust)), time.Millisecond)
+}
+
+func (l *Ledger) most() float64 { return math.Max(1, l.rate*burst) }
+
+func (l *Ledger) fill(now time.Duration) {
+	dt := (now - l.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	l.at = now
+	l.trust = math.Min(trustMost, l.trust+dt*trustGrow)
+	l.tokens = math.Min(l.tokens+dt*l.rate*l.trust, l.most())
+}
+
+func (l *Ledger) drop(a *ask) {
+	if a != nil {
+		delete(l.by, a.peer)
+		l.asks = without(l.asks, a)
+	}
+}
+
+func without(asks []*ask, a *ask) []*ask {
+	for i, x := range asks {
+		if x == a {
+			return append(asks[:i], asks[i+1:]...)
+		}
+	}
+	return asks
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(math.Min(math.Max(s, 0), 10) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/net/datagrams_test.go
@@ -0,0 +1,52 @@
+package net
+
+import (
+	"log/slog"
+	stdnet "net"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Notes go to the peer that is named and come with the number of the one that sent them;
+// what is too long, or comes from anybody else, is dropped.
+func TestDatagrams(t *testing.T) {
+	free := func() string {
+		c, err := stdnet.ListenPacket("udp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer c.Close()
+		return c.LocalAddr().String()
+	}
+	each := []string{free(), free(), "nowhere"}
+	type got struct {
+		peer int
+		text string
+	}
+	come := make(chan got, 8)
+	open := func(i int) *Datagrams {
+		d, err := Exchange(each[i], each, 4, func(f func()) { f() }, slog.New(slog.DiscardHandler), func(peer int, b []byte) {
+			come <- got{peer, string(b)}
+		})
+		require.NoError(t, err)
+		t.Cleanup(d.Close)
+		return d
+	}
+	a, b := open(0), open(1)
+	stranger, err := stdnet.Dial("udp4", b.Addr())
+	require.NoError(t, err)
+	defer stranger.Close()
+	_, err = stranger.Write([]byte("bad"))
+	require.NoError(t, err)
+	a.Send(1, []byte("too long"))
+	a.Send(2, []byte("lost"))
+	a.Send(7, []byte("lost"))
+	a.Send(1, []byte("good"))
+	assert.Equal(t, got{0, "good"}, <-come)
+	b.Send(0, []byte("back"))
+	assert.Equal(t, got{1, "back"}, <-come)
+	_, err = Exchange("nowhere", each, 4, nil, nil, nil)
+	require.Error(t, err)
+	_, err = Exchange(each[0], each, 4, nil, nil, nil)
+	require.Error(t, err, "somebody listens there")
+}
--- /dev/null
+++ b/internal/notes/notes_test.go
@@ -0,0 +1,76 @@
+package notes
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"snowjunction"
+)
+
+func TestNotesComeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var items, got []snowjunction.Note
+		for range rapid.IntRange(1, 60).Draw(t, "items") {
+			n := snowjunction.Note{Destination: snowjunction.DestinationID(rapid.Uint32().Draw(t, "dest"))}
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				n.Asks, n.Rank = true, rapid.IntRange(0, 255).Draw(t, "rank")
+				n.Calls = rapid.IntRange(0, callsMost).Draw(t, "calls")
+			case 1:
+				n.Grants, n.Calls = true, rapid.IntRange(0, callsMost).Draw(t, "calls")
+			}
+			n.Back = rapid.IntRange(-backMost, backMost).Draw(t, "back")
+			n.Refused = rapid.IntRange(0, backMost).Draw(t, "refused")
+			n.Limit = float64(rapid.IntRange(0, limitMost*10).Draw(t, "limit")) / 10
+			items = append(items, n)
+		}
+		for _, b := range Write(items) {
+			if len(b) > Most {
+				t.Fatalf("%d bytes", len(b))
+			}
+			more, err := Read(b)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, more...)
+		}
+		assert.Equal(t, items, got)
+	})
+	assert.Empty(t, Write(nil))
+}
+
+func TestBadNotes(t *testing.T) {
+	good := Write([]snowjunction.Note{{Destination: 700, Asks: true, Calls: 3, Rank: 9, Back: -2, Refused: 1, Limit: 44.5}})[0]
+	for n := range len(good) {
+		if _, err := Read(good[:n]); n != 1 { // nothing but its form says nothing
+			require.Error(t, err, "cut off after %d bytes", n)
+		}
+	}
+	for _, b := range [][]byte{
+		{2, 1, 0}, {form, 1, 128}, {form, 1, asks | grants, 1, 1}, {form, 255, 255, 255, 255, 255, 1},
+		{form, 1, refused, 255, 255, 3}, make([]byte, Most+1),
+	} {
+		_, err := Read(b)
+		require.Error(t, err, "%v", b)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(Write([]snowjunction.Note{{Destination: 1, Grants: true, Calls: 2}, {Destination: 9, Refused: 4, Limit: 7}})[0])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		items, err := Read(b)
+		if err != nil {
+			return
+		}
+		var again []snowjunction.Note
+		for _, x := range Write(items) {
+			more, err := Read(x)
+			require.NoError(t, err)
+			again = append(again, more...)
+		}
+		require.Equal(t, items, again)
+	})
+}
--- a/internal/scenario/courier.go
+++ b/internal/scenario/courier.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -38,6 +39,7 @@
 	Limits   map[string]any
 	Targets  []Target
 	Env      []string
+	Peers    map[string]any // of the configuration, to reach other couriers
 
 	dir, state string
 	cmd        *exec.Cmd
@@ -109,11 +111,13 @@
 			"lifecycle": "Ready", "weight": 1, "startedAtMs": 0,
 		})
 	}
-	b, err := json.Marshal(map[string]any{
+	whole := map[string]any{
 		"name": "n0", "listen": "127.0.0.1:0", "discovery": c.Play.names["discovery"], "seed": "8c1f30d27a5be964",
 		"limits": c.Limits, "settings": c.Settings,
 		"known": map[string]any{"generation": 1, "reset": true, "instances": instances},
-	})
+	}
+	maps.Copy(whole, c.Peers)
+	b, err := json.Marshal(whole)
 	if err != nil {
 		return "", err
 	}
--- a/state.go
+++ b/state.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"snowjunction/internal/lease"
 )
 
 // Courier decides for one relay. It is not safe for concurrent use.
@@ -44,6 +46,10 @@
 	lasted    slider         // successes on such as old as the youngest that failed
 	reapAge   time.Duration  // the age of that one
 	prompt    time.Duration  // the shortest aim of the classes
+	line      *lease.Line
+	ledgers   map[DestinationID]*lease.Ledger // those that this courier keeps
+	keeping   []DestinationID                 // of these, in order of their first coming
+	wishing   []wish                          // that have come and are yet to be answered
 }
 
 // New returns a courier, or an error that names the impossible setting.
@@ -85,6 +91,7 @@
 	for range c.small {
 		c.repeatGap = append(c.repeatGap, c.prompt)
 	}
+	c.line, c.ledgers = lease.NewLine(s.Fleet, s.Number), map[DestinationID]*lease.Ledger{}
 	c.reaped.span, c.lasted.span = reapMemory*ledgerSpan, reapMemory*ledgerSpan
 	return c, nil
 }
@@ -117,6 +124,8 @@
 			if r := c.reqs[ev.Request]; r != nil {
 				r.streaming = true
 			}
+		case Heard:
+			c.heard(ev)
 		case Timer:
 			if ev.Token == c.timer {
 				c.timerAt = 0
@@ -124,6 +133,7 @@
 		}
 	}
 	c.decide()
+	c.tell()
 	c.rest()
 	c.wake()
 	return c.out
@@ -378,7 +388,11 @@
 	fullAt       time.Duration
 	fulls        int // refusals in a row, as episodes
 	trialOut     int
-	coldSends    trail // calls to endpoints that were not well
+	coldSends    trail         // calls to endpoints that were not well
+	lease        *lease.Holder // what this courier may call of it, where the fleet shares its limit
+	news         Note          // what its keeper is yet to be told
+	toldLimit    float64
+	reportedAt   time.Duration // an answer told of its limit
 }
 
 // evenShare is one courier's part of a route's limit.
@@ -400,6 +414,7 @@
 
 // destination has the queue, the ledger and the delay window.
 type destination struct {
+	id      DestinationID
 	kind    Kind
 	kindNo  int
 	routes  []*route
@@ -442,6 +457,11 @@
 	return list
 }
 
+// jitter spreads d by a quarter either way, so that couriers fall out of step.
+func (c *Courier) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*c.rng.Float64()))
+}
+
 func (c *Courier) do(a Action) { c.out = append(c.out, a) }
 
 func seconds(d time.Duration) float64 { return d.Seconds() }
@@ -466,7 +486,7 @@
 func (c *Courier) destination(id DestinationID) *destination {
 	d := c.dests[id]
 	if d == nil {
-		d = &destination{kind: Kind{BundleMax: 1}, window: math.Max(1, math.Floor(startShare*float64(c.s.Slots)))}
+		d = &destination{id: id, kind: Kind{BundleMax: 1}, window: math.Max(1, math.Floor(startShare*float64(c.s.Slots)))}
 		d.first.span, d.repeats.span, d.served.span = ledgerSpan, ledgerSpan, ledgerSpan
 		c.dests[id] = d
 		c.order = append(c.order, d)
