Returns are found soon, and a limit's keeper is asked before a limit is known

Counted over the fleet: three destinations with half of the traffic refuse connections from 6.5 to 11.3 s; by 12 s a third of the couriers had delivered there, yet 42 couriers gave up 535 messages for the largest between 18 and 30 s, with 95% of its limit left. Courier 42 failed there 11 times by 10.1 s and called next at 31.6 s. Cause: judge (courier.go) paused a destination whose kind's tables are small by an aim for each failure in a row, 18 s after eleven. leased (fleet.go) asked no keeper before a first answer had told a limit; a keeper that had started anew granted everything until its first report. A ledger's trust fell to 0.6 on a storm of refusals and took 13 s to come back. Ruled out: the cold budget (2.8 calls in 1.5 s here), the trials' back-off, the limits. Change: the pause is two aims at most; leave is asked for from the first call on, unless three answers tell no limit; a keeper not told a limit yet is told it with the next wish; trust stays over 0.8 and grows by 0.05 a second.

--- a/courier.go
+++ b/courier.go
@@ -68,6 +68,7 @@
 	reuses       = 0.2 // of the fleet: uses of a connection before it idles out that make it worth its place
 	goneMemory   = 6   // spans for which an endpoint that left is remembered: it may be listed again
 	crowdMemory  = 6   // spans for which a kind is then taken to have small tables
+	pauseMost    = 2   // shortest aims after a full table, or each miss of a return would be as long as the outage
 )
 
 // Pacing, as shares of limit / fleet.
@@ -324,7 +325,7 @@
 	if dt == 0 && r.pace > 0 {
 		return
 	}
-	if c.thin(r) {
+	if r.limit <= 0 || c.thin(r) {
 		r.pace = 0
 		return
 	}
@@ -645,7 +646,7 @@
 		weight, pause := strikesOut, time.Duration(0)
 		if ev.Took+2*c.s.Tick < c.s.ConnectTimeout {
 			if c.small[d.kindNo] = c.now + crowdMemory*ledgerSpan; c.crowded(d) {
-				weight, pause = 1, c.prompt*time.Duration(1+e.fails)
+				weight, pause = 1, c.prompt*min(time.Duration(1+e.fails), pauseMost)
 			}
 		}
 		if e.lastOK > b.sent {
@@ -871,17 +872,6 @@
 	return room
 }
 
-// leastRate is what a destination of which nothing is known is taken to bear:
-// after a restart in an outage, it would else be asked once in many seconds.
-func (c *Courier) leastRate() float64 {
-	total := 0.0
-	for _, t := range c.s.Tenants {
-		total += t.Quota
-	}
-	part := leastPart * total / float64(max(1, c.listed, len(c.order)))
-	return math.Max(part, 1/seconds(max(c.s.FallTime, c.s.Tick)))
-}
-
 // trial asks closed endpoints, one at a time on a route: a probe where allowed,
 // else the request that is cheapest to lose.
 func (c *Courier) trial(r *route) {
--- a/fleet.go
+++ b/fleet.go
@@ -13,6 +13,7 @@
 // to a pace of its own, as in small fleets.
 
 const (
+	unlimited   = 3    // answers without a word of a limit, after which there is none
 	freeOver    = 0.5  // share of the limit left, over which a refusal is not the limit's
 	ledgersMost = 4096 // kept at once; those not asked for ledgerIdle go first
 	ledgerIdle  = time.Minute
@@ -22,7 +23,7 @@
 // leased is what this courier may call of a route whose limit the fleet shares; nil:
 // it needs no leave.
 func (c *Courier) leased(r *route) *lease.Holder {
-	if !c.s.Notes || r.dest.kind.RoutesApart || r.limit <= 0 || !c.thin(r) {
+	if !c.s.Notes || r.dest.kind.RoutesApart || !c.thin(r) || r.limit <= 0 && r.dest.served.sum(c.now) > unlimited {
 		return nil
 	}
 	if r.lease == nil {
@@ -31,9 +32,14 @@
 	return r.lease
 }
 
-// thin tells that the even share of r's limit is too small to be a courier's pace.
+// thin tells that the even share of r's limit is too small to be a courier's pace. One
+// that is not known yet is taken for the mean destination's part of the quotas.
 func (c *Courier) thin(r *route) bool {
-	return c.evenShare(r)*seconds(c.prompt) < shareLeast*float64(c.s.Fleet)
+	limit := r.limit
+	if limit <= 0 {
+		limit = c.leastRate() / leastPart
+	}
+	return limit/float64(c.s.Fleet)*seconds(c.prompt) < shareLeast*float64(c.s.Fleet)
 }
 
 // inTurn tells whether this courier may call r now, for all that the fleet does.
@@ -101,6 +107,9 @@
 		switch {
 		case ask:
 			news.Asks, news.Calls, news.Rank, news.Back = true, n, top, back
+			if peer+1 != r.toldTo && news.Limit == 0 { // it may have come up a moment ago
+				news.Limit = r.limit
+			}
 		case news.Refused > 0 || news.Limit > 0 && math.Max(news.Limit/r.toldLimit, r.toldLimit/news.Limit) > limitJump:
 			ok := false
 			if peer, ok = c.line.Keeper(uint32(d.id), c.now); !ok {
@@ -110,7 +119,7 @@
 			continue
 		}
 		if news.Limit > 0 {
-			r.toldLimit = news.Limit
+			r.toldLimit, r.toldTo = news.Limit, peer+1
 		}
 		r.news = Note{}
 		note(peer, news)
--- a/internal/lease/ledger.go
+++ b/internal/lease/ledger.go
@@ -25,9 +25,9 @@
 	burst      = 0.1                     // seconds of the limit that may go at once
 	pause      = 0.1                     // seconds of the limit owed after a refusal
 	trustStart = 0.97                    // of the limit that the fleet goes up to
-	trustLeast = 0.6                     //
-	trustCut   = 0.96                    // on a refusal, once in trustEvery
-	trustGrow  = 0.03                    // a second without one
+	trustLeast = 0.8                     //
+	trustCut   = 0.97                    // on a refusal, once in trustEvery
+	trustGrow  = 0.05                    // a second without one
 	trustMost  = 1.02                    //
 	trustEvery = 200 * time.Millisecond  //
 	askedFor   = 1200 * time.Millisecond // an ask that is not made again has been served or its courier has ended
--- a/state.go
+++ b/state.go
@@ -392,6 +392,7 @@
 	lease        *lease.Holder // what this courier may call of it, where the fleet shares its limit
 	news         Note          // what its keeper is yet to be told
 	toldLimit    float64
+	toldTo       int           // the number after that of the keeper that has been told it
 	reportedAt   time.Duration // an answer told of its limit
 }
 
@@ -457,6 +458,17 @@
 	return list
 }
 
+// leastRate is what a destination of which nothing is known is taken to bear:
+// after a restart in an outage, it would else be asked once in many seconds.
+func (c *Courier) leastRate() float64 {
+	total := 0.0
+	for _, t := range c.s.Tenants {
+		total += t.Quota
+	}
+	part := leastPart * total / float64(max(1, c.listed, len(c.order)))
+	return math.Max(part, 1/seconds(max(c.s.FallTime, c.s.Tick)))
+}
+
 // jitter spreads d by a quarter either way, so that couriers fall out of step.
 func (c *Courier) jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.75 + 0.5*c.rng.Float64()))
