Keepers tell of returns and share out what a cold destination bears

With the pause bounded, counted over the fleet: three destinations are back at 11.3 s; a third of the couriers found out after 14 s. The largest, limit 342 a second, then took 290 a second for 15 s with 95% of its limit left, while 52 couriers gave up 394 messages for it that had never been sent. Cause: each courier knows a return from its own calls alone (judge); coldRoom (courier.go) gives each an equal part of the fall budget, 2.8 calls in 1.5 s at first, whether it holds 2 messages or 30; and a limit over 256 a second was paced at each courier's even share of 4 calls a second (thin in fleet.go). Ruled out: slots, the delay window, the keepers' grants (its account was not kept). Change: who sees a destination fail asks its keeper to be told of its return, and its own pause, now apart from told waits, ends within 0.3 s of that. Where an eighth of the fleet saw the outage, the keeper grants 0.9 of what makes a cold destination fall over, growing with its warm-up, and says so; couriers then leave the budget to it. Keepers keep accounts up to 640 calls a second in a fleet of 80.

--- a/api.go
+++ b/api.go
@@ -294,6 +294,9 @@
 	Rank        int     // up to 255
 	Back        int     // granted calls that were not made, less those made without a grant
 	Refused     int     // calls that were refused above the limit
+	Failing     bool    // calls of the sender do not reach it
+	Serves      bool    // it has answered one again; from a keeper: somebody else's
+	Cold        bool    // from a keeper: it is back from an outage, and grants are what it bears
 	Limit       float64 // as an answer has told it, in calls a second; 0: nothing new
 }
 
--- a/courier.go
+++ b/courier.go
@@ -304,8 +304,8 @@
 func (c *Courier) ready(r *route) bool {
 	c.refill(r)
 	switch {
-	case c.now < r.waitUntil:
-		c.soon(r.waitUntil)
+	case c.now < r.shutUntil():
+		c.soon(r.shutUntil())
 	case r.pace > 0 && r.bucket.tokens < 1:
 		r.wanting = true
 		c.soon(c.now + min(span((1-r.bucket.tokens)/r.pace), c.prompt/4))
@@ -325,7 +325,7 @@
 	if dt == 0 && r.pace > 0 {
 		return
 	}
-	if r.limit <= 0 || c.thin(r) {
+	if r.limit <= 0 || c.thin(r, shareLeast) || c.leased(r) != nil {
 		r.pace = 0
 		return
 	}
@@ -574,7 +574,7 @@
 		return 0
 	}
 	for _, e := range d.eps {
-		t = max(t, e.route.waitUntil-c.now)
+		t = max(t, e.route.shutUntil()-c.now)
 		if e.state == down {
 			t = max(t, e.trialAt-c.now)
 		}
@@ -620,6 +620,7 @@
 		*g = max(span(seconds(*g)/gapGrowth), c.prompt)
 	}
 	trial := e.state == down
+	c.serves(e.route, ev.Outcome)
 	c.aged(b, ev.Outcome)
 	if ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == Reset {
 		e.soured[r.class.no] = c.now // this class may fail here alone: its repeats go to a sibling
@@ -657,7 +658,7 @@
 		if !c.crowded(d) { // it reached nobody: what counts as sent would put off the next trial
 			e.route.coldSends.undo(b.sent, 1+bundleExtra*float64(b.size-1))
 		}
-		e.route.waitUntil = max(e.route.waitUntil, c.now+c.jitter(pause))
+		e.route.pauseUntil = max(e.route.pauseUntil, c.now+c.jitter(pause))
 		c.strike(e, weight, true, strikesOut)
 	case TimedOut:
 		if e.lastOK > b.sent { // others got through meanwhile: it was lost on its way
@@ -835,6 +836,9 @@
 	if e.state == up && (e.fails == 0 || !c.crowded(e.route.dest)) {
 		return true
 	}
+	if h := c.leased(e.route); h != nil && h.Pools(c.now) && e.state != down {
+		return true // its keeper has the whole fleet's budget
+	}
 	share := c.s.ColdShare
 	if e.state == cold {
 		gone := float64(c.now-e.since) / math.Max(1, float64(c.s.WarmUp))
@@ -875,7 +879,7 @@
 // trial asks closed endpoints, one at a time on a route: a probe where allowed,
 // else the request that is cheapest to lose.
 func (c *Courier) trial(r *route) {
-	if r.trialOut > 0 || c.now < r.waitUntil || len(r.dest.queue) == 0 {
+	if r.trialOut > 0 || c.now < r.shutUntil() || len(r.dest.queue) == 0 {
 		return
 	}
 	for _, e := range r.eps {
--- a/fleet.go
+++ b/fleet.go
@@ -13,17 +13,21 @@
 // to a pace of its own, as in small fleets.
 
 const (
-	unlimited   = 3    // answers without a word of a limit, after which there is none
-	freeOver    = 0.5  // share of the limit left, over which a refusal is not the limit's
-	ledgersMost = 4096 // kept at once; those not asked for ledgerIdle go first
-	ledgerIdle  = time.Minute
-	rankUnit    = 100 // of Note.Rank: a message's worth of one
+	coldPooled   = 0.9                    // of the calls that make a cold destination fall over, from the whole fleet
+	shareLeased  = 0.15                   // as shareLeast: below it, a limit is shared out by its keeper
+	unlimited    = 3                      // answers without a word of a limit, after which there is none
+	freeOver     = 0.5                    // share of the limit left, over which a refusal is not the limit's
+	failingEvery = 2 * time.Second        // a courier whose calls fail says so again
+	returnSpread = 300 * time.Millisecond // in which all call a destination that has returned
+	ledgersMost  = 4096                   // kept at once; those not asked for ledgerIdle go first
+	ledgerIdle   = time.Minute
+	rankUnit     = 100 // of Note.Rank: a message's worth of one
 )
 
 // leased is what this courier may call of a route whose limit the fleet shares; nil:
 // it needs no leave.
 func (c *Courier) leased(r *route) *lease.Holder {
-	if !c.s.Notes || r.dest.kind.RoutesApart || !c.thin(r) || r.limit <= 0 && r.dest.served.sum(c.now) > unlimited {
+	if !c.s.Notes || r.dest.kind.RoutesApart || !c.thin(r, shareLeased) || r.limit <= 0 && r.dest.served.sum(c.now) > unlimited {
 		return nil
 	}
 	if r.lease == nil {
@@ -32,14 +36,15 @@
 	return r.lease
 }
 
-// thin tells that the even share of r's limit is too small to be a courier's pace. One
-// that is not known yet is taken for the mean destination's part of the quotas.
-func (c *Courier) thin(r *route) bool {
+// thin tells that the even share of r's limit is less than so many calls, over the fleet,
+// in the shortest aim: too few to be a courier's pace. A limit that is not known yet is
+// taken for the mean destination's part of the quotas.
+func (c *Courier) thin(r *route, least float64) bool {
 	limit := r.limit
 	if limit <= 0 {
 		limit = c.leastRate() / leastPart
 	}
-	return limit/float64(c.s.Fleet)*seconds(c.prompt) < shareLeast*float64(c.s.Fleet)
+	return limit/float64(c.s.Fleet)*seconds(c.prompt) < least*float64(c.s.Fleet)
 }
 
 // inTurn tells whether this courier may call r now, for all that the fleet does.
@@ -75,6 +80,36 @@
 	}
 }
 
+// serves follows whether calls reach r. Who sees it fail asks its keeper to be told of
+// its return, and who sees it answer again tells that.
+func (c *Courier) serves(r *route, o Outcome) {
+	if c.leased(r) == nil {
+		return
+	}
+	switch {
+	case o == ConnectFailed || o == TimedOut:
+		r.news.Failing = !r.failing || c.now >= r.failToldAt+failingEvery
+		r.failing = true
+	case r.failing && (o == OK || o == Full):
+		r.failing, r.news.Serves = false, true
+	}
+}
+
+// returned takes a keeper's word that another courier's call has been answered: pauses of
+// this courier's own making end, a little spread, and closed endpoints are tried.
+func (c *Courier) returned(r *route) {
+	if !r.failing {
+		return
+	}
+	r.failing = false
+	at := c.now + time.Duration(c.rng.Float64()*float64(returnSpread))
+	r.pauseUntil = min(r.pauseUntil, at)
+	for _, e := range r.eps {
+		e.trialAt = min(e.trialAt, at)
+	}
+	c.soon(at)
+}
+
 // tell asks the keepers for leave, and tells them what they cannot see themselves.
 func (c *Courier) tell() {
 	if !c.s.Notes {
@@ -110,7 +145,7 @@
 			if peer+1 != r.toldTo && news.Limit == 0 { // it may have come up a moment ago
 				news.Limit = r.limit
 			}
-		case news.Refused > 0 || news.Limit > 0 && math.Max(news.Limit/r.toldLimit, r.toldLimit/news.Limit) > limitJump:
+		case news.Refused > 0 || news.Failing || news.Serves || news.Limit > 0 && math.Max(news.Limit/r.toldLimit, r.toldLimit/news.Limit) > limitJump:
 			ok := false
 			if peer, ok = c.line.Keeper(uint32(d.id), c.now); !ok {
 				continue
@@ -121,7 +156,9 @@
 		if news.Limit > 0 {
 			r.toldLimit, r.toldTo = news.Limit, peer+1
 		}
-		r.news = Note{}
+		if r.news = (Note{}); news.Failing {
+			r.failToldAt = c.now
+		}
 		note(peer, news)
 	}
 	c.grant(note)
@@ -150,8 +187,16 @@
 			c.kept(ev.Peer, n)
 			continue
 		}
+		if d := c.dests[n.Destination]; n.Serves && d != nil && len(d.routes) > 0 {
+			c.returned(d.routes[0])
+			continue
+		}
 		if d := c.dests[n.Destination]; d != nil && len(d.routes) > 0 && d.routes[0].lease != nil {
-			if h := d.routes[0].lease; n.Calls > 0 {
+			h := d.routes[0].lease
+			if n.Cold {
+				h.Pooled(c.now)
+			}
+			if n.Calls > 0 {
 				h.Granted(c.now, ev.Peer, n.Calls)
 			} else {
 				h.Queued(c.now, ev.Peer)
@@ -176,11 +221,21 @@
 				return
 			}
 		}
-		l = lease.NewLedger()
+		l = lease.NewLedger(lease.Slow{
+			Share: c.s.ColdShare, Over: coldPooled * c.s.FallMultiple, Warm: c.s.WarmUp, Least: max(3, c.s.Fleet/8),
+		})
 		c.ledgers[n.Destination] = l
 		c.keeping = append(c.keeping, n.Destination)
 	}
 	l.Report(c.now, n.Limit)
+	if n.Failing {
+		l.Failing(c.now, peer)
+	}
+	if n.Serves {
+		for _, p := range l.Serves(c.now) {
+			c.opened = append(c.opened, wish{p, n.Destination})
+		}
+	}
 	if n.Refused > 0 {
 		l.Refused(c.now)
 	}
@@ -207,8 +262,11 @@
 		for _, g := range l.Grants(c.now) {
 			granted[wish{g.Peer, id}] = true
 			if g.Peer != c.s.Number {
-				note(g.Peer, Note{Destination: id, Grants: true, Calls: g.Calls})
+				note(g.Peer, Note{Destination: id, Grants: true, Calls: g.Calls, Cold: l.Cold(c.now)})
 			} else if d := c.dests[id]; d != nil && len(d.routes) > 0 && d.routes[0].lease != nil {
+				if l.Cold(c.now) {
+					d.routes[0].lease.Pooled(c.now)
+				}
 				d.routes[0].lease.Granted(c.now, g.Peer, g.Calls)
 				c.soon(c.now + c.s.Tick)
 			}
@@ -217,9 +275,17 @@
 			c.soon(max(at, c.now+c.s.Tick))
 		}
 	}
+	for _, w := range c.opened {
+		if d := c.dests[w.dest]; w.peer != c.s.Number {
+			note(w.peer, Note{Destination: w.dest, Grants: true, Serves: true})
+		} else if d != nil && len(d.routes) > 0 {
+			c.returned(d.routes[0])
+		}
+	}
+	c.opened = c.opened[:0]
 	for _, w := range c.wishing {
 		if !granted[w] {
-			note(w.peer, Note{Destination: w.dest, Grants: true})
+			note(w.peer, Note{Destination: w.dest, Grants: true, Cold: c.ledgers[w.dest].Cold(c.now)})
 		}
 	}
 	c.wishing = c.wishing[:0]
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -137,3 +137,40 @@
 	}
 	assert.LessOrEqual(t, now-back, 3750*time.Millisecond)
 }
+
+// Who saw a partner fail asks its keeper to be told of its return; the first whose call
+// is answered tells it, and the others call within a moment, not after their pause.
+func TestReturnIsTold(t *testing.T) {
+	m := newMember(t, 79, true)
+	m.at(time.Second, handed(1))
+	keeper := m.told[0].Peer
+	grant := Heard{Peer: keeper, Notes: []Note{{Destination: 7, Grants: true, Calls: 1}}}
+	m.at(1010*time.Millisecond, grant)
+	m.at(2*time.Second, handed(2))
+	m.gone = true
+	m.at(2010*time.Millisecond, grant)
+	require.Len(t, m.told, 1)
+	assert.True(t, m.told[0].Notes[0].Failing)
+	assert.Equal(t, keeper, m.told[0].Peer)
+	m.gone = false
+	was := m.sent
+	m.at(2100*time.Millisecond, grant)
+	assert.Equal(t, was, m.sent, "it pauses")
+	m.at(2200*time.Millisecond, Heard{Peer: keeper, Notes: []Note{{Destination: 7, Grants: true, Serves: true}}})
+	for now := 2200 * time.Millisecond; now < 2510*time.Millisecond; now += 5 * time.Millisecond {
+		m.at(now, grant)
+	}
+	assert.Equal(t, was+1, m.sent)
+
+	k := newMember(t, 3, true)
+	for peer := range 20 {
+		k.at(time.Second, Heard{Peer: peer + 10, Notes: []Note{{Destination: 7, Limit: 40, Failing: true}}})
+	}
+	k.at(5*time.Second, Heard{Peer: 15, Notes: []Note{{Destination: 7, Serves: true}}})
+	require.Len(t, k.told, 20)
+	for i, x := range k.told {
+		assert.Equal(t, Tell{Peer: i + 10, Notes: []Note{{Destination: 7, Grants: true, Serves: true}}}, x)
+	}
+	k.at(6*time.Second, Heard{Peer: 15, Notes: []Note{{Destination: 7, Serves: true}}})
+	assert.Empty(t, k.told, "once")
+}
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -54,6 +54,7 @@
 	again   time.Duration // the wish is told anew then
 	n, rank int           // as told
 	alone   time.Duration // until then this courier goes by what it knows
+	pooled  time.Duration // until then its keeper grants what a cold destination bears
 	wanted  bool          // a message could go but for a grant
 }
 
@@ -94,6 +95,12 @@
 	}
 }
 
+// Pooled takes a keeper's word that its grants are what a cold destination bears.
+func (h *Holder) Pooled(now time.Duration) { h.pooled = now + askAgain + answerIn }
+
+// Pools tells that what a cold destination bears is its keeper's to share out.
+func (h *Holder) Pools(now time.Duration) bool { return now < h.pooled && now >= h.alone }
+
 // Queued takes a keeper's word that the wish waits.
 func (h *Holder) Queued(now time.Duration, peer int) { h.answered(now, peer) }
 
--- a/internal/lease/ledger.go
+++ b/internal/lease/ledger.go
@@ -16,6 +16,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -32,6 +33,7 @@
 	trustEvery = 200 * time.Millisecond  //
 	askedFor   = 1200 * time.Millisecond // an ask that is not made again has been served or its courier has ended
 	askersMost = 4096
+	failingFor = 30 * time.Second // that a courier is told of a return
 )
 
 // Ledger is a keeper's account of one destination.
@@ -44,8 +46,36 @@
 	used   time.Duration // asked last
 	asks   []*ask        // in order of their first coming
 	by     map[int]*ask
+	shut   map[int]time.Duration // by courier: when it said that its calls fail
+	back   time.Duration         // it has answered again then; with slow
+	slow   Slow
+	cold   bool
 }
 
+// Slow is what a destination bears that is back from an outage.
+type Slow struct {
+	Share float64       // of its limit, at once
+	Over  float64       // times what it is taken to bear that it is sent: under what makes it fall
+	Warm  time.Duration // it bears all after this
+	Least int           // couriers that must have seen the outage
+}
+
+// share is what may be granted of the limit now.
+func (l *Ledger) share(now time.Duration) float64 {
+	if !l.cold {
+		return 1
+	}
+	gone := float64(now-l.back) / math.Max(1, float64(l.slow.Warm))
+	if gone >= 1 {
+		l.cold = false
+		return 1
+	}
+	return math.Min(1, l.slow.Over*(l.slow.Share+(1-l.slow.Share)*gone))
+}
+
+// Cold tells that grants are what a destination bears that is back from an outage.
+func (l *Ledger) Cold(now time.Duration) bool { return l.share(now) < 1 || l.cold }
+
 type ask struct {
 	peer, n, rank int
 	at            time.Duration
@@ -55,7 +85,7 @@
 type Grant struct{ Peer, Calls int }
 
 // NewLedger returns the account of a destination of which nothing is known.
-func NewLedger() *Ledger { return &Ledger{trust: trustStart, by: map[int]*ask{}} }
+func NewLedger(s Slow) *Ledger { return &Ledger{trust: trustStart, by: map[int]*ask{}, slow: s} }
 
 // Rate is the limit as it is known, in calls a second; 0: not at all.
 func (l *Ledger) Rate() float64 { return l.rate }
@@ -78,6 +108,35 @@
 	}
 }
 
+// Failing takes a courier's word that its calls do not reach the destination.
+func (l *Ledger) Failing(now time.Duration, peer int) {
+	l.used = now
+	if l.shut == nil {
+		l.shut = map[int]time.Duration{}
+	}
+	if len(l.shut) < askersMost {
+		l.shut[peer] = now
+	}
+}
+
+// Serves takes a courier's word that the destination has answered again. It returns, in
+// order, those who are to be told.
+func (l *Ledger) Serves(now time.Duration) (peers []int) {
+	for p, at := range l.shut {
+		if now-at <= failingFor { // those that have ended, or need it no more, do no harm
+			peers = append(peers, p)
+		}
+	}
+	if len(peers) >= l.slow.Least && !l.cold {
+		l.fill(now)
+		l.cold, l.back = true, now
+		l.tokens = math.Min(l.tokens, math.Max(1, l.most()*l.share(now)))
+	}
+	l.shut = nil
+	slices.Sort(peers)
+	return peers
+}
+
 // Refused takes a refusal above the limit.
 func (l *Ledger) Refused(now time.Duration) {
 	l.fill(now)
@@ -151,7 +210,7 @@
 	if len(l.asks) == 0 || l.rate == 0 {
 		return 0
 	}
-	return now + max(seconds((1-l.tokens)/(l.rate*l.trust)), time.Millisecond)
+	return now + max(seconds((1-l.tokens)/(l.rate*l.trust*l.share(now))), time.Millisecond)
 }
 
 func (l *Ledger) most() float64 { return math.Max(1, l.rate*burst) }
@@ -163,7 +222,7 @@
 	}
 	l.at = now
 	l.trust = math.Min(trustMost, l.trust+dt*trustGrow)
-	l.tokens = math.Min(l.tokens+dt*l.rate*l.trust, l.most())
+	l.tokens = math.Min(l.tokens+dt*l.rate*l.trust*l.share(now), l.most())
 }
 
 func (l *Ledger) drop(a *ask) {
--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -8,6 +8,9 @@
 //	varint   calls given back, with flag 4
 //	uvarint  calls refused, with flag 8
 //	uvarint  limit in tenths of a call a second, with flag 16
+//	flag 32  the sender's calls fail
+//	flag 64  a call has been answered again
+//	flag 128 grants are what a cold destination bears
 package notes
 
 import (
@@ -28,7 +31,9 @@
 	back    = 4
 	refused = 8
 	limit   = 16
-	all     = 31
+	failing = 32
+	serves  = 64
+	cold    = 128
 
 	callsMost = 255
 	backMost  = 1000
@@ -67,6 +72,9 @@
 		}
 		return holds
 	}
+	flag(n.Failing, failing)
+	flag(n.Serves, serves)
+	flag(n.Cold, cold)
 	if flag(n.Asks, asks) || flag(n.Grants, grants) {
 		b = append(b, byte(min(max(n.Calls, 0), callsMost)))
 	}
@@ -118,10 +126,11 @@
 	for len(b) > 0 {
 		n := snowjunction.Note{Destination: snowjunction.DestinationID(number(math.MaxUint32))}
 		flags := one()
-		if flags&^all != 0 || flags&(asks|grants) == asks|grants {
+		if flags&(asks|grants) == asks|grants {
 			return nil, ErrItem
 		}
 		n.Asks, n.Grants = flags&asks != 0, flags&grants != 0
+		n.Failing, n.Serves, n.Cold = flags&failing != 0, flags&serves != 0, flags&cold != 0
 		if n.Asks || n.Grants {
 			n.Calls = one()
 		}
--- a/sleep.go
+++ b/sleep.go
@@ -37,7 +37,7 @@
 	}
 	for no, r := range d.routes {
 		s.Routes = append(s.Routes, RouteState{
-			Limit: r.limit, Left: r.left, Pace: r.pace, Gap: r.gap, Wait: max(0, r.waitUntil-c.now),
+			Limit: r.limit, Left: r.left, Pace: r.pace, Gap: r.gap, Wait: max(0, r.shutUntil()-c.now),
 			Fulls: r.fulls, FullAgo: c.now - r.fullAt, ColdSends: r.coldSends.since(c.now - c.coldSpan()),
 		})
 		for _, e := range r.eps {
--- a/state.go
+++ b/state.go
@@ -49,6 +49,7 @@
 	line      *lease.Line
 	ledgers   map[DestinationID]*lease.Ledger // those that this courier keeps
 	keeping   []DestinationID                 // of these, in order of their first coming
+	opened    []wish                          // of those who asked to be told of a return, and are yet to be
 	wishing   []wish                          // that have come and are yet to be answered
 }
 
@@ -378,6 +379,7 @@
 	dest         *destination
 	eps          []*endpoint
 	waitUntil    time.Duration
+	pauseUntil   time.Duration // as waitUntil, after a failure to connect: nobody has told it
 	carefulUntil time.Duration // it has slept: its pace stays under the even share
 	limit        float64       // calls a second from all couriers; 0: none known
 	left         float64       // share of it last reported left
@@ -394,8 +396,13 @@
 	toldLimit    float64
 	toldTo       int           // the number after that of the keeper that has been told it
 	reportedAt   time.Duration // an answer told of its limit
+	failing      bool          // calls have failed to reach it, and none has been answered since
+	failToldAt   time.Duration
 }
 
+// shutUntil is when the next call may go, for all that it has told or shown.
+func (r *route) shutUntil() time.Duration { return max(r.waitUntil, r.pauseUntil) }
+
 // evenShare is one courier's part of a route's limit.
 func (c *Courier) evenShare(r *route) float64 { return r.limit / float64(c.s.Fleet) }
 
