Couriers spread their first asks of the directory and greet the fleet

Counted over the fleet: of 56 couriers that start at 14.66 s, 31 hear the directory by 16.6 s, 15 to 16 a second, and 25 are turned away at 16.7 s after 2 s in its queue; these hear it from 18.2 to 19.7 s and call drained endpoints meanwhile. And 226 of 363 calls to one destination are refused in the 2 s after the start: those that lived on had passed its keeper over and asked the next in line, those that came up asked the first. Cause: Front.Start (internal/front/platform) asked at once at every courier; Line (internal/lease) passes a silent keeper over for 2 s at each courier alone. Change: with a list held the first ask is drawn from a span that grows with the fleet, up to 2 s; four couriers or fewer ask at once. A courier that starts sends every other an empty note, a byte, and is asked again by who had passed it over.

--- a/fleet.go
+++ b/fleet.go
@@ -19,7 +19,8 @@
 	freeOver     = 0.5                    // share of the limit left, over which a refusal is not the limit's
 	failingEvery = 2 * time.Second        // a courier whose calls fail says so again
 	returnSpread = 300 * time.Millisecond // in which all call a destination that has returned
-	ledgersMost  = 4096                   // kept at once; those not asked for ledgerIdle go first
+	greetMost    = 1024
+	ledgersMost  = 4096 // kept at once; those not asked for ledgerIdle go first
 	ledgerIdle   = time.Minute
 	rankUnit     = 100 // of Note.Rank: a message's worth of one
 )
@@ -115,6 +116,14 @@
 	if !c.s.Notes {
 		return
 	}
+	if !c.greeted { // who has passed this courier over while it was down asks it again: else two would keep an account
+		c.greeted = true
+		for p := range min(c.s.Fleet, greetMost) {
+			if p != c.s.Number {
+				c.do(Tell{Peer: p})
+			}
+		}
+	}
 	out := map[int][]Note{}
 	var peers []int
 	note := func(peer int, n Note) {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -174,3 +174,32 @@
 	k.at(6*time.Second, Heard{Peer: 15, Notes: []Note{{Destination: 7, Serves: true}}})
 	assert.Empty(t, k.told, "once")
 }
+
+// A courier says that it is there when it starts, and one that was passed over is asked
+// again as soon as it does: two keepers at once would grant the limit twice.
+func TestGreeting(t *testing.T) {
+	m := &member{t: t, no: map[RequestID]int{}, Courier: newMember(t, 79, true).Courier}
+	m.at(time.Second, handed(1))
+	first := m.told[0].Peer
+	now := time.Second
+	for ; len(m.told) == 0 || m.told[0].Peer == first; now += 10 * time.Millisecond {
+		require.Less(t, now, 3*time.Second)
+		m.at(now)
+	}
+	m.at(now, Heard{Peer: first})
+	for len(m.told) == 0 {
+		require.Less(t, now, 3*time.Second)
+		now += 10 * time.Millisecond
+		m.at(now)
+	}
+	assert.Equal(t, first, m.told[0].Peer)
+
+	c, err := New(Settings{Fleet: 80, Number: 3, Notes: true, Tick: 1, Slots: 1, Classes: []Class{{Deadline: 1}}})
+	require.NoError(t, err)
+	told := map[int]bool{}
+	for _, a := range c.Handle(0, nil) {
+		told[a.(Tell).Peer] = true
+	}
+	assert.Len(t, told, 79)
+	assert.False(t, told[3])
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -103,7 +103,11 @@
 	}
 	f.discovery.generation, f.discovery.known, f.discovery.held = known.Generation, known.Held && known.Watch, known.Held
 	f.discovery.agent = f.Discovery
-	f.discovery.watch()
+	if first := f.discovery.patience.First(); first > 0 && known.Held {
+		f.discovery.limit = f.Loop.After(first, f.discovery.watch)
+	} else {
+		f.discovery.watch()
+	}
 	return nil
 }
 
--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -47,7 +47,8 @@
 	ErrItem = errors.New("a note that is cut off or has a figure out of range")
 )
 
-// Write returns as many notes as the items need.
+// Write returns as many notes as the items need, one at least: that which names nothing
+// says that its sender is there.
 func Write(items []snowjunction.Note) (out [][]byte) {
 	b := []byte{form}
 	for _, n := range items {
@@ -56,7 +57,7 @@
 		}
 		b = item(b, n)
 	}
-	if len(b) > 1 {
+	if len(b) > 1 || len(out) == 0 {
 		out = append(out, b)
 	}
 	return out
--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -22,6 +22,9 @@
 	Most = 4 * time.Second
 	// unreadMost bounds those between lists that cannot be taken.
 	unreadMost = 5 * time.Second
+	// few couriers need not spread their first asks, and firstMost bounds the others'.
+	few       = 4
+	firstMost = 2 * time.Second
 )
 
 // Patience is one courier's, towards one directory.
@@ -41,6 +44,16 @@
 	}
 }
 
+// First is when a courier that starts with a list asks first: couriers of a large fleet that
+// start together would fill the directory's queue at once, and many of them wait in vain.
+// A few ask at once.
+func (p *Patience) First() time.Duration {
+	if p.base <= few*pause/2 {
+		return 0
+	}
+	return time.Duration(p.rng.Int64N(int64(min(p.base, firstMost))))
+}
+
 // Lost is the pause after a connection that broke or did not come up.
 func (p *Patience) Lost() time.Duration { return p.draw(p.base) }
 
--- a/internal/patience/patience_test.go
+++ b/internal/patience/patience_test.go
@@ -69,3 +69,23 @@
 	assert.LessOrEqual(t, New(1<<40, 1).Lost(), Most)
 	assert.Positive(t, New(1<<40, 1).Lost())
 }
+
+// Couriers that start together ask one after another; a few ask at once.
+func TestFirstAsksSpread(t *testing.T) {
+	early, late := 0, 0
+	for i := range 80 {
+		d := New(80, uint64(i)).First()
+		assert.LessOrEqual(t, d, firstMost)
+		if d < firstMost/4 {
+			early++
+		} else if d > firstMost*3/4 {
+			late++
+		}
+	}
+	assert.InDelta(t, 20, early, 12)
+	assert.InDelta(t, 20, late, 12)
+	for fleet := range few + 1 {
+		assert.Zero(t, New(fleet, 1).First())
+	}
+	assert.Less(t, New(1<<40, 1).First(), firstMost)
+}
--- a/state.go
+++ b/state.go
@@ -49,6 +49,7 @@
 	line      *lease.Line
 	ledgers   map[DestinationID]*lease.Ledger // those that this courier keeps
 	keeping   []DestinationID                 // of these, in order of their first coming
+	greeted   bool                            // the fleet has been told that this courier is there
 	opened    []wish                          // of those who asked to be told of a return, and are yet to be
 	wishing   []wish                          // that have come and are yet to be answered
 }
