--- a/courier.go
+++ b/courier.go
@@ -68,7 +68,7 @@
 	reuses       = 0.2 // of the fleet: uses of a connection before it idles out that make it worth its place
 	goneMemory   = 6   // spans for which an endpoint that left is remembered: it may be listed again
 	crowdMemory  = 6   // spans for which a kind is then taken to have small tables
-	pauseMost    = 2   // shortest aims after a full table, or each miss of a return would be as long as the outage
+	pauseMost    = 2   // shortest aims after a full table, not growing: each return would be found late
 )
 
 // Pacing, as shares of limit / fleet.
