--- a/cmd/snowjunction/fleet_test.go
+++ b/cmd/snowjunction/fleet_test.go
@@ -57,6 +57,29 @@
 	`)
 }
 
+// Started with a full journal while the directory turns it away, a courier of a large
+// fleet delivers what it holds from the list it had.
+func TestStartWhileOverbooked(t *testing.T) {
+	c := fleet(t, 80)
+	c.Play.Run(`
+		client dial c
+		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\nx\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "...\r\n\r\nx"
+		courier wait kill
+		courier wait start
+		target accept t
+		t expect "...X-Request-ID: m1\r\n"
+		t expect "...\r\n\r\nx"
+		t send "$ok"
+		discovery accept d
+		d expect "...\r\n\r\n"
+		d send "$busy"
+		courier wait "status=503"
+	`)
+}
+
 // A fleet's size that is missing or cannot be read is that of a courier alone.
 func TestFleetSizeUnread(t *testing.T) {
 	for _, size := range []any{nil, 0, -5, "many", 1} {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -11,11 +11,12 @@
 // member is one courier of a fleet of 80 under test, with what it has told.
 type member struct {
 	*Courier
-	t    *testing.T
-	told []Tell
-	sent int
-	no   map[RequestID]int // attempts
-	gone bool              // nobody listens where it calls
+	t      *testing.T
+	told   []Tell
+	sent   int
+	closed int               // times that idle connections were dropped
+	no     map[RequestID]int // attempts
+	gone   bool              // nobody listens where it calls
 }
 
 func newMember(t *testing.T, number int, notes bool) *member {
@@ -38,6 +39,8 @@
 		events = nil
 		for _, a := range actions {
 			switch a := a.(type) {
+			case CloseIdle:
+				m.closed++
 			case Tell:
 				m.told = append(m.told, a)
 			case Send:
@@ -203,3 +206,23 @@
 	assert.Len(t, told, 79)
 	assert.False(t, told[3])
 }
+
+// Where a table of connections was full at once, it is taken by the idle ones of the whole
+// fleet: this courier's go after use, as it hardly uses one again. Before that they stay.
+func TestIdleConnectionsOfAll(t *testing.T) {
+	m := newMember(t, 79, false)
+	m.at(time.Second, handed(1))
+	m.at(2*time.Second, handed(2))
+	assert.Zero(t, m.closed)
+	m.gone = true
+	m.at(10*time.Second, handed(3))
+	m.gone = false
+	for now := 10 * time.Second; now < 15*time.Second; now += 5 * time.Millisecond {
+		m.at(now)
+	}
+	was := m.closed
+	for i := range 3 {
+		m.at(time.Duration(16+i)*time.Second, handed(RequestID(4+i)))
+		assert.Equal(t, was+i+1, m.closed, "each goes after its use")
+	}
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -29,7 +29,8 @@
 // play has a fleet of 80 call a partner for 30 s, at load times its limit. Notes take
 // 2 to 38 ms and some are lost. It returns the share of the calls refused, and the calls
 // taken over those that the limit allows or were wished for.
-func play(seed uint64, load, lost float64, dead map[int]bool) (refused, taken float64) {
+// The partner's limit is cut to so much of itself from 10 to 19 s.
+func play(seed uint64, load, lost, cut float64, dead map[int]bool) (refused, taken float64) {
 	const fleet = 80
 	rng := rand.New(rand.NewPCG(seed, 1))
 	p := &partner{limit: 40}
@@ -54,8 +55,14 @@
 		lines[i], ledgers[i] = NewLine(fleet, i), NewLedger(Slow{})
 	}
 	wished, sent, full := 0, 0, 0
+	whole, room := p.limit, 0.0
 	for now := ms; now < 30*time.Second; now += ms {
-		if rng.Float64() < load*p.limit/1000 {
+		p.limit = whole
+		if cut > 0 && now > 10*time.Second && now < 19*time.Second {
+			p.limit = whole * cut
+		}
+		room += p.limit / 1000
+		if rng.Float64() < load*whole/1000 {
 			i := rng.IntN(fleet)
 			if !dead[i] {
 				waiting[i]++
@@ -105,7 +112,7 @@
 			}
 		}
 	}
-	return float64(full) / float64(sent), float64(sent-full) / min(float64(wished), 30*p.limit)
+	return float64(full) / float64(sent), float64(sent-full) / min(float64(wished), room)
 }
 
 // Eighty couriers that each call a partner once in seconds keep together to its limit,
@@ -115,16 +122,18 @@
 	first, _ := NewLine(80, 0).Keeper(7, 0)
 	for name, tc := range map[string]struct {
 		load, lost     float64
+		cut            float64
 		dead           map[int]bool
 		refused, taken float64
 	}{
-		"light":        {0.6, 0, nil, 0.02, 0.98},
-		"full":         {1, 0, nil, 0.05, 0.82},
-		"over":         {1.5, 0, nil, 0.05, 0.82},
-		"notes lost":   {1.2, 0.05, nil, 0.13, 0.75},
-		"keepers dead": {1.2, 0, map[int]bool{first: true, (first + 1) % 80: true}, 0.1, 0.75},
+		"light":        {0.6, 0, 0, nil, 0.02, 0.98},
+		"full":         {1, 0, 0, nil, 0.05, 0.82},
+		"over":         {1.5, 0, 0, nil, 0.05, 0.82},
+		"notes lost":   {1.2, 0.05, 0, nil, 0.13, 0.75},
+		"limit cut":    {0.8, 0, 0.3, nil, 0.12, 0.75},
+		"keepers dead": {1.2, 0, 0, map[int]bool{first: true, (first + 1) % 80: true}, 0.1, 0.75},
 	} {
-		refused, taken := play(1, tc.load, tc.lost, tc.dead)
+		refused, taken := play(1, tc.load, tc.lost, tc.cut, tc.dead)
 		assert.LessOrEqual(t, refused, tc.refused, "%s: refused", name)
 		assert.GreaterOrEqual(t, taken, tc.taken, "%s: taken", name)
 	}
