Notes and accounts read again: less of both, and nothing for idle destinations

Need: a second reading of the fleet's work. internal/notes had a reader of its own, which internal/record has; a keeper's grants to itself went a second way beside those to others; each turn of the module looked at every account kept, up to 4,096, and ranked the queue of every leased destination; a second failed call in one turn took back the word that calls fail (serves in fleet.go). Change: record.Reader; notes to oneself are heard like others; wishes that wait are named by Ledger.Grants; turns look at wished accounts and busy holders alone; the word on failing calls stays until it is told. A field that nothing read is gone.

--- a/fleet.go
+++ b/fleet.go
@@ -1,6 +1,7 @@
 package snowjunction
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -89,7 +90,7 @@
 	}
 	switch {
 	case o == ConnectFailed || o == TimedOut:
-		r.news.Failing = !r.failing || c.now >= r.failToldAt+failingEvery
+		r.news.Failing = r.news.Failing || !r.failing || c.now >= r.failToldAt+failingEvery
 		r.failing = true
 	case r.failing && (o == OK || o == Full):
 		r.failing, r.news.Serves = false, true
@@ -124,56 +125,68 @@
 			}
 		}
 	}
-	out := map[int][]Note{}
-	var peers []int
-	note := func(peer int, n Note) {
-		if peer == c.s.Number {
-			c.kept(peer, n)
-			return
-		}
-		if len(out[peer]) == 0 {
-			peers = append(peers, peer)
+	for _, d := range c.active {
+		if len(d.routes) > 0 && d.routes[0].lease != nil {
+			c.consult(d, d.routes[0])
 		}
-		out[peer] = append(out[peer], n)
 	}
-	for _, d := range c.active {
-		if len(d.routes) == 0 || d.routes[0].lease == nil {
-			continue
+	c.grant()
+	for _, t := range c.outbox {
+		c.do(t)
+	}
+	c.outbox = nil
+}
+
+// note puts a note where it goes out with the others for that courier; those for this
+// one are heard at once.
+func (c *Courier) note(peer int, n Note) {
+	if peer == c.s.Number {
+		c.hear(peer, n)
+		return
+	}
+	for i := range c.outbox {
+		if t := &c.outbox[i]; t.Peer == peer {
+			t.Notes = append(t.Notes, n)
+			return
 		}
-		r := d.routes[0]
+	}
+	c.outbox = append(c.outbox, Tell{Peer: peer, Notes: []Note{n}})
+}
+
+// consult tells a destination's keeper what it is to know now.
+func (c *Courier) consult(d *destination, r *route) {
+	news := r.news
+	news.Destination = d.id
+	told := news.Refused > 0 || news.Failing || news.Serves ||
+		news.Limit > 0 && math.Max(news.Limit/r.toldLimit, r.toldLimit/news.Limit) > limitJump
+	peer, ok := 0, false
+	if !r.lease.Idle() {
 		n, top := c.wishes(d)
-		peer, back, ask, next := r.lease.Ask(c.now, uint32(d.id), n, top, c.line)
+		var next time.Duration
+		peer, news.Back, ok, next = r.lease.Ask(c.now, uint32(d.id), n, c.line)
 		if next > 0 {
 			c.soon(max(next, c.now+c.s.Tick))
 		}
-		news := r.news
-		news.Destination = d.id
-		switch {
-		case ask:
-			news.Asks, news.Calls, news.Rank, news.Back = true, n, top, back
+		if news.Asks = ok; ok {
+			news.Calls, news.Rank = n, top
 			if peer+1 != r.toldTo && news.Limit == 0 { // it may have come up a moment ago
 				news.Limit = r.limit
 			}
-		case news.Refused > 0 || news.Failing || news.Serves || news.Limit > 0 && math.Max(news.Limit/r.toldLimit, r.toldLimit/news.Limit) > limitJump:
-			ok := false
-			if peer, ok = c.line.Keeper(uint32(d.id), c.now); !ok {
-				continue
-			}
-		default:
-			continue
-		}
-		if news.Limit > 0 {
-			r.toldLimit, r.toldTo = news.Limit, peer+1
-		}
-		if r.news = (Note{}); news.Failing {
-			r.failToldAt = c.now
 		}
-		note(peer, news)
 	}
-	c.grant(note)
-	for _, p := range peers {
-		c.do(Tell{Peer: p, Notes: out[p]})
+	if !ok && told {
+		peer, ok = c.line.Keeper(uint32(d.id), c.now)
 	}
+	if !ok {
+		return
+	}
+	if news.Limit > 0 {
+		r.toldLimit, r.toldTo = news.Limit, peer+1
+	}
+	if r.news = (Note{}); news.Failing {
+		r.failToldAt = c.now
+	}
+	c.note(peer, news)
 }
 
 // wishes is how many messages of d could go now, and what the first is worth.
@@ -188,28 +201,27 @@
 	return n, top
 }
 
-// heard takes what another courier tells: the keeper of an account, or one that asks.
+// heard takes what another courier tells.
 func (c *Courier) heard(ev Heard) {
 	c.line.Heard(ev.Peer)
 	for _, n := range ev.Notes {
-		if !n.Grants {
-			c.kept(ev.Peer, n)
-			continue
-		}
-		if d := c.dests[n.Destination]; n.Serves && d != nil && len(d.routes) > 0 {
-			c.returned(d.routes[0])
-			continue
-		}
-		if d := c.dests[n.Destination]; d != nil && len(d.routes) > 0 && d.routes[0].lease != nil {
-			h := d.routes[0].lease
-			if n.Cold {
-				h.Pooled(c.now)
-			}
-			if n.Calls > 0 {
-				h.Granted(c.now, ev.Peer, n.Calls)
-			} else {
-				h.Queued(c.now, ev.Peer)
-			}
+		c.hear(ev.Peer, n)
+	}
+}
+
+// hear takes one note: of a keeper, or of one that asks this courier as a keeper.
+func (c *Courier) hear(peer int, n Note) {
+	d := c.dests[n.Destination]
+	switch {
+	case !n.Grants:
+		c.kept(peer, n)
+	case d == nil || len(d.routes) == 0:
+	case n.Serves:
+		c.returned(d.routes[0])
+	case d.routes[0].lease != nil:
+		d.routes[0].lease.Granted(c.now, peer, n.Calls, n.Cold)
+		if peer == c.s.Number { // this turn's calls have gone
+			c.soon(c.now + c.s.Tick)
 		}
 	}
 }
@@ -219,22 +231,15 @@
 	l := c.ledgers[n.Destination]
 	if l == nil {
 		if len(c.ledgers) >= ledgersMost {
-			c.keeping = slices.DeleteFunc(c.keeping, func(id DestinationID) bool {
-				old := c.now-c.ledgers[id].Used() > ledgerIdle
-				if old {
-					delete(c.ledgers, id)
-				}
-				return old
-			})
-			if len(c.ledgers) >= ledgersMost {
-				return
-			}
+			maps.DeleteFunc(c.ledgers, func(_ DestinationID, l *lease.Ledger) bool { return c.now-l.Used() > ledgerIdle })
+		}
+		if len(c.ledgers) >= ledgersMost {
+			return
 		}
 		l = lease.NewLedger(lease.Slow{
 			Share: c.s.ColdShare, Over: coldPooled * c.s.FallMultiple, Warm: c.s.WarmUp, Least: max(3, c.s.Fleet/8),
 		})
 		c.ledgers[n.Destination] = l
-		c.keeping = append(c.keeping, n.Destination)
 	}
 	l.Report(c.now, n.Limit)
 	if n.Failing {
@@ -242,7 +247,7 @@
 	}
 	if n.Serves {
 		for _, p := range l.Serves(c.now) {
-			c.opened = append(c.opened, wish{p, n.Destination})
+			c.note(p, Note{Destination: n.Destination, Grants: true, Serves: true})
 		}
 	}
 	if n.Refused > 0 {
@@ -250,52 +255,26 @@
 	}
 	if n.Asks {
 		l.Ask(c.now, peer, n.Calls, n.Rank, n.Back)
-		if n.Calls > 0 && peer != c.s.Number {
-			c.wishing = append(c.wishing, wish{peer, n.Destination})
+		if !slices.Contains(c.wished, n.Destination) {
+			c.wished = append(c.wished, n.Destination)
 		}
 	}
 }
 
-// wish is one that has come and is yet to be answered.
-type wish struct {
-	peer int
-	dest DestinationID
-}
-
-// grant hands out what the accounts kept here allow. A wish that waits is told so, once
-// each time it comes: who hears nothing takes this courier for dead.
-func (c *Courier) grant(note func(peer int, n Note)) {
-	granted := map[wish]bool{}
-	for _, id := range c.keeping {
+// grant hands out what the accounts kept here allow to those that wait for it.
+func (c *Courier) grant() {
+	c.wished = slices.DeleteFunc(c.wished, func(id DestinationID) bool {
 		l := c.ledgers[id]
+		if l == nil {
+			return true
+		}
 		for _, g := range l.Grants(c.now) {
-			granted[wish{g.Peer, id}] = true
-			if g.Peer != c.s.Number {
-				note(g.Peer, Note{Destination: id, Grants: true, Calls: g.Calls, Cold: l.Cold(c.now)})
-			} else if d := c.dests[id]; d != nil && len(d.routes) > 0 && d.routes[0].lease != nil {
-				if l.Cold(c.now) {
-					d.routes[0].lease.Pooled(c.now)
-				}
-				d.routes[0].lease.Granted(c.now, g.Peer, g.Calls)
-				c.soon(c.now + c.s.Tick)
-			}
+			c.note(g.Peer, Note{Destination: id, Grants: true, Calls: g.Calls, Cold: l.Cold(c.now)})
 		}
-		if at := l.Next(c.now); at > 0 {
+		at := l.Next(c.now)
+		if at > 0 {
 			c.soon(max(at, c.now+c.s.Tick))
 		}
-	}
-	for _, w := range c.opened {
-		if d := c.dests[w.dest]; w.peer != c.s.Number {
-			note(w.peer, Note{Destination: w.dest, Grants: true, Serves: true})
-		} else if d != nil && len(d.routes) > 0 {
-			c.returned(d.routes[0])
-		}
-	}
-	c.opened = c.opened[:0]
-	for _, w := range c.wishing {
-		if !granted[w] {
-			note(w.peer, Note{Destination: w.dest, Grants: true, Cold: c.ledgers[w.dest].Cold(c.now)})
-		}
-	}
-	c.wishing = c.wishing[:0]
+		return at == 0
+	})
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,18 +46,14 @@
 // peers decodes the addresses. Without one that can be used there are no notes: the
 // courier does without.
 func peers(v *fastjson.Value) (p Peers) {
-	ok := func(addr string) bool {
-		_, err := netip.ParseAddrPort(addr)
-		return err == nil
-	}
 	p.Listen = text(v, "peer_listen")
+	if _, err := netip.ParseAddrPort(p.Listen); err != nil || !v.GetBool("settings", "limits", "may-tell") {
+		return Peers{}
+	}
 	for _, a := range v.GetArray("peers") {
 		addr, _ := a.StringBytes()
 		p.Each = append(p.Each, string(addr))
 	}
-	if !ok(p.Listen) || !v.GetBool("settings", "limits", "may-tell") {
-		return Peers{}
-	}
 	return p
 }
 
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -45,17 +45,17 @@
 
 // Holder is what one courier may call at one destination.
 type Holder struct {
-	calls   int
-	until   time.Duration // the calls are good
-	back    int           // calls that were granted and not made, less those made and not granted
-	keeper  int
-	asked   time.Duration // when the last ask went; 0: none is open
-	tries   int           // asks without an answer
-	again   time.Duration // the wish is told anew then
-	n, rank int           // as told
-	alone   time.Duration // until then this courier goes by what it knows
-	pooled  time.Duration // until then its keeper grants what a cold destination bears
-	wanted  bool          // a message could go but for a grant
+	calls  int
+	until  time.Duration // the calls are good
+	back   int           // calls that were granted and not made, less those made and not granted
+	keeper int
+	asked  time.Duration // when the last ask went; 0: none is open
+	tries  int           // asks without an answer
+	again  time.Duration // the wish is told anew then
+	n      int           // messages waiting, as told
+	alone  time.Duration // until then this courier goes by what it knows
+	pooled time.Duration // until then its keeper grants what a cold destination bears
+	wanted bool          // a message could go but for a grant
 }
 
 // May tells whether a call may go now. Where it may not, the wish is noted.
@@ -84,9 +84,18 @@
 	}
 }
 
-// Granted takes a keeper's grant.
-func (h *Holder) Granted(now time.Duration, peer, calls int) {
-	h.answered(now, peer)
+// Granted takes a keeper's grant; no calls: it has heard the wish, which waits. Cold:
+// its grants are what a cold destination bears.
+func (h *Holder) Granted(now time.Duration, peer, calls int, cold bool) {
+	if peer == h.keeper {
+		h.tries, h.again = 0, now+askAgain
+	}
+	if cold {
+		h.pooled = now + askAgain + answerIn
+	}
+	if calls == 0 {
+		return
+	}
 	h.expire(now)
 	h.calls += calls
 	h.until = now + grantFor
@@ -95,25 +104,14 @@
 	}
 }
 
-// Pooled takes a keeper's word that its grants are what a cold destination bears.
-func (h *Holder) Pooled(now time.Duration) { h.pooled = now + askAgain + answerIn }
-
 // Pools tells that what a cold destination bears is its keeper's to share out.
 func (h *Holder) Pools(now time.Duration) bool { return now < h.pooled && now >= h.alone }
 
-// Queued takes a keeper's word that the wish waits.
-func (h *Holder) Queued(now time.Duration, peer int) { h.answered(now, peer) }
-
-func (h *Holder) answered(now time.Duration, peer int) {
-	if peer == h.keeper {
-		h.tries = 0
-		h.again = now + askAgain
-	}
-}
+// Idle tells that there is nothing to ask, to take back or to give back.
+func (h *Holder) Idle() bool { return !h.wanted && h.asked == 0 && h.back == 0 && h.calls == 0 }
 
-// Ask is what is to be asked now, of whom, with n messages waiting of which the first is
-// worth rank. With n 0 a wish that is open is taken back. next is when to look again.
-func (h *Holder) Ask(now time.Duration, dest uint32, n, rank int, l *Line) (peer, back int, ask bool, next time.Duration) {
+// Ask is what is to be asked now, of whom, with n messages waiting. With n 0 a wish that is open is taken back. next is when to look again.
+func (h *Holder) Ask(now time.Duration, dest uint32, n int, l *Line) (peer, back int, ask bool, next time.Duration) {
 	h.expire(now)
 	wanted := h.wanted && h.calls == 0
 	h.wanted = false
@@ -147,7 +145,7 @@
 		h.tries = 0
 	}
 	back = h.back
-	h.keeper, h.asked, h.n, h.rank, h.back = peer, max(now, 1), n, rank, 0
+	h.keeper, h.asked, h.n, h.back = peer, max(now, 1), n, 0
 	if peer == l.Self {
 		h.tries, h.again = 0, now+askAgain
 		return peer, back, true, h.again
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -75,10 +75,8 @@
 			switch {
 			case x.at > now:
 				wire = append(wire, x)
-			case x.grant && x.n > 0:
-				holders[x.to].Granted(now, x.from, x.n)
 			case x.grant:
-				holders[x.to].Queued(now, x.from)
+				holders[x.to].Granted(now, x.from, x.n, false)
 			default:
 				l := ledgers[x.to]
 				l.Report(now, x.limit)
@@ -86,7 +84,6 @@
 					l.Refused(now)
 				}
 				l.Ask(now, x.from, x.n, 100, x.back)
-				send(now, news{from: x.to, to: x.from, grant: true})
 			}
 		}
 		for i := range fleet {
@@ -104,7 +101,7 @@
 				}
 				waiting[i]--
 			}
-			if peer, back, ask, _ := holders[i].Ask(now, 7, waiting[i], 100, lines[i]); ask {
+			if peer, back, ask, _ := holders[i].Ask(now, 7, waiting[i], lines[i]); ask {
 				x := news2[i]
 				x.from, x.to, x.n, x.back = i, peer, waiting[i], back
 				news2[i] = news{}
@@ -226,7 +223,7 @@
 	now := ms
 	for ; !h.May(now); now += ms {
 		require.Less(t, now, 2*time.Second)
-		if peer, _, ask, _ := h.Ask(now, 7, 1, 100, line); ask {
+		if peer, _, ask, _ := h.Ask(now, 7, 1, line); ask {
 			asked = append(asked, peer)
 		}
 	}
@@ -236,7 +233,7 @@
 	line.Heard(first + 1)
 	for ; h.May(now); now += ms {
 	}
-	peer, back, ask, _ := h.Ask(now, 7, 1, 100, line)
+	peer, back, ask, _ := h.Ask(now, 7, 1, line)
 	assert.True(t, ask)
 	assert.Equal(t, first+1, peer)
 	assert.Equal(t, -1, back)
@@ -246,21 +243,21 @@
 func TestGrantEnds(t *testing.T) {
 	line, h := NewLine(80, 99), Holder{}
 	assert.False(t, h.May(ms))
-	peer, _, ask, _ := h.Ask(ms, 7, 2, 100, line)
+	peer, _, ask, _ := h.Ask(ms, 7, 2, line)
 	require.True(t, ask)
-	h.Queued(20*ms, peer)
+	h.Granted(20*ms, peer, 0, false)
 	h.May(30 * ms)
-	_, _, ask, next := h.Ask(30*ms, 7, 2, 100, line)
+	_, _, ask, next := h.Ask(30*ms, 7, 2, line)
 	assert.False(t, ask, "it waits")
 	assert.Equal(t, 20*ms+askAgain, next)
-	h.Granted(40*ms, peer, 2)
+	h.Granted(40*ms, peer, 2, false)
 	assert.True(t, h.May(50*ms))
 	h.Called()
 	assert.False(t, h.May(40*ms+grantFor))
-	_, back, ask, _ := h.Ask(40*ms+grantFor, 7, 1, 100, line)
+	_, back, ask, _ := h.Ask(40*ms+grantFor, 7, 1, line)
 	assert.True(t, ask)
 	assert.Equal(t, 1, back)
-	_, _, ask, _ = h.Ask(400*ms, 7, 0, 0, line)
+	_, _, ask, _ = h.Ask(400*ms, 7, 0, line)
 	assert.False(t, ask, "its answer is still out: the wish ends by itself")
 }
 
--- a/internal/lease/ledger.go
+++ b/internal/lease/ledger.go
@@ -74,14 +74,18 @@
 }
 
 // Cold tells that grants are what a destination bears that is back from an outage.
-func (l *Ledger) Cold(now time.Duration) bool { return l.share(now) < 1 || l.cold }
+func (l *Ledger) Cold(now time.Duration) bool {
+	l.share(now)
+	return l.cold
+}
 
 type ask struct {
 	peer, n, rank int
 	at            time.Duration
+	heard         bool // its courier knows that it has come
 }
 
-// Grant is what one courier may call.
+// Grant is what one courier may call; no calls: its wish has come and waits.
 type Grant struct{ Peer, Calls int }
 
 // NewLedger returns the account of a destination of which nothing is known.
@@ -123,7 +127,7 @@
 // order, those who are to be told.
 func (l *Ledger) Serves(now time.Duration) (peers []int) {
 	for p, at := range l.shut {
-		if now-at <= failingFor { // those that have ended, or need it no more, do no harm
+		if now-at <= failingFor {
 			peers = append(peers, p)
 		}
 	}
@@ -162,44 +166,46 @@
 		l.by[peer] = a
 		l.asks = append(l.asks, a)
 	case a != nil:
-		a.n, a.rank, a.at = n, rank, now
+		a.n, a.rank, a.at, a.heard = n, rank, now, false
 	}
 }
 
 // Grants hands out what the limit allows by now: one call after another, each to the
-// wish worth most, of equals to the one that came first.
+// wish worth most, of equals to the one that came first. A wish that waits is named once
+// each time it comes: who hears nothing takes the keeper for dead.
 func (l *Ledger) Grants(now time.Duration) (out []Grant) {
 	l.fill(now)
-	for i := 0; i < len(l.asks); {
-		if a := l.asks[i]; now-a.at > askedFor {
+	for _, a := range slices.Clone(l.asks) {
+		if now-a.at > askedFor {
 			l.drop(a)
-			continue
 		}
-		i++
 	}
-	at := map[int]int{}
+	calls := map[int]int{}
 	for len(l.asks) > 0 && (l.rate == 0 || l.tokens >= 1) {
-		best := l.asks[0]
-		for _, a := range l.asks[1:] {
-			if a.rank > best.rank {
-				best = a
-			}
-		}
-		calls := 1
+		best := slices.MaxFunc(l.asks, func(a, b *ask) int { return a.rank - b.rank })
+		n := 1
 		if l.rate == 0 {
-			calls = best.n
+			n = best.n
+		}
+		l.tokens -= float64(n)
+		if calls[best.peer] == 0 {
+			out = append(out, Grant{Peer: best.peer})
 		}
-		l.tokens -= float64(calls)
-		if i, ok := at[best.peer]; ok {
-			out[i].Calls += calls
-		} else {
-			at[best.peer] = len(out)
-			out = append(out, Grant{best.peer, calls})
+		calls[best.peer] += n
+		best.n, best.heard = best.n-n, true
+		l.drop(best)
+		if best.n > 0 { // its next message is worth no more: others of the same worth go first
+			l.by[best.peer] = best
+			l.asks = append(l.asks, best)
 		}
-		if best.n -= calls; best.n <= 0 {
-			l.drop(best)
-		} else { // its next message is worth no more: others of the same worth go first
-			l.asks = append(without(l.asks, best), best)
+	}
+	for i := range out {
+		out[i].Calls = calls[out[i].Peer]
+	}
+	for _, a := range l.asks {
+		if !a.heard {
+			a.heard = true
+			out = append(out, Grant{Peer: a.peer})
 		}
 	}
 	return out
@@ -228,17 +234,8 @@
 func (l *Ledger) drop(a *ask) {
 	if a != nil {
 		delete(l.by, a.peer)
-		l.asks = without(l.asks, a)
-	}
-}
-
-func without(asks []*ask, a *ask) []*ask {
-	for i, x := range asks {
-		if x == a {
-			return append(asks[:i], asks[i+1:]...)
-		}
+		l.asks = slices.DeleteFunc(l.asks, func(x *ask) bool { return x == a })
 	}
-	return asks
 }
 
 func seconds(s float64) time.Duration {
--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -19,6 +19,7 @@
 	"math"
 
 	"snowjunction"
+	"snowjunction/internal/record"
 )
 
 // Most is the bytes that a note may have.
@@ -99,61 +100,32 @@
 	if len(b) == 0 || len(b) > Most || b[0] != form {
 		return nil, ErrForm
 	}
-	b = b[1:]
-	took := func(n int, fits bool) bool {
-		if n <= 0 || !fits {
-			err, b = ErrItem, nil
-			return false
-		}
-		b = b[n:]
-		return true
-	}
-	number := func(most uint64) uint64 {
-		v, n := binary.Uvarint(b)
-		if !took(n, v <= most) {
-			return 0
-		}
-		return v
-	}
-	one := func() int {
-		if len(b) == 0 {
-			took(0, false)
-			return 0
-		}
-		v := b[0]
-		took(1, true)
-		return int(v)
-	}
-	for len(b) > 0 {
-		n := snowjunction.Note{Destination: snowjunction.DestinationID(number(math.MaxUint32))}
-		flags := one()
-		if flags&(asks|grants) == asks|grants {
-			return nil, ErrItem
-		}
+	for r := (record.Reader{B: b[1:]}); len(r.B) > 0; {
+		n := snowjunction.Note{Destination: snowjunction.DestinationID(r.Uint(math.MaxUint32))}
+		flags := r.Byte()
 		n.Asks, n.Grants = flags&asks != 0, flags&grants != 0
 		n.Failing, n.Serves, n.Cold = flags&failing != 0, flags&serves != 0, flags&cold != 0
 		if n.Asks || n.Grants {
-			n.Calls = one()
+			n.Calls = int(r.Byte())
 		}
 		if n.Asks {
-			n.Rank = one()
+			n.Rank = int(r.Byte())
 		}
 		if flags&back != 0 {
-			v, size := binary.Varint(b)
-			if took(size, v >= -backMost && v <= backMost) {
-				n.Back = int(v)
-			}
+			v := r.Int()
+			r.Bad = r.Bad || v < -backMost || v > backMost
+			n.Back = int(v)
 		}
 		if flags&refused != 0 {
-			n.Refused = int(number(backMost))
+			n.Refused = int(r.Uint(backMost))
 		}
 		if flags&limit != 0 {
-			n.Limit = float64(number(limitMost*10)) / 10
+			n.Limit = float64(r.Uint(limitMost*10)) / 10
 		}
-		if err != nil {
-			return nil, err
+		if r.Bad || n.Asks && n.Grants {
+			return nil, ErrItem
 		}
 		items = append(items, n)
 	}
-	return items, err
+	return items, nil
 }
--- a/state.go
+++ b/state.go
@@ -48,10 +48,9 @@
 	prompt    time.Duration  // the shortest aim of the classes
 	line      *lease.Line
 	ledgers   map[DestinationID]*lease.Ledger // those that this courier keeps
-	keeping   []DestinationID                 // of these, in order of their first coming
 	greeted   bool                            // the fleet has been told that this courier is there
-	opened    []wish                          // of those who asked to be told of a return, and are yet to be
-	wishing   []wish                          // that have come and are yet to be answered
+	wished    []DestinationID                 // those of them that calls are wished for
+	outbox    []Tell                          // notes to go
 }
 
 // New returns a courier, or an error that names the impossible setting.
