The emulator plays notes between couriers and cut limits; its fleet replaces a test's own

And docs/fleet.md had it as open that the emulator knows no notes. Change: the emulator carries Tell and Heard, with a delay and losses (network.notes), and cuts limits (fault cut, in the stand-in partner); scenario growing-fleet; one test of seven cases in it with every rule checked, in place of the other; the rig, and lines of scenarios, are shared. Assertions moved with what they are about.

--- a/cmd/snowjunction/fleet_test.go
+++ b/cmd/snowjunction/fleet_test.go
@@ -15,10 +15,8 @@
 
 // fleet starts one courier of so many, with a target for destination 7.
 func fleet(t *testing.T, size any) *scenario.Courier {
-	c := scenario.NewCourier(t)
+	c := prepare(t)
 	c.Settings["fleet-size"] = size
-	c.Targets = []scenario.Target{{Name: "s-1", Addr: c.Play.Server("target"), Cell: 7}}
-	c.Play.Let("ok", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	c.Play.Let("busy", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 	require.NoError(t, c.Start())
 	return c
@@ -45,12 +43,7 @@
 		assert.GreaterOrEqual(t, pause, last)
 		last = pause
 	}
-	c.Play.Run(`
-		client dial c
-		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\nx\r\n"
-		c expect "+OK\r\n"
-		target accept t
-		t expect "...\r\n\r\nx"
+	c.Play.Run(first + `
 		t send "$ok"
 		discovery accept d
 		d expect "GET /discovery/hosts?after=1&wait_ms=1 HTTP/1.1\r\n"
@@ -61,12 +54,7 @@
 // fleet delivers what it holds from the list it had.
 func TestStartWhileOverbooked(t *testing.T) {
 	c := fleet(t, 80)
-	c.Play.Run(`
-		client dial c
-		c send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\nm1\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\nx\r\n"
-		c expect "+OK\r\n"
-		target accept t
-		t expect "...\r\n\r\nx"
+	c.Play.Run(first + `
 		courier wait kill
 		courier wait start
 		target accept t
@@ -102,7 +90,7 @@
 	own, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, own.Close())
-	c := scenario.NewCourier(t)
+	c := prepare(t)
 	c.Settings["fleet-size"], c.Settings["my-number"] = 80, 79
 	c.Settings["limits"].(map[string]any)["may-tell"] = true
 	peers := make([]string, 80)
@@ -111,10 +99,7 @@
 	}
 	peers[79] = own.LocalAddr().String()
 	c.Peers = map[string]any{"peer_listen": peers[79], "peers": peers}
-	c.Targets = []scenario.Target{{Name: "s-1", Addr: c.Play.Server("target"), Cell: 7}}
 	c.Play.Let("ok", "HTTP/1.1 200 OK\r\nX-Server-Load: x0=0.8,x1=44\r\nContent-Length: 0\r\n\r\n")
-	c.Play.Let("ADD", "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\n")
-	c.Play.Let("STATUS", "\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\n")
 	require.NoError(t, c.Start())
 	limits := make(chan float64, 64)
 	go func() { // grants whatever is asked, among what cannot be read
@@ -124,10 +109,7 @@
 			if err != nil {
 				return
 			}
-			items, err := notes.Read(buf[:n])
-			if err != nil {
-				items = nil
-			}
+			items, _ := notes.Read(buf[:n])
 			for _, x := range items {
 				if x.Limit > 0 {
 					limits <- x.Limit
@@ -141,16 +123,7 @@
 			}
 		}
 	}()
-	c.Play.Run(`
-		client dial c
-		c send "$ADDm1$STATUSx\r\n"
-		c expect "+OK\r\n"
-		target accept t
-		t expect "...\r\n\r\nx"
-		t send "$ok"
-		c send "$ADDm2$STATUSy\r\n"
-		c expect "+OK\r\n"
-		t expect "...\r\n\r\ny"
+	c.Play.Run(first + second + `
 		t send "$ok"
 	`)
 	assert.Equal(t, 44.0, <-limits)
--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -26,10 +26,17 @@
 // start starts a courier with one target for destination 7 and a silent one for
 // destination 9. A limit on sockets may be given.
 func start(t *testing.T, limits ...int) *scenario.Play {
-	c := scenario.NewCourier(t)
+	c := prepare(t)
 	if len(limits) > 0 {
 		c.Limits["sockets"] = limits[0]
 	}
+	require.NoError(t, c.Start())
+	return c.Play
+}
+
+// prepare is start before it starts.
+func prepare(t *testing.T) *scenario.Courier {
+	c := scenario.NewCourier(t)
 	c.Targets = []scenario.Target{
 		{Name: "s-1", Addr: c.Play.Server("target"), Cell: 7}, {Name: "s-9", Addr: c.Play.Server("silent"), Cell: 9},
 	}
@@ -37,10 +44,26 @@
 	// $ADD id $STATUS byte: a message of one byte without a key.
 	c.Play.Let("ADD", "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\n")
 	c.Play.Let("STATUS", "\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\n")
-	require.NoError(t, c.Start())
-	return c.Play
+	return c
 }
 
+// Lines of scenarios: a first message is taken on and called, then a second.
+const (
+	first = `
+		client dial c
+		c send "$ADDm1$STATUSx\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "...\r\n\r\nx"
+	`
+	second = `
+		t send "$ok"
+		c send "$ADDm2$STATUSy\r\n"
+		c expect "+OK\r\n"
+		t expect "...\r\n\r\ny"
+	`
+)
+
 func TestDelivery(t *testing.T) {
 	start(t).Run(`
 		client dial c
@@ -179,16 +202,7 @@
 		`"lifecycle":"Terminating","zone":"a","machineType":"k"}]}`
 	p.Let("list", list)
 	p.Let("size", strconv.Itoa(len(list)))
-	p.Run(`
-		client dial c
-		c send "$ADDm1$STATUSx\r\n"
-		c expect "+OK\r\n"
-		target accept t
-		t expect "...\r\n\r\nx"
-		t send "$ok"
-		c send "$ADDm2$STATUSy\r\n"
-		c expect "+OK\r\n"
-		t expect "...\r\n\r\ny"
+	p.Run(first + second + `
 		discovery accept d
 		d expect "...\r\n\r\n"
 		d send "HTTP/1.1 200 OK\r\nContent-Length: $size\r\n\r\n$list"
--- a/internal/emulate/courier.go
+++ b/internal/emulate/courier.go
@@ -67,6 +67,7 @@
 	c.life++
 	c.seed += 7919
 	c.s = w.settings(c.seed)
+	c.s.Number, c.s.Notes = int(c.no), w.s.Network.Notes.DelayMs[1] > 0
 	if c.o.Change != nil {
 		c.o.Change(&c.s)
 	}
@@ -224,6 +225,8 @@
 			w.q.push(event{at: w.now + a.After, kind: timer, who: c.no, id: int32(c.life), gen: uint32(a.Token)})
 		case snowjunction.CloseIdle:
 			delete(c.used, int32(a.Endpoint)-1)
+		case snowjunction.Tell:
+			w.note(c.no, a)
 		case snowjunction.Asleep:
 			c.asleep(a)
 		case snowjunction.Seen:
@@ -242,6 +245,18 @@
 	}
 }
 
+// note sends a note on its way to another courier, where it may not arrive.
+func (w *world) note(from int32, a snowjunction.Tell) {
+	w.res.Notes++
+	n := &w.s.Network.Notes
+	if a.Peer < 0 || a.Peer >= len(w.couriers) || w.network.Float64() < n.Loss {
+		return
+	}
+	id := int32(w.res.Notes)
+	w.notes[id] = snowjunction.Heard{Peer: int(from), Notes: a.Notes}
+	w.q.push(event{at: w.now + seconds(draw(w.network, n.DelayMs)/1000), kind: noted, who: int32(a.Peer), id: id})
+}
+
 // final gives a message its answer.
 func (c *courier) final(id int32, how fate, after time.Duration) {
 	w := c.w
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -206,14 +206,17 @@
 	for text, want := range map[string]string{
 		`{"couriers": 0}`:         "/couriers: ",
 		`{"load": {"level": -1}}`: "/load/level: ",
-		`{"faults": [{"kind": "fire", "at_s": 1, "for_s": 1, "share": 1}]}`: "/faults/0/kind: ",
-		`{"network": {"delay_ms": [9, 3]}}`:                                 "/network/delay_ms: the least is over the most",
-		`{"partners": {"endpoints": [0, 2]}}`:                               "/partners/endpoints/0: ",
-		`{"partners": {"count": 5, "active": 6}}`:                           "/partners/active: ",
-		`{"tenants": [{"name": "a", "share": 0.5}]}`:                        "/tenants: ",
-		`{"colour": "red"}`:                                                 "additional",
-		`{"extends": ["nowhere"]}`:                                          "no scenario nowhere",
-		`{`:                                                                 "not JSON",
+		`{"faults": [{"kind": "fire", "at_s": 1, "for_s": 1, "share": 1}]}`:               "/faults/0/kind: ",
+		`{"network": {"delay_ms": [9, 3]}}`:                                               "/network/delay_ms: the least is over the most",
+		`{"network": {"notes": {"delay_ms": [9, 3]}}}`:                                    "/network/notes/delay_ms: the least is over the most",
+		`{"faults": [{"kind": "cut", "at_s": 1, "for_s": 1, "share": 1}]}`:                "/faults/0/times: a limit is cut to a part of it",
+		`{"faults": [{"kind": "slow", "at_s": 1, "for_s": 1, "share": 1, "times": 0.5}]}`: "/faults/0/times: 1 at least",
+		`{"partners": {"endpoints": [0, 2]}}`:                                             "/partners/endpoints/0: ",
+		`{"partners": {"count": 5, "active": 6}}`:                                         "/partners/active: ",
+		`{"tenants": [{"name": "a", "share": 0.5}]}`:                                      "/tenants: ",
+		`{"colour": "red"}`:        "additional",
+		`{"extends": ["nowhere"]}`: "no scenario nowhere",
+		`{`:                        "not JSON",
 	} {
 		path := filepath.Join(t.TempDir(), "s.json")
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
@@ -328,3 +331,37 @@
 		}
 	}
 }
+
+// Eighty couriers that share limits keep to them together, over their full load too: few
+// of the calls are refused and more is delivered than where each goes by its own refusals,
+// also where notes are lost, limits are cut, half of the partners come back cold, most
+// couriers start at once, or those that should keep an account are gone.
+func TestGrowingFleet(t *testing.T) {
+	const form, silent = `{"seconds": 30%s}`, `, "network": {"notes": {"delay_ms": [0, 0]}}`
+	for what, tc := range map[string]struct {
+		overlay string
+		refused float64 // of the calls, at the most
+	}{
+		"over":         {`, "load": {"level": 1.3}`, 0.02},
+		"full":         {``, 0.02},
+		"notes lost":   {`, "network": {"notes": {"loss": 0.05}}`, 0.04},
+		"limits cut":   {`, "faults": [{"kind": "cut", "at_s": 10, "for_s": 9, "share": 0.4, "times": 0.3}]`, 0.03},
+		"cold return":  {`, "faults": [{"kind": "vanish", "at_s": 10, "for_s": 5, "share": 0.5, "cold": true}]`, 0.03},
+		"starts":       {`, "crashes": [{"at_s": 10, "down_s": 1, "share": 0.7, "journal": true}]`, 0.03},
+		"keepers dead": {`, "crashes": [{"at_s": 5, "down_s": 60, "share": 0.2, "journal": false}]`, 0.08},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			r := run(t, load(t, "growing-fleet", fmt.Sprintf(form, tc.overlay)), Options{Policy: "module"})
+			assert.Zero(t, r.Broken(), "%+v", r.First)
+			assert.LessOrEqual(t, float64(r.TurnedAway), tc.refused*float64(r.Sends))
+			if what == "notes lost" { // its overlay has the network already
+				return
+			}
+			alone := run(t, load(t, "growing-fleet", fmt.Sprintf(form, tc.overlay+silent)), Options{Policy: "module"})
+			assert.Greater(t, float64(r.Delivered), 1.04*float64(alone.Delivered))
+			assert.Greater(t, r.G, alone.G+0.04)
+			assert.Zero(t, alone.Notes)
+		})
+	}
+}
--- a/internal/emulate/result.go
+++ b/internal/emulate/result.go
@@ -46,6 +46,7 @@
 	Handshakes int `json:"handshakes"`
 	Fell       int `json:"fell"`
 
+	Notes   int `json:"notes,omitempty"` // that couriers sent each other
 	Asked   int `json:"plugin_asked,omitempty"`
 	Skipped int `json:"plugin_skipped,omitempty"` // not asked: it was in quarantine
 
--- a/internal/emulate/scenario.go
+++ b/internal/emulate/scenario.go
@@ -91,9 +91,13 @@
 		BackoffMs Range   `json:"backoff_ms"`
 	} `json:"clients"`
 	Network struct {
-		DelayMs    Range   `json:"delay_ms"`
-		Handshake  float64 `json:"handshake"` // round trips
-		Loss       float64 `json:"loss"`      // of calls
+		DelayMs   Range    `json:"delay_ms"`
+		Handshake float64  `json:"handshake"` // round trips
+		Loss      float64  `json:"loss"`      // of calls
+		Notes     struct { // between couriers; without a delay there are none
+			DelayMs Range   `json:"delay_ms"`
+			Loss    float64 `json:"loss"`
+		} `json:"notes"`
 		Partitions []struct {
 			Span
 			Share    float64 `json:"share"`    // of the partners
@@ -239,6 +243,7 @@
 		{"/plugin/call_ms", s.Plugin.CallMs},
 		{"/clients/backoff_ms", s.Clients.BackoffMs},
 		{"/network/delay_ms", s.Network.DelayMs},
+		{"/network/notes/delay_ms", s.Network.Notes.DelayMs},
 		{"/directory/delay_s", s.Directory.DelayS},
 	} {
 		if x.r[0] > x.r[1] {
@@ -250,8 +255,14 @@
 		total += t.Share
 	}
 	for i, f := range s.Faults {
-		if f.Endpoints > 0 && (f.Kind == "slow" || f.Cold) {
-			return bad(fmt.Sprintf("/faults/%d/endpoints", i), "a partner is slow, or comes back cold, as a whole")
+		if f.Kind == "cut" && (f.Times <= 0 || f.Times >= 1) {
+			return bad(fmt.Sprintf("/faults/%d/times", i), "a limit is cut to a part of it")
+		}
+		if f.Kind != "cut" && f.Times > 0 && f.Times < 1 {
+			return bad(fmt.Sprintf("/faults/%d/times", i), "1 at least is wanted")
+		}
+		if f.Endpoints > 0 && (f.Kind == "slow" || f.Kind == "cut" || f.Cold) {
+			return bad(fmt.Sprintf("/faults/%d/endpoints", i), "a partner is slow, has its limit cut, or comes back cold, as a whole")
 		}
 	}
 	switch {
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -41,6 +41,7 @@
 	spoken               // the directory answers a courier that began without it
 	look                 // time may change what a courier believes
 	learnDue             // what a courier has learnt may go to its disk
+	noted                // a note reaches a courier
 )
 
 // world is a run.
@@ -69,7 +70,8 @@
 	res       Result
 	serial    uint32
 	keys      uint64
-	keyed     [][]keyed // by partner: its open keys, those first that rest longest
+	notes     map[int32]snowjunction.Heard // on their way
+	keyed     [][]keyed                    // by partner: its open keys, those first that rest longest
 }
 
 // place is a partner with where it stands in the world.
@@ -212,6 +214,7 @@
 			Back: 1500 * time.Millisecond, Slack: 20*time.Millisecond + 2*seconds(s.TickMs/1000),
 		})
 	}
+	w.notes = map[int32]snowjunction.Heard{}
 	w.makePartners(o.Seed)
 	if err := w.makeCouriers(o); err != nil {
 		return nil, err
@@ -323,7 +326,7 @@
 func (w *world) plan() {
 	for _, f := range w.s.Faults {
 		k, ok := map[string]partner.Kind{
-			"errors": partner.Error, "shut": partner.Shut, "silent": partner.Silent, "reset": partner.Reset, "slow": partner.Slow,
+			"errors": partner.Error, "shut": partner.Shut, "silent": partner.Silent, "reset": partner.Reset, "slow": partner.Slow, "cut": partner.Cut,
 		}[f.Kind]
 		for _, i := range w.some(f.Share, len(w.partners)) {
 			x := w.partners[i]
@@ -351,8 +354,12 @@
 					}
 					continue
 				}
+				times := f.Times
+				if k == partner.Slow {
+					times = math.Max(times, 1)
+				}
 				x.Add(partner.Fault{
-					Kind: k, From: seconds(span.At), Until: seconds(span.At + span.For), Share: f.Calls, Times: math.Max(f.Times, 1), Cold: cold,
+					Kind: k, From: seconds(span.At), Until: seconds(span.At + span.For), Share: f.Calls, Times: times, Cold: cold,
 				})
 			}
 		}
@@ -445,6 +452,9 @@
 			}
 		case told:
 			w.couriers[e.who].hear(e.id, snowjunction.Phase(e.gen))
+		case noted:
+			w.couriers[e.who].post(w.notes[e.id])
+			delete(w.notes, e.id)
 		case drain:
 			w.drain(e.id)
 		case gone:
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,131 +10,6 @@
 
 const ms = time.Millisecond
 
-// partner counts every call of the last second, refused ones too: kept over its limit it
-// takes nothing at all.
-type partner struct {
-	limit float64
-	calls []time.Duration
-}
-
-func (p *partner) call(now time.Duration) bool {
-	for len(p.calls) > 0 && p.calls[0] <= now-time.Second {
-		p.calls = p.calls[1:]
-	}
-	p.calls = append(p.calls, now)
-	return float64(len(p.calls)) <= p.limit
-}
-
-// play has a fleet of 80 call a partner for 30 s, at load times its limit. Notes take
-// 2 to 38 ms and some are lost. It returns the share of the calls refused, and the calls
-// taken over those that the limit allows or were wished for.
-// The partner's limit is cut to so much of itself from 10 to 19 s.
-func play(seed uint64, load, lost, cut float64, dead map[int]bool) (refused, taken float64) {
-	const fleet = 80
-	rng := rand.New(rand.NewPCG(seed, 1))
-	p := &partner{limit: 40}
-	type news struct {
-		at       time.Duration
-		from, to int
-		grant    bool
-		n, back  int
-		refused  bool
-		limit    float64
-	}
-	var wire []news
-	send := func(now time.Duration, x news) {
-		if rng.Float64() >= lost && !dead[x.from] && !dead[x.to] {
-			x.at = now + time.Duration(2+rng.IntN(37))*ms
-			wire = append(wire, x)
-		}
-	}
-	holders, lines, ledgers, waiting := [fleet]Holder{}, [fleet]*Line{}, [fleet]*Ledger{}, [fleet]int{}
-	news2 := [fleet]news{}
-	for i := range fleet {
-		lines[i], ledgers[i] = NewLine(fleet, i), NewLedger(Slow{})
-	}
-	wished, sent, full := 0, 0, 0
-	whole, room := p.limit, 0.0
-	for now := ms; now < 30*time.Second; now += ms {
-		p.limit = whole
-		if cut > 0 && now > 10*time.Second && now < 19*time.Second {
-			p.limit = whole * cut
-		}
-		room += p.limit / 1000
-		if rng.Float64() < load*whole/1000 {
-			i := rng.IntN(fleet)
-			if !dead[i] {
-				waiting[i]++
-				wished++
-			}
-		}
-		due := wire
-		wire = nil
-		for _, x := range due {
-			switch {
-			case x.at > now:
-				wire = append(wire, x)
-			case x.grant:
-				holders[x.to].Granted(now, x.from, x.n, false)
-			default:
-				l := ledgers[x.to]
-				l.Report(now, x.limit)
-				if x.refused {
-					l.Refused(now)
-				}
-				l.Ask(now, x.from, x.n, 100, x.back)
-			}
-		}
-		for i := range fleet {
-			for _, g := range ledgers[i].Grants(now) {
-				send(now, news{from: i, to: g.Peer, grant: true, n: g.Calls})
-			}
-			for waiting[i] > 0 && holders[i].May(now) {
-				holders[i].Called()
-				sent++
-				news2[i].limit = p.limit
-				if !p.call(now) {
-					full++
-					news2[i].refused = true
-					break
-				}
-				waiting[i]--
-			}
-			if peer, back, ask, _ := holders[i].Ask(now, 7, waiting[i], lines[i]); ask {
-				x := news2[i]
-				x.from, x.to, x.n, x.back = i, peer, waiting[i], back
-				news2[i] = news{}
-				send(now, x)
-			}
-		}
-	}
-	return float64(full) / float64(sent), float64(sent-full) / min(float64(wished), room)
-}
-
-// Eighty couriers that each call a partner once in seconds keep together to its limit,
-// at and over its full load, where each alone would be refused; also where notes get
-// lost, and where those who should keep the account are dead.
-func TestFleetKeepsToLimit(t *testing.T) {
-	first, _ := NewLine(80, 0).Keeper(7, 0)
-	for name, tc := range map[string]struct {
-		load, lost     float64
-		cut            float64
-		dead           map[int]bool
-		refused, taken float64
-	}{
-		"light":        {0.6, 0, 0, nil, 0.02, 0.98},
-		"full":         {1, 0, 0, nil, 0.05, 0.82},
-		"over":         {1.5, 0, 0, nil, 0.05, 0.82},
-		"notes lost":   {1.2, 0.05, 0, nil, 0.13, 0.75},
-		"limit cut":    {0.8, 0, 0.3, nil, 0.12, 0.75},
-		"keepers dead": {1.2, 0, 0, map[int]bool{first: true, (first + 1) % 80: true}, 0.1, 0.75},
-	} {
-		refused, taken := play(1, tc.load, tc.lost, tc.cut, tc.dead)
-		assert.LessOrEqual(t, refused, tc.refused, "%s: refused", name)
-		assert.GreaterOrEqual(t, taken, tc.taken, "%s: taken", name)
-	}
-}
-
 func TestLedgerGrantsByWorth(t *testing.T) {
 	l := NewLedger(Slow{})
 	l.Report(0, 10)
--- a/internal/patience/patience_test.go
+++ b/internal/patience/patience_test.go
@@ -7,12 +7,11 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// asks is how often couriers ask in a minute, all turned away from the start on, each
-// turn taking as long as a refused call does.
-func asks(fleet int, took time.Duration) (n int) {
+// asks is how often couriers ask in a minute, all turned away at once from the start on.
+func asks(fleet int) (n int) {
 	for i := range fleet {
 		p := New(fleet, uint64(i))
-		for at := time.Duration(0); at < time.Minute; at += took + p.Refused(0) {
+		for at := time.Duration(0); at < time.Minute; at += p.Refused(0) {
 			n++
 		}
 	}
@@ -21,9 +20,9 @@
 
 // A large fleet that is turned away asks no more often than a small one does.
 func TestFleetAsksNoMoreOften(t *testing.T) {
-	small := asks(2, 0)
+	small := asks(2)
 	for _, fleet := range []int{8, 80, 800} {
-		n := asks(fleet, 0)
+		n := asks(fleet)
 		assert.LessOrEqual(t, n, max(2*small, fleet*(1+int(time.Minute/(Most/2)))), "fleet %d", fleet)
 		assert.GreaterOrEqual(t, n, fleet*int(time.Minute/Most), "fleet %d is still told", fleet)
 	}
--- a/internal/standin/partner/partner.go
+++ b/internal/standin/partner/partner.go
@@ -7,6 +7,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -42,16 +43,17 @@
 	Reset              // the connection breaks once the call is read
 	Silent             // no answer
 	Slow
+	Cut // the limit is lower
 )
 
 // Fault is what goes wrong from one time to another. A partner may have any
 // number at once: each call meets them in their order, and the first that acts
-// decides, but for Slow ones, which all act.
+// decides, but for Slow and Cut ones, which all act.
 type Fault struct {
 	Kind        Kind
 	From, Until time.Duration
 	Share       float64 // of the calls; 0: all of them
-	Times       float64 // Slow: so many times as long
+	Times       float64 // Slow: so many times as long; Cut: so much of the limit
 	Cold        bool    // the partner comes back cold from it
 }
 
@@ -106,6 +108,7 @@
 	Again  time.Duration
 	rng    *rand.Rand
 	faults []Fault
+	whole  float64 // limit that faults cut; 0: none has
 
 	tokens    float64
 	filled    time.Duration
@@ -188,6 +191,7 @@
 func (p *Partner) Begin(now time.Duration, c Call) Answer {
 	p.Counts.Calls++
 	p.under++
+	p.trim(now)
 	p.mind(now, c)
 	over := p.count(now)
 	answer := p.answer(now, c, over)
@@ -201,6 +205,22 @@
 	return answer
 }
 
+// trim has the limit follow the faults that cut it.
+func (p *Partner) trim(now time.Duration) {
+	if !slices.ContainsFunc(p.faults, func(f Fault) bool { return f.Kind == Cut }) {
+		return
+	}
+	if p.whole == 0 {
+		p.whole = p.Profile.Limit
+	}
+	p.Profile.Limit = p.whole
+	for _, f := range p.faults {
+		if f.Kind == Cut && now >= f.From && now < f.Until {
+			p.Profile.Limit *= f.Times
+		}
+	}
+}
+
 // mind checks what the sender owes: no copy, order by key, told waits.
 func (p *Partner) mind(now time.Duration, c Call) {
 	if p.Blind {
@@ -299,7 +319,7 @@
 			slow *= f.Times
 			continue
 		}
-		if f.Share > 0 && p.rng.Float64() >= f.Share {
+		if f.Kind == Cut || f.Share > 0 && p.rng.Float64() >= f.Share {
 			continue
 		}
 		switch f.Kind {
@@ -356,7 +376,7 @@
 // on their way, and if not when one may be: for whoever may know.
 func (p *Partner) Room(now time.Duration, coming int) (ok bool, wait time.Duration) {
 	for _, f := range p.faults {
-		if now >= f.From && now < f.Until && f.Kind != Slow && f.Share == 0 {
+		if now >= f.From && now < f.Until && f.Kind != Slow && f.Kind != Cut && f.Share == 0 {
 			return false, f.Until - now
 		}
 	}
