Trials of closed endpoints ask the keeper too: a cold return was pushed over

Cause: trial (courier.go) asked no leave, and returned (fleet.go) has every courier that saw the outage try within 0.3 s: 80 calls at a partner that bears some 30 in 1.5 s; and a keeper granted calls at the full limit until the first was answered (share in internal/lease). Ruled out: couriers' own cold budgets, which hold each. Change: a trial asks leave as any call does; while as many couriers say that their calls fail as make a cold return, grants are as to one that has returned this moment.

--- a/courier.go
+++ b/courier.go
@@ -905,7 +905,7 @@
 		if c.calls >= c.s.Slots || r.dest.calls >= max(1, c.s.Slots/2) || c.trialOn(r) {
 			return
 		}
-		if q := c.cheapest(e); q != nil {
+		if q := c.cheapest(e); q != nil && c.inTurn(r) {
 			c.send(q, e)
 			e.trying = q.call
 			return
--- a/internal/lease/ledger.go
+++ b/internal/lease/ledger.go
@@ -60,9 +60,14 @@
 	Least int           // couriers that must have seen the outage
 }
 
-// share is what may be granted of the limit now.
+// share is what may be granted of the limit now. Calls to a destination that is down are
+// granted as to one that has returned this moment: the next of them may find that it has.
 func (l *Ledger) share(now time.Duration) float64 {
-	if !l.cold {
+	least := math.Min(1, l.slow.Over*l.slow.Share)
+	switch {
+	case len(l.shut) >= l.slow.Least && l.slow.Least > 0:
+		return least
+	case !l.cold:
 		return 1
 	}
 	gone := float64(now-l.back) / math.Max(1, float64(l.slow.Warm))
