--- a/cmd/snowjunction/push_test.go
+++ b/cmd/snowjunction/push_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -30,6 +31,7 @@
 	t *testing.T
 	*scenario.Courier
 	http *http.Client
+	file map[string]any // what the push front's file says besides
 }
 
 // pushTarget is an entry of the push front's file.
@@ -59,10 +61,12 @@
 func (g *gateway) write(targets []pushTarget) {
 	deploy, err := filepath.Abs("../../deploy")
 	require.NoError(g.t, err)
-	b, err := json.Marshal(map[string]any{
+	file := map[string]any{
 		"listen": "127.0.0.1:0", "openapi": filepath.Join(deploy, "openapi.json"),
 		"asyncapi": filepath.Join(deploy, "asyncapi.json"), "targets": targets,
-	})
+	}
+	maps.Copy(file, g.file)
+	b, err := json.Marshal(file)
 	require.NoError(g.t, err)
 	require.NoError(g.t, os.WriteFile(filepath.Join(g.Dir(), "push.json"), b, 0o600))
 }
@@ -401,6 +405,32 @@
 	g.Play.Run(`courier wait "n.full=0 n.timed_out=0 n.connect_failed=0 n.reset=0 n.cancelled=0 n.moot=1"`)
 }
 
+// A target that takes one stream at a time, where one connection is allowed: the second
+// call waits on it for the first one's stream to end, and does not open another.
+func TestOneStreamAtATime(t *testing.T) {
+	g := newGateway(t)
+	g.file = map[string]any{"target_connections": 1}
+	g.play().Run(`
+		push h2dial c
+		c send "1 POST /push/7 message-id=m1 $status |x"
+		c expect "1 201 location=/message/m1"
+		two h2accept a
+		a expect "1 POST /inbox x-request-id=m1 |x"
+		a send "SETTINGS 1"
+		a send "PING"
+		a expect "PING"
+		c send "3 POST /push/7 message-id=m2 $status |y"
+		c expect "3 201 location=/message/m2"
+		a send "1 200"
+		a expect "3 POST /inbox x-request-id=m2 |y"
+		a send "3 200"
+		c send "5 GET /message/m2 prefer=wait=20"
+		c expect "5 200"
+	`)
+	require.NoError(t, g.Signal(syscall.SIGUSR1))
+	g.Play.Run(`courier wait "n.timed_out=0 n.connect_failed=0 n.reset=0 n.cancelled=0 n.moot=0"`)
+}
+
 // A stream reset after the request left may have run: a keyed message goes
 // again within its window, and the next of its key only behind it.
 func TestResetAfterTheRequestLeft(t *testing.T) {
--- a/internal/config/push.go
+++ b/internal/config/push.go
@@ -15,16 +15,21 @@
 type Push struct {
 	Listen   string // "": the front is off
 	MaxConns int    // clients' connections
-	Retain   time.Duration
-	OpenAPI  string // paths of the descriptions
-	AsyncAPI string
-	Targets  []core.Entry
+	// TargetConns bounds the connections to one target that take new streams; ConnAge,
+	// where positive, retires a connection once it is so old and empty.
+	TargetConns int
+	ConnAge     time.Duration
+	Retain      time.Duration
+	OpenAPI     string // paths of the descriptions
+	AsyncAPI    string
+	Targets     []core.Entry
 }
 
 // The values taken where none is given.
 const (
-	defaultPushConns = 64
-	defaultRetain    = 300 // seconds
+	defaultPushConns   = 64
+	DefaultTargetConns = 4   // where none is said
+	defaultRetain      = 300 // seconds
 )
 
 // LoadPush reads the push front's file. Paths in it start from its folder. A
@@ -44,8 +49,10 @@
 func push(path string, v *fastjson.Value, names Names) (*Push, error) {
 	p := &Push{
 		Listen: text(v, "listen"), MaxConns: positive(v.GetInt("max_connections"), defaultPushConns),
-		Retain:  time.Duration(positive(v.GetInt("retain_s"), defaultRetain)) * time.Second,
-		OpenAPI: beside(path, v, "openapi"), AsyncAPI: beside(path, v, "asyncapi"),
+		TargetConns: positive(v.GetInt("target_connections"), DefaultTargetConns),
+		ConnAge:     time.Duration(v.GetFloat64("connection_age_s") * float64(time.Second)),
+		Retain:      time.Duration(positive(v.GetInt("retain_s"), defaultRetain)) * time.Second,
+		OpenAPI:     beside(path, v, "openapi"), AsyncAPI: beside(path, v, "asyncapi"),
 	}
 	if p.Listen != "" {
 		if _, err := netip.ParseAddrPort(p.Listen); err != nil {
--- a/internal/front/push/push.go
+++ b/internal/front/push/push.go
@@ -14,6 +14,7 @@
 	"snowjunction/internal/core"
 	"snowjunction/internal/describe"
 	"snowjunction/internal/groups"
+	"snowjunction/internal/h2pool"
 	"snowjunction/internal/net"
 	"snowjunction/internal/proto/h2"
 	"snowjunction/internal/store"
@@ -44,6 +45,21 @@
 	waiting  map[string][]*waiter      // by id, of GETs that wait for the end
 }
 
+// pool is how the connections to one target are bounded.
+func (f *Front) pool() h2pool.Config {
+	return h2pool.Config{
+		Most: positiveOr(f.Push.TargetConns, config.DefaultTargetConns), Age: f.Push.ConnAge,
+		Idle: time.Duration(float64(f.Settings.ConnIdle) * reuseWithin),
+	}
+}
+
+func positiveOr(v, other int) int {
+	if v > 0 {
+		return v
+	}
+	return other
+}
+
 // keptMost bounds how many ended messages can be asked about.
 const keptMost = 2048
 
--- a/internal/front/push/target.go
+++ b/internal/front/push/target.go
@@ -9,6 +9,7 @@
 	"snowjunction"
 	"snowjunction/internal/core"
 	"snowjunction/internal/front"
+	"snowjunction/internal/h2pool"
 	"snowjunction/internal/net"
 	"snowjunction/internal/proto/h2"
 	"snowjunction/internal/store"
@@ -31,6 +32,7 @@
 	calls  map[uint32]*call
 	queue  []*call // until the connection is up
 	used   time.Time
+	opened time.Time
 	gone   bool // takes no further call
 }
 
@@ -93,25 +95,45 @@
 	return x
 }
 
-// link is a connection with room for one more call.
+// link is the connection that a call goes on, as the target's pool decides: one with a
+// free stream, a new one, or, at the most, one on which the call waits for a stream.
+// Connections that carry nothing and are idle or spent end here.
 func (t *target) link() *link {
-	limit := time.Duration(float64(t.front.Settings.ConnIdle) * reuseWithin)
 	now := t.front.Loop.Now()
+	pool := t.front.pool()
+	var told []h2pool.Link
 	for _, l := range append([]*link(nil), t.links...) {
-		stale := limit > 0 && l.up && len(l.calls) == 0 && len(l.queue) == 0 && now.Sub(l.used) >= limit
-		switch {
-		case stale:
+		x := l.told(now)
+		switch h2pool.Retire(pool, 0, x) {
+		case h2pool.Idle:
 			l.end(net.Idle)
-		case !l.up && len(l.queue) < limits(maxAnswer).Streams, l.up && l.h2.Room():
-			return l
+		case h2pool.Spent:
+			l.end(net.Finished)
+		default:
+			told = append(told, x)
 		}
 	}
-	l := &link{target: t, h2: h2.NewClient(limits(maxAnswer)), calls: map[uint32]*call{}, used: now}
+	if v, at := h2pool.Pick(pool, 0, told); v != h2pool.Dial {
+		return t.links[at]
+	}
+	l := &link{target: t, h2: h2.NewClient(limits(maxAnswer)), calls: map[uint32]*call{}, used: now, opened: now}
 	t.links = append(t.links, l)
 	l.conn = t.front.Engine.Dial("push target", t.entry.Addr, l)
 	return l
 }
 
+// told is what the pool is told of a link, its times before now.
+func (l *link) told(now time.Time) h2pool.Link {
+	x := h2pool.Link{
+		Up: l.up, Open: len(l.calls), Queued: len(l.queue), Away: l.gone || l.h2.Closing(),
+		Opened: -now.Sub(l.opened), Used: -now.Sub(l.used), Room: limits(maxAnswer).Streams,
+	}
+	if l.up {
+		x.Room = l.h2.Free()
+	}
+	return x
+}
+
 // CloseIdle ends the connections without calls.
 func (t *target) CloseIdle() { t.drop(net.Dropped) }
 
@@ -174,8 +196,12 @@
 	l.queue = nil
 	var back []*call
 	for _, x := range queue {
+		if l.h2.Free() == 0 && !l.h2.Closing() { // it waits for a stream to end
+			l.queue = append(l.queue, x)
+			continue
+		}
 		id, err := l.h2.Request(x.fields, x.body)
-		if err != nil { // it takes fewer streams than thought: not sent
+		if err != nil { // it takes no further stream: not sent
 			back = append(back, x)
 			continue
 		}
@@ -191,6 +217,8 @@
 		return
 	}
 	// The socket took nothing: Closed follows, and nothing of these has left.
+	waiting := l.queue
+	l.queue = nil
 	for _, x := range queue {
 		if x.stream != 0 {
 			delete(l.calls, x.stream)
@@ -198,6 +226,7 @@
 			l.queue = append(l.queue, x)
 		}
 	}
+	l.queue = append(l.queue, waiting...)
 }
 
 // Left tells whether the request may have left.
@@ -265,7 +294,7 @@
 // Closed ends the calls that are out.
 func (l *link) Closed(code net.Code) {
 	never := snowjunction.ConnectFailed
-	if code == net.Limit { // no room here: it says nothing of the target
+	if code == net.Limit || l.up { // no room here, or a stream was awaited: it says nothing of the target
 		never = snowjunction.Moot
 	}
 	l.leave()
@@ -299,6 +328,10 @@
 			l.leave()
 		}
 	}
+	// Streams have ended, and who waits takes them; or none will come, and it goes elsewhere.
+	if l.up && len(l.queue) > 0 && (l.h2.Free() > 0 || l.h2.Closing()) {
+		l.send()
+	}
 	for _, x := range begun {
 		if l.calls[x.stream] != x { // it came whole
 			continue
--- a/internal/proto/h2/conn.go
+++ b/internal/proto/h2/conn.go
@@ -411,5 +411,19 @@
 	return !c.left && !c.leaving && c.failed == nil && len(c.streams) < c.peerMost && c.nextOwn < maxWindow
 }
 
+// Free is how many more streams we may open now: none where Room is false.
+func (c *Conn) Free() int {
+	if !c.Room() {
+		return 0
+	}
+	return c.peerMost - len(c.streams)
+}
+
+// Closing tells that no further stream of ours will be opened: a GOAWAY went either
+// way, the connection failed, or its stream ids are spent.
+func (c *Conn) Closing() bool {
+	return c.left || c.leaving || c.failed != nil || c.nextOwn >= maxWindow
+}
+
 // Left tells that the other side takes no further stream.
 func (c *Conn) Left() bool { return c.left }
--- a/internal/scenario/h2.go
+++ b/internal/scenario/h2.go
@@ -19,7 +19,7 @@
 //	WHO send "STREAM METHOD PATH NAME=VALUE ... |BODY"      a request
 //	WHO send "STREAM STATUS NAME=VALUE ... |BODY"           a response
 //	WHO send "HEAD STREAM STATUS NAME=VALUE ..."            one that goes on
-//	WHO send "RST STREAM CODE" or "GOAWAY STREAM" or "PING"
+//	WHO send "RST STREAM CODE" or "GOAWAY STREAM" or "PING" or "SETTINGS STREAMS"
 //	WHO expect ...                 the same forms: the next that comes, with at
 //	                               least the headers named and just that body
 //
@@ -67,6 +67,12 @@
 	switch words[0] {
 	case "PING":
 		return a.framer.WritePing(false, [8]byte{})
+	case "SETTINGS": // the most streams that the other side may open
+		n, err := strconv.ParseUint(words[1], 10, 31)
+		if err != nil {
+			return err
+		}
+		return a.framer.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: uint32(n)})
 	case "GOAWAY", "RST":
 		stream, err := strconv.ParseUint(words[1], 10, 31)
 		if err != nil {
