--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -94,7 +94,7 @@
 	switch s {
 	case store.Delivered:
 		c.Counters.Delivered++
-	case store.Withdrawn:
+	case store.Withdrawn, store.Deleted:
 		c.Counters.Withdrawn++
 	case store.Failed:
 		c.Counters.Failed++
@@ -164,3 +164,28 @@
 }
 
 func (f *flow) name() name { return name{int(f.msg.Origin), f.msg.ID} }
+
+// Deletion is what became of a wish to delete a message.
+type Deletion int
+
+const (
+	NotHeld Deletion = iota // no such message is owed an end here
+	Out                     // an attempt is out: it may be delivered all the same
+	Deleted                 // its end is written; nothing of it goes any more
+)
+
+// Delete ends a message of a front's that whoever handed it in no longer wants, unless
+// an attempt of it is out. An earlier attempt may have run all the same. The end is in
+// the journal before Delete returns, and the front is told of it as of any end.
+func (c *Core) Delete(front int, id string) Deletion {
+	f := c.ids[name{front, id}]
+	switch {
+	case f == nil || f.ended || f.answer != nil || f.id == 0:
+		return NotHeld
+	case f.attempt != nil:
+		return Out
+	}
+	c.forgo(f)
+	c.end(f, store.Deleted, 0)
+	return Deleted
+}
--- a/internal/describe/asyncapi.go
+++ b/internal/describe/asyncapi.go
@@ -83,6 +83,9 @@
 
 // notice reads a message whose payload is an object with the fields that the
 // front knows.
+// Withdrawn is the state told of a message that whoever handed it in has deleted.
+const Withdrawn = "withdrawn"
+
 func notice(n node, states []string) Notice {
 	n.object("payload!", "name", "title", "summary", "description", "contentType")
 	if v := n.child("contentType"); v.there() {
@@ -114,7 +117,9 @@
 	if c := state.child("const"); c.there() {
 		out.States = append(out.States, c.text())
 	}
-	if got := slices.Sorted(slices.Values(out.States)); !slices.Equal(got, states) {
+	// A front that serves deleteMessage tells of withdrawn ones; another need not.
+	got := slices.DeleteFunc(slices.Sorted(slices.Values(out.States)), func(s string) bool { return s == Withdrawn })
+	if !slices.Equal(got, states) {
 		properties.child("state").fail("the states told are %s", strings.Join(states, ", "))
 	}
 	for _, r := range p.child("required").list() {
--- a/internal/describe/openapi.go
+++ b/internal/describe/openapi.go
@@ -12,6 +12,7 @@
 type API struct {
 	Submit Operation // operationId submitMessage
 	Status Operation // operationId messageStatus
+	Delete Operation // operationId deleteMessage; its Method is empty where it is not described
 }
 
 // Operation is one route.
@@ -131,21 +132,23 @@
 	paths := root.child("paths").object(root.child("paths").keys()...)
 	for _, path := range paths.keys() {
 		item := paths.child(path)
-		item.object("get", "post", "summary", "description")
+		item.object("get", "post", "delete", "summary", "description")
 		for _, method := range item.keys() {
-			if method != "get" && method != "post" {
+			if method != "get" && method != "post" && method != "delete" {
 				continue
 			}
 			op := item.child(method)
 			o := operation(op, path, strings.ToUpper(method))
 			id := op.child("operationId")
-			switch word := id.oneOf("submitMessage", "messageStatus"); {
+			switch word := id.oneOf("submitMessage", "messageStatus", "deleteMessage"); {
 			case found[word]:
 				id.fail("a second operation %q", word)
 			case word == "submitMessage":
 				api.Submit = o
 			case word == "messageStatus":
 				api.Status = o
+			case word == "deleteMessage":
+				api.Delete = o
 			}
 			found[id.text()] = true
 		}
@@ -180,7 +183,12 @@
 			[]int{201, 400, 413, 422, 429, 431, 503}, true, true},
 		{&api.Status, "messageStatus", "GET", 1, []string{"path id"}, []string{"header prefer"},
 			[]int{200, 400, 404, 431}, false, false},
+		{&api.Delete, "deleteMessage", "DELETE", 1, []string{"path id"}, nil,
+			[]int{204, 400, 404, 409, 431}, false, false},
 	} {
+		if want.op.Method == "" {
+			continue // an operation that may be left out
+		}
 		if want.op.Method != "" && want.op.Method != want.method {
 			want.op.from.fail("operation %q is served by %s only", want.id, want.method)
 		}
--- a/internal/front/push/listener.go
+++ b/internal/front/push/listener.go
@@ -157,17 +157,18 @@
 		c.problem(m.Stream, 431, "the headers are too big")
 		return
 	}
+	var allow []string
 	for _, route := range []struct {
 		op     *describe.Operation
 		handle func(h2.Message, map[string]string)
-	}{{&api.Submit, c.submit}, {&api.Status, c.ask}} {
+	}{{&api.Submit, c.submit}, {&api.Status, c.ask}, {&api.Delete, c.delete}} {
 		params, ok := route.op.Match(path)
-		if !ok {
+		if !ok || route.op.Method == "" {
 			continue
 		}
 		if method != route.op.Method {
-			c.problem(m.Stream, 405, "the method is not allowed here", h2.Field{Name: "allow", Value: route.op.Method})
-			return
+			allow = append(allow, route.op.Method)
+			continue
 		}
 		if err := readHeaders(route.op, m.Fields, params); err != nil {
 			c.problem(m.Stream, 400, err.Error())
@@ -176,6 +177,10 @@
 		route.handle(m, params)
 		return
 	}
+	if len(allow) > 0 {
+		c.problem(m.Stream, 405, "the method is not allowed here", h2.Field{Name: "allow", Value: strings.Join(allow, ", ")})
+		return
+	}
 	c.problem(m.Stream, 404, "nothing is here")
 }
 
@@ -306,6 +311,37 @@
 	f.waiting[msg.ID] = append(f.waiting[msg.ID], w)
 }
 
+// delete withdraws a message that is not wanted any more, where none of it is out; one
+// that may be out is left to its end, which can be asked for.
+func (c *client) delete(m h2.Message, params map[string]string) {
+	f := c.front
+	switch f.core.Delete(f.Number, params["id"]) {
+	case core.Deleted:
+		c.respond(m.Stream, 204, nil)
+	case core.Out:
+		c.problem(m.Stream, 409, "an attempt is out and may deliver it: ask for its end")
+	default:
+		if msg := f.messages[params["id"]]; msg != nil && msg.State != store.Open {
+			c.problem(m.Stream, 409, "it has ended: "+c.word(msg))
+			return
+		}
+		c.problem(m.Stream, 404, "no such message is owed an end here")
+	}
+}
+
+// word is the state told of a message that has ended.
+func (c *client) word(m *store.Message) string {
+	switch {
+	case m.State == store.Withdrawn: // its time was up at the target
+		return store.Failed.String()
+	case m.State == store.Deleted && slices.Contains(c.front.Life.Ended.States, describe.Withdrawn):
+		return describe.Withdrawn
+	case m.State == store.Deleted:
+		return store.Failed.String()
+	}
+	return m.State.String()
+}
+
 // waitMost bounds what Prefer: wait can ask for, in seconds.
 const waitMost = 60
 
@@ -330,10 +366,7 @@
 	body, notice := a.NewObject(), &c.front.Life.Taken
 	state := "taken"
 	if m.State != store.Open {
-		notice, state = &c.front.Life.Ended, m.State.String()
-		if m.State == store.Withdrawn { // its time was up at the target
-			state = store.Failed.String()
-		}
+		notice, state = &c.front.Life.Ended, c.word(m)
 	}
 	for _, field := range notice.Fields {
 		switch {
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -18,11 +18,12 @@
 	Withdrawn              // nobody wants it any more
 	Failed                 // given up, with no promise
 	Returned               // given up; handing it in again is harmless
+	Deleted                // whoever handed it in wants it no more, and none of it was out
 )
 
 // String is the state's word in logs and answers.
 func (s State) String() string {
-	names := [...]string{"open", "delivered", "withdrawn", "failed", "returned"}
+	names := [...]string{"open", "delivered", "withdrawn", "failed", "returned", "deleted"}
 	if int(s) < len(names) {
 		return names[s]
 	}
