--- a/cmd/snowjunction/push_test.go
+++ b/cmd/snowjunction/push_test.go
@@ -466,6 +466,34 @@
 	g.Play.Run(`courier wait "n.delivered=2 n.withdrawn=1"`)
 }
 
+// A message taken with the topic of one that waits replaces it; one that is out is not
+// replaced, and both go.
+func TestTopicReplaces(t *testing.T) {
+	g := newGateway(t)
+	g.play().Run(`
+		push h2dial c
+		c send "1 POST /push/7 message-id=m0 idempotency-key=i0 $order |w"
+		c expect "1 201 location=/message/m0"
+		two h2accept a
+		a expect "1 POST /inbox x-request-id=m0 |w"
+		c send "3 POST /push/7 message-id=m1 idempotency-key=i1 topic=t $order |x"
+		c expect "3 201 location=/message/m1"
+		c send "5 POST /push/7 message-id=m2 idempotency-key=i2 topic=t $order |y"
+		c expect "5 201 location=/message/m2"
+		c send "7 POST /push/7 message-id=m9 idempotency-key=i9 topic=bad/topic $order |y"
+		c expect "7 400"
+		a send "1 200"
+		a expect "3 POST /inbox x-request-id=m2 |y"
+		c send "9 POST /push/7 message-id=m3 idempotency-key=i3 topic=t $order |z"
+		c expect "9 201 location=/message/m3"
+		a send "3 200"
+		a expect "5 POST /inbox x-request-id=m3 |z"
+		a send "5 200"
+	`)
+	require.NoError(t, g.Signal(syscall.SIGUSR1))
+	g.Play.Run(`courier wait "n.delivered=3 n.withdrawn=1"`)
+}
+
 // A message withdrawn stays so when the courier is killed: what was out goes again,
 // what was withdrawn does not.
 func TestDeletedOutlastsKill(t *testing.T) {
--- a/internal/front/push/listener.go
+++ b/internal/front/push/listener.go
@@ -233,6 +233,7 @@
 		switch a.Verdict {
 		case core.Taken:
 			f.messages[r.ID] = taken
+			f.replace(topic{r.Destination, r.Tenant, params["topic"]}, r.ID)
 			c.created(m.Stream, taken)
 		case core.Fixed:
 			c.refused(m.Stream, a.After)
--- a/internal/front/push/push.go
+++ b/internal/front/push/push.go
@@ -43,6 +43,29 @@
 	messages map[string]*store.Message // by id, until forgotten
 	kept     []*store.Message          // ended ones, in order of their end
 	waiting  map[string][]*waiter      // by id, of GETs that wait for the end
+	topics   map[topic]string          // the id of the last message taken with a topic, until it ends
+	topicOf  map[string]topic          // and back
+}
+
+// topic is what a message replaces another by (RFC 8030, 5.4).
+type topic struct {
+	destination uint32
+	tenant      string
+	name        string
+}
+
+// replace withdraws the message that the one just taken with that topic replaces, where
+// none of that is out, on the next turn: not within the core's own answer.
+func (f *Front) replace(t topic, id string) {
+	if t.name == "" {
+		return
+	}
+	old, there := f.topics[t]
+	f.topics[t], f.topicOf[id] = id, t
+	if there && old != id {
+		delete(f.topicOf, old)
+		f.Loop.Post(func() { f.core.Delete(f.Number, old) })
+	}
 }
 
 // pool is how the connections to one target are bounded.
@@ -67,7 +90,7 @@
 func New(cfg Config) *Front {
 	return &Front{
 		Config: cfg, clients: map[*client]bool{}, messages: map[string]*store.Message{},
-		waiting: map[string][]*waiter{},
+		waiting: map[string][]*waiter{}, topics: map[topic]string{}, topicOf: map[string]topic{},
 	}
 }
 
@@ -116,6 +139,10 @@
 // long as it is kept.
 func (f *Front) Ended(m *store.Message) {
 	f.core.Settled(m)
+	if t, ok := f.topicOf[m.ID]; ok {
+		delete(f.topicOf, m.ID)
+		delete(f.topics, t)
+	}
 	f.keep(m)
 	waiters := f.waiting[m.ID]
 	delete(f.waiting, m.ID)
