Push front: 410 for a message whose end was kept and is forgotten

Change: the front remembers the last 1,024 ids whose kept ends it forgot; GET and DELETE answer 410 for them. openapi.json and the describe package list 410.

--- a/cmd/snowjunction/push_test.go
+++ b/cmd/snowjunction/push_test.go
@@ -494,6 +494,34 @@
 	g.Play.Run(`courier wait "n.delivered=3 n.withdrawn=1"`)
 }
 
+// An end that was kept for retain_s and is forgotten is answered 410; an id never seen, 404.
+func TestForgottenEndIsGone(t *testing.T) {
+	g := newGateway(t)
+	g.file = map[string]any{"retain_s": 1}
+	g.play().Run(`
+		push h2dial c
+		c send "1 POST /push/7 message-id=m1 $status |x"
+		c expect "1 201 location=/message/m1"
+		two h2accept a
+		a expect "1 POST /inbox x-request-id=m1 |x"
+		a send "1 200"
+		c send "3 GET /message/m1 prefer=wait=20"
+		c expect "3 200"
+	`)
+	for i := 0; ; i++ {
+		require.Less(t, i, 1_000_000, "its end is kept for ever")
+		resp, text := g.do("GET", "/message/m1", "")
+		if resp.StatusCode != 200 {
+			require.Equal(t, 410, resp.StatusCode, text)
+			break
+		}
+	}
+	resp, _ := g.do("DELETE", "/message/m1", "")
+	assert.Equal(t, 410, resp.StatusCode)
+	resp, _ = g.do("GET", "/message/never", "")
+	assert.Equal(t, 404, resp.StatusCode)
+}
+
 // A message withdrawn stays so when the courier is killed: what was out goes again,
 // what was withdrawn does not.
 func TestDeletedOutlastsKill(t *testing.T) {
--- a/internal/describe/openapi.go
+++ b/internal/describe/openapi.go
@@ -182,9 +182,9 @@
 			"header message-class"}, []string{"header tenant", "header order-key", "header idempotency-key", "header topic"},
 			[]int{201, 400, 413, 422, 429, 431, 503}, true, true},
 		{&api.Status, "messageStatus", "GET", 1, []string{"path id"}, []string{"header prefer"},
-			[]int{200, 400, 404, 431}, false, false},
+			[]int{200, 400, 404, 410, 431}, false, false},
 		{&api.Delete, "deleteMessage", "DELETE", 1, []string{"path id"}, nil,
-			[]int{204, 400, 404, 409, 431}, false, false},
+			[]int{204, 400, 404, 409, 410, 431}, false, false},
 	} {
 		if want.op.Method == "" {
 			continue // an operation that may be left out
--- a/internal/front/push/listener.go
+++ b/internal/front/push/listener.go
@@ -295,7 +295,7 @@
 	f.expire()
 	msg := f.messages[params["id"]]
 	if msg == nil {
-		c.problem(m.Stream, 404, "no such message, or its end is long past")
+		c.unknown(m.Stream, params["id"])
 		return
 	}
 	wait := preference(params["prefer"])
@@ -326,10 +326,20 @@
 			c.problem(m.Stream, 409, "it has ended: "+c.word(msg))
 			return
 		}
-		c.problem(m.Stream, 404, "no such message is owed an end here")
+		c.unknown(m.Stream, params["id"])
 	}
 }
 
+// unknown answers for a message that is not known here: 410 where its end was kept
+// and is forgotten, 404 otherwise.
+func (c *client) unknown(stream uint32, id string) {
+	if c.front.gone[id] {
+		c.problem(stream, 410, "its end is past and no longer kept")
+		return
+	}
+	c.problem(stream, 404, "no such message, or its end is long past")
+}
+
 // word is the state told of a message that has ended.
 func (c *client) word(m *store.Message) string {
 	switch {
--- a/internal/front/push/push.go
+++ b/internal/front/push/push.go
@@ -43,6 +43,8 @@
 	messages map[string]*store.Message // by id, until forgotten
 	kept     []*store.Message          // ended ones, in order of their end
 	waiting  map[string][]*waiter      // by id, of GETs that wait for the end
+	gone     map[string]bool           // ids whose ends were kept and are forgotten, the last goneMost
+	goneList []string                  // of these, the oldest first
 	topics   map[topic]string          // the id of the last message taken with a topic, until it ends
 	topicOf  map[string]topic          // and back
 }
@@ -83,6 +85,19 @@
 	return other
 }
 
+// goneMost bounds how many forgotten ids are answered 410 rather than 404.
+const goneMost = 1024
+
+// forgot remembers that an id's end was told and is no longer kept.
+func (f *Front) forgot(id string) {
+	if len(f.goneList) >= goneMost {
+		delete(f.gone, f.goneList[0])
+		f.goneList = f.goneList[1:]
+	}
+	f.gone[id] = true
+	f.goneList = append(f.goneList, id)
+}
+
 // keptMost bounds how many ended messages can be asked about.
 const keptMost = 2048
 
@@ -90,7 +105,7 @@
 func New(cfg Config) *Front {
 	return &Front{
 		Config: cfg, clients: map[*client]bool{}, messages: map[string]*store.Message{},
-		waiting: map[string][]*waiter{}, topics: map[topic]string{}, topicOf: map[string]topic{},
+		waiting: map[string][]*waiter{}, gone: map[string]bool{}, topics: map[topic]string{}, topicOf: map[string]topic{},
 	}
 }
 
@@ -167,6 +182,7 @@
 		}
 		if f.messages[m.ID] == m {
 			delete(f.messages, m.ID)
+			f.forgot(m.ID)
 		}
 		f.kept = f.kept[1:]
 	}
