Push front: Urgency gives way at admission while much is held; two tests wait for ends

Change: the front turns very-low messages away at once (429 with Retry-After) while half of most-held are held, low ones at three quarters; other values are 400. openapi.json describes the header.

--- a/cmd/snowjunction/push_test.go
+++ b/cmd/snowjunction/push_test.go
@@ -461,6 +461,8 @@
 		a send "3 200"
 		c send "17 GET /message/m2"
 		c expect "17 200"
+		c send "19 GET /message/m3 prefer=wait=20"
+		c expect "19 200"
 	`)
 	require.NoError(t, g.Signal(syscall.SIGUSR1))
 	g.Play.Run(`courier wait "n.delivered=2 n.withdrawn=1"`)
@@ -489,6 +491,8 @@
 		a send "3 200"
 		a expect "5 POST /inbox x-request-id=m3 |z"
 		a send "5 200"
+		c send "11 GET /message/m3 prefer=wait=20"
+		c expect "11 200"
 	`)
 	require.NoError(t, g.Signal(syscall.SIGUSR1))
 	g.Play.Run(`courier wait "n.delivered=3 n.withdrawn=1"`)
@@ -522,6 +526,35 @@
 	assert.Equal(t, 404, resp.StatusCode)
 }
 
+// While much is held, what is less urgent is turned away at once, with when to return.
+func TestUrgencyGivesWay(t *testing.T) {
+	g := newGateway(t)
+	g.Settings["limits"].(map[string]any)["most-held"] = 8
+	g.play().Run(`
+		push h2dial c
+		c send "1 POST /push/7 message-id=m1 $status |x"
+		c expect "1 201"
+		c send "3 POST /push/7 message-id=m2 $status |x"
+		c expect "3 201"
+		c send "5 POST /push/7 message-id=m3 $status |x"
+		c expect "5 201"
+		c send "7 POST /push/7 message-id=m4 urgency=normal $status |x"
+		c expect "7 201"
+		c send "9 POST /push/7 message-id=m5 urgency=very-low $status |x"
+		c expect "9 429 retry-after=2"
+		c send "11 POST /push/7 message-id=m6 urgency=low $status |x"
+		c expect "11 201"
+		c send "13 POST /push/7 message-id=m7 urgency=low $status |x"
+		c expect "13 201"
+		c send "15 POST /push/7 message-id=m8 urgency=low $status |x"
+		c expect "15 429"
+		c send "17 POST /push/7 message-id=m9 urgency=high $status |x"
+		c expect "17 201"
+		c send "19 POST /push/7 message-id=m10 urgency=soon $status |x"
+		c expect "19 400"
+	`)
+}
+
 // A message withdrawn stays so when the courier is killed: what was out goes again,
 // what was withdrawn does not.
 func TestDeletedOutlastsKill(t *testing.T) {
--- a/internal/describe/openapi.go
+++ b/internal/describe/openapi.go
@@ -179,7 +179,7 @@
 		wants, takes bool
 	}{
 		{&api.Submit, "submitMessage", "POST", 1, []string{"path destination", "header ttl", "header message-id",
-			"header message-class"}, []string{"header tenant", "header order-key", "header idempotency-key", "header topic"},
+			"header message-class"}, []string{"header tenant", "header order-key", "header idempotency-key", "header topic", "header urgency"},
 			[]int{201, 400, 413, 422, 429, 431, 503}, true, true},
 		{&api.Status, "messageStatus", "GET", 1, []string{"path id"}, []string{"header prefer"},
 			[]int{200, 400, 404, 410, 431}, false, false},
--- a/internal/front/push/listener.go
+++ b/internal/front/push/listener.go
@@ -226,6 +226,17 @@
 		c.created(m.Stream, known)
 		return
 	}
+	share, ok := urgencies[params["urgency"]]
+	if !ok {
+		f.core.Counters.Malformed++
+		c.problem(m.Stream, 400, "urgency: very-low, low, normal or high")
+		return
+	}
+	if most := f.Settings.MaxHeld; most > 0 && float64(f.core.Held()) >= share*float64(most) {
+		f.core.Counters.Refused++ // what is less urgent gives way while much is held
+		c.refused(m.Stream, f.Settings.MaxRetry/2)
+		return
+	}
 	err = f.core.TakeIn(r, func(a core.Answer, taken *store.Message) bool {
 		if !c.conn.Up() {
 			return false
@@ -248,6 +259,10 @@
 	}
 }
 
+// urgencies are the shares of the messages that may be held (Settings.MaxHeld) beyond
+// which one of that urgency (RFC 8030, 5.3) is turned away; normal and high take all.
+var urgencies = map[string]float64{"": 1, "very-low": 0.5, "low": 0.75, "normal": 1, "high": 1}
+
 func parseSubmit(params map[string]string) (core.Request, error) {
 	r := core.Request{
 		ID: params["message-id"], IdempotencyKey: params["idempotency-key"],
