--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -333,10 +333,8 @@
 	}
 }
 
-// Eighty couriers that share limits keep to them together, over their full load too: few
-// of the calls are refused and more is delivered than where each goes by its own refusals,
-// also where notes are lost, limits are cut, half of the partners come back cold, most
-// couriers start at once, or those that should keep an account are gone.
+// Eighty couriers that share limits keep to them and deliver more than where each goes by
+// its own refusals, in each of these days.
 func TestGrowingFleet(t *testing.T) {
 	const form, silent = `{"seconds": 30%s}`, `, "network": {"notes": {"delay_ms": [0, 0]}}`
 	for what, tc := range map[string]struct {
