Read again: one test of a connection's room, one default of a pool, comments in place

Change: Room is Free > 0 and Free is none while Closing; the pool takes the file's target_connections as config sets it (under 1 counts as 1 in h2pool); the constant stands before notice's comment; the method check drops its empty case; a link's queue says that it waits for a stream too. Behaviour unchanged.

--- a/internal/config/push.go
+++ b/internal/config/push.go
@@ -28,7 +28,7 @@
 // The values taken where none is given.
 const (
 	defaultPushConns   = 64
-	DefaultTargetConns = 4   // where none is said
+	defaultTargetConns = 4
 	defaultRetain      = 300 // seconds
 )
 
@@ -49,7 +49,7 @@
 func push(path string, v *fastjson.Value, names Names) (*Push, error) {
 	p := &Push{
 		Listen: text(v, "listen"), MaxConns: positive(v.GetInt("max_connections"), defaultPushConns),
-		TargetConns: positive(v.GetInt("target_connections"), DefaultTargetConns),
+		TargetConns: positive(v.GetInt("target_connections"), defaultTargetConns),
 		ConnAge:     time.Duration(v.GetFloat64("connection_age_s") * float64(time.Second)),
 		Retain:      time.Duration(positive(v.GetInt("retain_s"), defaultRetain)) * time.Second,
 		OpenAPI:     beside(path, v, "openapi"), AsyncAPI: beside(path, v, "asyncapi"),
--- a/internal/describe/asyncapi.go
+++ b/internal/describe/asyncapi.go
@@ -81,11 +81,11 @@
 	return life, nil
 }
 
-// notice reads a message whose payload is an object with the fields that the
-// front knows.
 // Withdrawn is the state told of a message that whoever handed it in has deleted.
 const Withdrawn = "withdrawn"
 
+// notice reads a message whose payload is an object with the fields that the
+// front knows.
 func notice(n node, states []string) Notice {
 	n.object("payload!", "name", "title", "summary", "description", "contentType")
 	if v := n.child("contentType"); v.there() {
--- a/internal/describe/openapi.go
+++ b/internal/describe/openapi.go
@@ -189,7 +189,7 @@
 		if want.op.Method == "" {
 			continue // an operation that may be left out
 		}
-		if want.op.Method != "" && want.op.Method != want.method {
+		if want.op.Method != want.method {
 			want.op.from.fail("operation %q is served by %s only", want.id, want.method)
 		}
 		if want.op.MaxBody > 0 != want.takes {
--- a/internal/front/push/push.go
+++ b/internal/front/push/push.go
@@ -73,18 +73,11 @@
 // pool is how the connections to one target are bounded.
 func (f *Front) pool() h2pool.Config {
 	return h2pool.Config{
-		Most: positiveOr(f.Push.TargetConns, config.DefaultTargetConns), Age: f.Push.ConnAge,
+		Most: f.Push.TargetConns, Age: f.Push.ConnAge, // config gives the default; under 1 is 1
 		Idle: time.Duration(float64(f.Settings.ConnIdle) * reuseWithin),
 	}
 }
 
-func positiveOr(v, other int) int {
-	if v > 0 {
-		return v
-	}
-	return other
-}
-
 // goneMost bounds how many forgotten ids are answered 410 rather than 404.
 const goneMost = 1024
 
--- a/internal/front/push/target.go
+++ b/internal/front/push/target.go
@@ -30,7 +30,7 @@
 	h2     *h2.Conn
 	up     bool
 	calls  map[uint32]*call
-	queue  []*call // until the connection is up
+	queue  []*call // until the connection is up, or a stream of it is free
 	used   time.Time
 	opened time.Time
 	gone   bool // takes no further call
--- a/internal/proto/h2/conn.go
+++ b/internal/proto/h2/conn.go
@@ -407,16 +407,14 @@
 func (c *Conn) Open() int { return len(c.streams) }
 
 // Room tells whether another stream may be opened by us.
-func (c *Conn) Room() bool {
-	return !c.left && !c.leaving && c.failed == nil && len(c.streams) < c.peerMost && c.nextOwn < maxWindow
-}
+func (c *Conn) Room() bool { return c.Free() > 0 }
 
-// Free is how many more streams we may open now: none where Room is false.
+// Free is how many more streams we may open now: none while Closing.
 func (c *Conn) Free() int {
-	if !c.Room() {
+	if c.Closing() {
 		return 0
 	}
-	return c.peerMost - len(c.streams)
+	return max(c.peerMost-len(c.streams), 0)
 }
 
 // Closing tells that no further stream of ours will be opened: a GOAWAY went either
