Asks again whether a send stands once its connection is up: repeats went past the window

No decision came later than 2.94 s.

At fault: link.Opened of the platform's and the push front's targets, which wrote on a decision up to the connect time-out old and looked only at whether the target had left its group.

Change: whoever makes a call asks the module (Courier.Stands) at the moment when the bytes can leave. If the window, the time or a told wait says no, none leaves, the attempt ends as one that never left and the new connection serves the next call. Debug lines name the message and its idempotency key, and tell when its bytes left.

--- a/courier_test.go
+++ b/courier_test.go
@@ -233,6 +233,44 @@
 	want(t, "answered when it lapses", answers(acts), []string{"fail 1"})
 }
 
+// What has changed since a decision, while a connection was coming up.
+func TestStands(t *testing.T) {
+	drained := List{Kind: ListDelta, Endpoints: []Endpoint{{ID: 10, Destination: 1, Phase: Draining}}}
+	for _, c := range []struct {
+		what  string
+		after time.Duration
+		news  func(g *rig) []Event
+		want  bool
+	}{
+		{"nothing", time.Second, nil, true},
+		{"the window lapses", 4900 * ms, nil, false}, // it has begun with the first attempt
+		{"a wait is told", 10 * ms, func(g *rig) []Event {
+			e := g.end(2, Full)
+			e.Wait = 500 * ms
+			return []Event{e}
+		}, false},
+		{"a told wait is over", 510 * ms, func(g *rig) []Event {
+			e := g.end(2, Full)
+			e.Wait = 500 * ms
+			return []Event{e}
+		}, true},
+		{"refused without a word", 10 * ms, func(g *rig) []Event { return []Event{g.end(2, Full)} }, true},
+		{"it drains", 10 * ms, func(*rig) []Event { return []Event{drained} }, false},
+		{"nothing is owed any more", 10 * ms, func(*rig) []Event { return []Event{Withdrawn{Request: 1}} }, false},
+	} {
+		g := newRig(t, func(s *Settings) { s.OrderSettle = 0 }, ep1)
+		g.step(0, req(1, keyed))
+		g.step(100*ms, g.end(1, Reset), req(2, safe))
+		want(t, c.what+": the repeat and another are out", len(g.out), 2)
+		if c.news != nil {
+			g.step(5*ms, c.news(g)...)
+		}
+		before := g.c.dests[1].queue
+		want(t, c.what, g.c.Stands(g.now+c.after, 1), c.want)
+		want(t, c.what+": asking changes nothing", len(g.c.dests[1].queue), len(before))
+	}
+}
+
 func TestKeyedStaysInItsZone(t *testing.T) {
 	g := newRig(t, func(s *Settings) { s.Classes[keyed].Group = GroupZone }, ep1,
 		Endpoint{ID: 11, Destination: 1, Zone: 1})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -40,6 +40,7 @@
 	m      *store.Message
 	shape  Shape
 	done   func(Result)
+	may    func() bool
 	left   bool
 	gaveUp bool
 	kept   time.Duration
@@ -56,9 +57,9 @@
 	addr string
 }
 
-func (x testTarget) Call(m *store.Message, shape Shape, _ time.Duration, done func(Result)) Call {
+func (x testTarget) Call(m *store.Message, shape Shape, _ time.Duration, may func() bool, done func(Result)) Call {
 	assert.True(x.b.t, m.Out, "an attempt is recorded before it leaves")
-	call := &testCall{m: m, shape: shape, done: done, left: true, addr: x.addr}
+	call := &testCall{m: m, shape: shape, may: may, done: done, left: true, addr: x.addr}
 	x.b.calls = append(x.b.calls, call)
 	return call
 }
@@ -318,6 +319,30 @@
 }
 
 // A call whose bytes never left proves that it did not run.
+// A repeat's connection takes so long to come up that the window of its class has ended:
+// nothing of it leaves, and a restart finds no attempt out.
+func TestStaleDecision(t *testing.T) {
+	b := newBench(t, func(s *snowjunction.Settings) { s.Classes[0].Window = 500 * ms })
+	b.add("m1", "order", 9)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.step(200 * ms)
+	b.calls[0].done(Result{Outcome: snowjunction.Reset})
+	b.step(5 * ms)
+	require.Len(t, b.calls, 2)
+	repeat := b.calls[1]
+	repeat.left = false
+	assert.True(t, repeat.may(), "its window has time left")
+	b.now = b.now.Add(250 * ms)
+	require.False(t, repeat.may())
+	repeat.done(Result{Outcome: snowjunction.Moot})
+	b.step(5 * ms)
+	assert.Len(t, b.calls, 2)
+	require.Len(t, b.ended, 1)
+	assert.Equal(t, store.Failed, b.ended[0].State)
+	assert.False(t, b.ended[0].Out)
+}
+
 func TestNeverConnected(t *testing.T) {
 	b := newBench(t, nil)
 	b.add("m1", "status", 0)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -71,7 +71,7 @@
 		return
 	}
 	m := a.flow.msg
-	c.Log.Debug("attempt", "dest", m.Destination, "class", m.Class, "endpoint", a.endpoint, "no", a.no,
+	c.Log.Debug("attempt", "id", m.ID, "key", m.IdempotencyKey, "dest", m.Destination, "class", m.Class, "endpoint", a.endpoint, "no", a.no,
 		"outcome", outcomes[ev.Outcome], "took_ms", ev.Took.Milliseconds(), "wait_ms", ev.Wait.Milliseconds(),
 		"kept_ms", ev.Kept.Milliseconds(), "report", ev.Report)
 }
@@ -82,7 +82,7 @@
 		return
 	}
 	m := f.msg
-	c.Log.Debug("end", "dest", m.Destination, "class", m.Class, "attempts", m.Attempts, "as", how,
+	c.Log.Debug("end", "id", m.ID, "key", m.IdempotencyKey, "ran", m.Ran, "dest", m.Destination, "class", m.Class, "attempts", m.Attempts, "as", how,
 		"left_ms", m.Deadline.Sub(c.Loop.Now()).Milliseconds(), "after_ms", after.Milliseconds(), "held", c.held)
 }
 
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -16,8 +16,10 @@
 // Target is an endpoint that can be called.
 type Target interface {
 	// Call makes one attempt. done is called once with its result, unless it
-	// is given up, and never within Call itself.
-	Call(m *store.Message, shape Shape, timeout time.Duration, done func(Result)) Call
+	// is given up, and never within Call itself. Where its bytes cannot leave at
+	// once, may is asked at the moment when they can: if it says no, none leaves
+	// and the result is Moot.
+	Call(m *store.Message, shape Shape, timeout time.Duration, may func() bool, done func(Result)) Call
 	// CloseIdle ends idle connections.
 	CloseIdle()
 	// Leave ends idle connections, and the others with their calls: the
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -79,7 +79,8 @@
 	shape.Whole = c.Plugins != nil && c.Plugins.Reads(f.msg)
 	waited := c.Loop.Now().Sub(a.began)
 	left := a.timeout - waited
-	if left <= 0 || waited > parkMost {
+	may := func() bool { return c.courier.Stands(c.Loop.Now().Sub(c.start), f.id) }
+	if left <= 0 || waited > parkMost || !may() {
 		c.unsent(a)
 		return
 	}
@@ -90,7 +91,7 @@
 		return
 	}
 	c.Counters.Sent++
-	a.call = to.Call(f.msg, shape, left, func(r Result) { c.read(a, r) })
+	a.call = to.Call(f.msg, shape, left, may, func(r Result) { c.read(a, r) })
 	a.connect = c.Loop.After(c.Settings.ConnectTimeout, func() {
 		if !a.call.Left() {
 			c.expire(a, snowjunction.ConnectFailed)
--- a/internal/front/late_test.go
+++ b/internal/front/late_test.go
@@ -4,6 +4,8 @@
 	"log/slog"
 	stdnet "net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +21,8 @@
 	"snowjunction/internal/store"
 )
 
+func always() bool { return true }
+
 // A target leaves its group while a connection to it is coming up: the call does not
 // go, and proves that it never ran. One that stays is called.
 func TestLeftBeforeTheConnectionIsUp(t *testing.T) {
@@ -38,7 +42,7 @@
 			defer server.Close()
 			target := front.Target(core.Entry{Name: "s-1", Addr: server.Addr().String()})
 			var got *core.Result
-			target.Call(&store.Message{ID: "m1", Body: []byte("body")}, core.Shape{}, 10*time.Second, func(r core.Result) { got = &r })
+			target.Call(&store.Message{ID: "m1", Body: []byte("body")}, core.Shape{}, 10*time.Second, always, func(r core.Result) { got = &r })
 			if !leaves {
 				s := &http.Server{Protocols: &http.Protocols{}, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 				s.Protocols.SetHTTP1(true)
@@ -67,3 +71,43 @@
 		}
 	}
 }
+
+// A decision does not stand any more once its connection is up: nothing of the call goes,
+// and the next one that may go uses that connection.
+func TestStaleOnceTheConnectionIsUp(t *testing.T) {
+	loop := core.NewLoop(time.Now)
+	log := slog.New(slog.DiscardHandler)
+	engine, err := net.New(net.Config{Post: loop.Post, Log: log, MaxConns: 8})
+	require.NoError(t, err)
+	defer engine.Stop()
+	settings := snowjunction.Settings{ConnIdle: time.Minute}
+	for name, front := range map[string]core.Front{
+		"platform": platform.New(platform.Config{Loop: loop, Engine: engine, Log: log, Settings: settings}),
+		"push":     push.New(push.Config{Loop: loop, Engine: engine, Log: log, Settings: settings, Push: &config.Push{}}),
+	} {
+		var conns atomic.Int32
+		ids := make(chan string, 4)
+		s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { ids <- r.Header.Get("X-Request-ID") }))
+		s.Config.Protocols = &http.Protocols{}
+		s.Config.Protocols.SetHTTP1(true)
+		s.Config.Protocols.SetUnencryptedHTTP2(true)
+		s.Config.ConnState = func(_ stdnet.Conn, c http.ConnState) {
+			if c == http.StateNew {
+				conns.Add(1)
+			}
+		}
+		s.Start()
+		defer s.CloseClientConnections() // a courier's end waits for nothing
+		target := front.Target(core.Entry{Name: "s-1", Addr: s.Listener.Addr().String()})
+		call := func(id string, may func() bool) (got *core.Result) {
+			x := target.Call(&store.Message{ID: id, Body: []byte("body")}, core.Shape{}, 10*time.Second, may, func(r core.Result) { got = &r })
+			loop.RunUntil(func() bool { return got != nil })
+			assert.Equal(t, may(), x.Left(), name)
+			return got
+		}
+		assert.Equal(t, snowjunction.Moot, call("late", func() bool { return false }).Outcome, name)
+		assert.Equal(t, snowjunction.OK, call("next", always).Outcome, name)
+		assert.Equal(t, "next", <-ids, "%s: nothing of the first has come", name)
+		assert.Equal(t, int32(1), conns.Load(), name)
+	}
+}
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -26,7 +26,9 @@
 	target *target
 	conn   *net.Conn
 	parser http1.Parser
-	out    []byte // the request, until it leaves
+	out    []byte      // the request, until it leaves
+	id     string      // of its message
+	may    func() bool // whether the first request may still leave
 	done   func(core.Result)
 	sent   bool        // the request may have left
 	whole  bool        // the answer is to come whole, if it does soon
@@ -47,7 +49,7 @@
 )
 
 // Call makes an attempt on the connection last used, or a new one.
-func (t *target) Call(m *store.Message, shape core.Shape, timeout time.Duration, done func(core.Result)) core.Call {
+func (t *target) Call(m *store.Message, shape core.Shape, timeout time.Duration, may func() bool, done func(core.Result)) core.Call {
 	headers := []string{
 		front.HeaderID, m.ID,
 		front.HeaderTimeout, strconv.FormatInt(max(timeout.Milliseconds(), 1), 10),
@@ -68,7 +70,7 @@
 		l := t.idle[n-1]
 		t.idle = t.idle[:n-1]
 		l.kept = max(t.front.Loop.Now().Sub(l.used), 1)
-		l.begin(out, shape.Whole, done)
+		l.begin(m.ID, out, shape.Whole, done)
 		l.write()
 		return l
 	}
@@ -76,7 +78,8 @@
 		t.front.spareTarget()
 	}
 	l := &link{target: t, parser: http1.Parser{MaxBody: maxAnswer}}
-	l.begin(out, shape.Whole, done)
+	l.begin(m.ID, out, shape.Whole, done)
+	l.may = may
 	l.conn = t.front.Engine.Dial("target", t.entry.Addr, l)
 	return l
 }
@@ -126,8 +129,8 @@
 	t.idle = nil
 }
 
-func (l *link) begin(out []byte, whole bool, done func(core.Result)) {
-	l.out, l.whole, l.done, l.sent = out, whole, done, false
+func (l *link) begin(id string, out []byte, whole bool, done func(core.Result)) {
+	l.id, l.out, l.whole, l.done, l.sent = id, out, whole, done, false
 }
 
 // write lets the request go. Where the socket takes none of it, Closed comes
@@ -136,6 +139,7 @@
 	out := l.out
 	l.out = nil
 	l.sent = l.conn.Write(out)
+	l.target.front.Log.Debug("request", "id", l.id, "to", l.target.entry.Addr, "taken", l.sent, "kept_ms", l.kept.Milliseconds())
 }
 
 // Left tells whether the request's last byte may have left.
@@ -161,16 +165,29 @@
 
 // Opened lets the request go on a new connection. Where the target has left its group
 // meanwhile it does not: the endpoint drains or is gone, and coming up may have taken
-// longer than it may still get anything.
+// longer than it may still get anything. Nor does it where the decision does not stand
+// any more; the connection is kept for the next.
 func (l *link) Opened() {
 	if l.target.left {
 		l.end(net.Drained)
 		l.finish(core.Result{Outcome: snowjunction.Moot})
 		return
 	}
+	if !l.may() {
+		l.out = nil
+		l.rests()
+		l.finish(core.Result{Outcome: snowjunction.Moot})
+		return
+	}
 	l.write()
 }
 
+// rests puts the connection with those that the next call may go on.
+func (l *link) rests() {
+	l.used = l.target.front.Loop.Now()
+	l.target.idle = append(l.target.idle, l)
+}
+
 // Closed ends the call that is out, if any.
 func (l *link) Closed(code net.Code) {
 	l.rest.Stop()
@@ -249,8 +266,7 @@
 	case t.left:
 		l.conn.Close(net.Drained)
 	default:
-		l.used = t.front.Loop.Now()
-		t.idle = append(t.idle, l)
+		l.rests()
 	}
 	l.finish(t.result(r, l.whole))
 }
--- a/internal/front/push/target.go
+++ b/internal/front/push/target.go
@@ -46,9 +46,12 @@
 	rest   *core.Timer
 	kept   time.Duration // its connection had been idle; 0: a new one
 	whole  bool          // the answer is to come whole, if it does soon
+	may    func() bool   // whether it may still leave
 	done   func(core.Result)
 }
 
+var errStale = errors.New("the decision to send does not stand any more")
+
 const (
 	maxAnswer = 64 << 10
 	// reuseWithin is the share of the time a connection may sit idle within
@@ -59,7 +62,7 @@
 )
 
 // Call makes an attempt on a connection with room, or a new one.
-func (t *target) Call(m *store.Message, shape core.Shape, timeout time.Duration, done func(core.Result)) core.Call {
+func (t *target) Call(m *store.Message, shape core.Shape, timeout time.Duration, may func() bool, done func(core.Result)) core.Call {
 	lower := strings.ToLower
 	body, path := m.Body, front.InboxPath
 	if shape.HasBody {
@@ -71,7 +74,7 @@
 	if shape.Query != "" {
 		path += "?" + shape.Query
 	}
-	x := &call{done: done, body: body, whole: shape.Whole, fields: []h2.Field{
+	x := &call{may: may, done: done, body: body, whole: shape.Whole, fields: []h2.Field{
 		{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"},
 		{Name: ":authority", Value: t.entry.Addr}, {Name: ":path", Value: path},
 		{Name: lower(front.HeaderID), Value: m.ID},
@@ -200,8 +203,12 @@
 			l.queue = append(l.queue, x)
 			continue
 		}
-		id, err := l.h2.Request(x.fields, x.body)
-		if err != nil { // it takes no further stream: not sent
+		var id uint32
+		err := errStale
+		if x.may() {
+			id, err = l.h2.Request(x.fields, x.body)
+		}
+		if err != nil { // it takes no further stream, or x has waited too long: not sent
 			back = append(back, x)
 			continue
 		}
--- a/state.go
+++ b/state.go
@@ -310,6 +310,19 @@
 	return b
 }
 
+// Stands tells whether an attempt that is out, but of which no byte has left yet,
+// may still leave at now. A connection may take a second and more to come up: since
+// the decision its message's window or time may have ended, or the destination have
+// told a wait or begun to drain. It changes nothing.
+func (c *Courier) Stands(now time.Duration, id RequestID) bool {
+	r := c.reqs[id]
+	if r == nil || r.call == nil || r.over {
+		return false
+	}
+	e := r.call.ep
+	return e.Phase == Ready && now >= e.route.toldUntil && now < c.last(r)
+}
+
 // closeCall counts an outcome of a call; the last frees its slot.
 func (c *Courier) closeCall(b *call) {
 	if b.left--; b.left == 0 {
@@ -379,6 +392,7 @@
 	dest         *destination
 	eps          []*endpoint
 	waitUntil    time.Duration
+	toldUntil    time.Duration // as waitUntil, as far as it has told it: this binds
 	pauseUntil   time.Duration // as waitUntil, after a failure to connect: nobody has told it
 	carefulUntil time.Duration // it has slept: its pace stays under the even share
 	limit        float64       // calls a second from all couriers; 0: none known
