Couriers that no keeper answers keep the pace they were served at; cut-off keepers greet

Cause: as no note arrives, each courier passes its keepers over and goes by what it knows alone (lease.Holder.Ask, alone = now+400ms). What it knows there was nothing: refill sets no pace on a leased route, and a refusal sets no gap (limited in fleet.go). Harmless for one courier; 330 at once call as fast as their slots allow, and refused calls use the limit up. After the cut up to three keepers granted one limit for 2 s (1,461 and 1,228 refused), as each courier had passed the first over at another moment.

Change: who has passed a keeper over is lost until one answers. It keeps to a pace that starts with what it was served at of late - its part of the limit as the keeper shared it out, so that the fleet's sum stays - at least half the even part, with its first call spread; refusals cut it and growth is as for any pace. Its calls are not owed to the next keeper. It goes on asking, so that a keeper which is back is found at once. A keeper that heard nobody for 2 s and hears again greets the fleet as one that starts does.

--- a/courier.go
+++ b/courier.go
@@ -325,7 +325,8 @@
 	if dt == 0 && r.pace > 0 {
 		return
 	}
-	if r.limit <= 0 || c.thin(r, shareLeast) || c.leased(r) != nil {
+	lost := c.lost(r, share)
+	if !lost && (r.limit <= 0 || c.thin(r, shareLeast) || c.leased(r) != nil) {
 		r.pace = 0
 		return
 	}
@@ -336,12 +337,15 @@
 		start, burst = share*c.t.PaceWoken, 0
 		r.pace = math.Min(r.pace, start)
 	}
+	if lost {
+		start = r.lostPace
+	}
 	switch {
 	case r.pace == 0:
 		r.pace = start
 	case c.now < r.carefulUntil:
 	case r.wanting && c.now-r.fullAt > span(paceRest*seconds(c.prompt)) && r.left > paceLeft:
-		r.pace = math.Min(r.limit, r.pace+dt*paceGrowth*share)
+		r.pace = math.Min(c.bears(r), r.pace+dt*paceGrowth*share)
 	case !r.wanting:
 		r.pace += (start - r.pace) * math.Min(1, dt/seconds(ledgerSpan))
 	}
@@ -778,7 +782,7 @@
 		switch {
 		case r.pace > 0:
 			share := c.evenShare(r)
-			r.pace = math.Max(share*paceFloor, math.Min(r.pace, share*c.t.PaceStart)*paceCut)
+			r.pace = math.Max(share*paceFloor, math.Min(r.pace, math.Max(r.lostPace, share*c.t.PaceStart))*paceCut)
 		case c.limited(r, wait):
 		case r.limit > 0:
 			r.gap = min(max(2*r.gap, c.repeatGap[r.dest.kindNo]), gapMost*c.prompt)
--- a/fleet.go
+++ b/fleet.go
@@ -42,11 +42,25 @@
 // in the shortest aim: too few to be a courier's pace. A limit that is not known yet is
 // taken for the mean destination's part of the quotas.
 func (c *Courier) thin(r *route, least float64) bool {
-	limit := r.limit
-	if limit <= 0 {
-		limit = c.leastRate() / leastPart
+	return c.evenShare(r)*seconds(c.prompt) < least*float64(c.s.Fleet)
+}
+
+// lost tells whether r's limit is the fleet's to share and no keeper of it answers. All
+// couriers may be lost at once, as where none hears another. Together they may then call
+// what they called before, so each begins with the pace at which it was served of late:
+// its part of the limit as the keeper shared it out. Their first calls are spread, as
+// each would else make one at once.
+func (c *Courier) lost(r *route, share float64) bool {
+	if h := c.leased(r); h == nil || !h.Lost() {
+		r.lostPace = 0
+		return false
 	}
-	return limit/float64(c.s.Fleet)*seconds(c.prompt) < least*float64(c.s.Fleet)
+	if r.lostPace == 0 {
+		r.lostPace = math.Max(share*paceFloor, r.dest.served.sum(c.now)/seconds(ledgerSpan))
+		r.pace, r.wanting = r.lostPace, false
+		r.bucket = bucket{tokens: c.rng.Float64(), at: c.now, begun: true}
+	}
+	return true
 }
 
 // inTurn tells whether this courier may call r now, for all that the fleet does.
@@ -117,7 +131,7 @@
 	if !c.s.Notes {
 		return
 	}
-	if !c.greeted { // who has passed this courier over while it was down asks it again: else two would keep an account
+	if !c.greeted { // who has passed this courier over while it was down or cut off asks it again: else two would keep an account
 		c.greeted = true
 		for p := range min(c.s.Fleet, greetMost) {
 			if p != c.s.Number {
@@ -203,12 +217,29 @@
 
 // heard takes what another courier tells.
 func (c *Courier) heard(ev Heard) {
+	// A keeper that has heard nobody for as long as it takes to be passed over by all was
+	// cut off: the others have gone to the next in line, each at another moment, and
+	// would come back so. Until they all had, a limit would be granted several times.
+	if c.now-c.heardAt >= lease.PassedFor && c.keepsFirst() {
+		c.greeted = false
+	}
+	c.heardAt = c.now
 	c.line.Heard(ev.Peer)
 	for _, n := range ev.Notes {
 		c.hear(ev.Peer, n)
 	}
 }
 
+// keepsFirst tells whether this courier keeps an account that is first its own.
+func (c *Courier) keepsFirst() bool {
+	for id := range c.ledgers {
+		if c.line.First(uint32(id)) == c.s.Number {
+			return true
+		}
+	}
+	return false
+}
+
 // hear takes one note: of a keeper, or of one that asks this courier as a keeper.
 func (c *Courier) hear(peer int, n Note) {
 	d := c.dests[n.Destination]
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -5,14 +5,16 @@
 const (
 	answerIn    = 120 * time.Millisecond // past which an ask or its answer is taken for lost
 	asksMost    = 2                      // asks without an answer, after which a keeper is passed over
-	passedFor   = 2 * time.Second        // so long
-	keepersMost = 3                      // in line, before a courier goes by what it knows alone
-	aloneFor    = 400 * time.Millisecond
+	keepersMost = 3                      // in line
+	aloneFor    = 400 * time.Millisecond // where none of them answers, until it is looked again
 	askAgain    = 500 * time.Millisecond // while a wish waits, so that its keeper goes on holding it
 	grantFor    = 250 * time.Millisecond // past which a granted call goes back
 	owedMost    = 20
 )
 
+// PassedFor is how long a keeper that does not answer is passed over.
+const PassedFor = 2 * time.Second
+
 // Line is the couriers as one of them sees them: who keeps which account, and who has
 // not answered of late.
 type Line struct {
@@ -27,7 +29,7 @@
 
 // Keeper is who keeps the account of a destination now; false: nobody answers.
 func (l *Line) Keeper(dest uint32, now time.Duration) (peer int, ok bool) {
-	first := int((uint64(dest) * 0x9e3779b97f4a7c15 >> 32) % uint64(max(1, l.Fleet)))
+	first := l.First(dest)
 	for i := range min(keepersMost, l.Fleet) {
 		p := (first + i) % l.Fleet
 		if p == l.Self || now >= l.passed[p] {
@@ -37,11 +39,16 @@
 	return 0, false
 }
 
+// First is who keeps the account of a destination while all answer.
+func (l *Line) First(dest uint32) int {
+	return int((uint64(dest) * 0x9e3779b97f4a7c15 >> 32) % uint64(max(1, l.Fleet)))
+}
+
 // Heard tells that a courier has said something.
 func (l *Line) Heard(peer int) { delete(l.passed, peer) }
 
 // Pass passes a courier over for a while.
-func (l *Line) Pass(peer int, now time.Duration) { l.passed[peer] = now + passedFor }
+func (l *Line) Pass(peer int, now time.Duration) { l.passed[peer] = now + PassedFor }
 
 // Holder is what one courier may call at one destination.
 type Holder struct {
@@ -53,7 +60,7 @@
 	tries  int           // asks without an answer
 	again  time.Duration // the wish is told anew then
 	n      int           // messages waiting, as told
-	alone  time.Duration // until then this courier goes by what it knows
+	lost   bool          // no keeper has answered since one was passed over: this courier goes by what it knows
 	pooled time.Duration // until then its keeper grants what a cold destination bears
 	wanted bool          // a message could go but for a grant
 }
@@ -61,13 +68,17 @@
 // May tells whether a call may go now. Where it may not, the wish is noted.
 func (h *Holder) May(now time.Duration) bool {
 	h.expire(now)
-	if h.calls > 0 || now < h.alone {
+	if h.calls > 0 {
 		return true
 	}
 	h.wanted = true
-	return false
+	return h.lost
 }
 
+// Lost tells that calls go without a grant, as no keeper answers. What goes so keeps to
+// a pace that is its caller's to set: all couriers may be lost at once.
+func (h *Holder) Lost() bool { return h.lost }
+
 func (h *Holder) expire(now time.Duration) {
 	if h.calls > 0 && now >= h.until {
 		h.back += h.calls
@@ -75,11 +86,12 @@
 	}
 }
 
-// Called counts a call that was made; one that was not granted is owed.
+// Called counts a call that was made; one that was not granted is owed, but for those
+// at a lost courier's own pace: the limit has come back for them since.
 func (h *Holder) Called() {
 	if h.calls > 0 {
 		h.calls--
-	} else if h.back > -owedMost {
+	} else if h.back > -owedMost && !h.lost {
 		h.back--
 	}
 }
@@ -88,7 +100,7 @@
 // its grants are what a cold destination bears.
 func (h *Holder) Granted(now time.Duration, peer, calls int, cold bool) {
 	if peer == h.keeper {
-		h.tries, h.again = 0, now+askAgain
+		h.tries, h.again, h.lost = 0, now+askAgain, false
 	}
 	if cold {
 		h.pooled = now + askAgain + answerIn
@@ -105,7 +117,7 @@
 }
 
 // Pools tells that what a cold destination bears is its keeper's to share out.
-func (h *Holder) Pools(now time.Duration) bool { return now < h.pooled && now >= h.alone }
+func (h *Holder) Pools(now time.Duration) bool { return now < h.pooled && !h.lost }
 
 // Idle tells that there is nothing to ask, to take back or to give back.
 func (h *Holder) Idle() bool { return !h.wanted && h.asked == 0 && h.back == 0 && h.calls == 0 }
@@ -115,6 +127,9 @@
 	h.expire(now)
 	wanted := h.wanted && h.calls == 0
 	h.wanted = false
+	if wanted && h.lost { // it goes without leave: a keeper that is back would not be found
+		n = max(n, 1)
+	}
 	if n == 0 {
 		if ask = h.asked > 0 && h.tries == 0 || h.back > 0; ask {
 			peer, back = h.keeper, h.back
@@ -127,12 +142,12 @@
 	}
 	if h.asked > 0 && h.tries > 0 && now-h.asked >= answerIn && h.tries >= asksMost {
 		l.Pass(h.keeper, now)
-		h.asked = 0
+		h.asked, h.lost = 0, true
 	}
 	peer, ok := l.Keeper(dest, now)
 	if !ok {
-		h.alone, h.asked, h.back = now+aloneFor, 0, 0
-		return 0, 0, false, now
+		h.lost, h.asked, h.back = true, 0, 0
+		return 0, 0, false, now + aloneFor
 	}
 	due := h.asked == 0 || peer != h.keeper || n > h.n || h.tries > 0 && now-h.asked >= answerIn || h.tries == 0 && now >= h.again
 	if !due {
@@ -147,7 +162,7 @@
 	back = h.back
 	h.keeper, h.asked, h.n, h.back = peer, max(now, 1), n, 0
 	if peer == l.Self {
-		h.tries, h.again = 0, now+askAgain
+		h.tries, h.again, h.lost = 0, now+askAgain, false
 		return peer, back, true, h.again
 	}
 	h.tries++
--- a/state.go
+++ b/state.go
@@ -49,6 +49,7 @@
 	line      *lease.Line
 	ledgers   map[DestinationID]*lease.Ledger // those that this courier keeps
 	greeted   bool                            // the fleet has been told that this courier is there
+	heardAt   time.Duration                   // another was heard last
 	wished    []DestinationID                 // those of them that calls are wished for
 	outbox    []Tell                          // notes to go
 }
@@ -399,6 +400,7 @@
 	left         float64       // share of it last reported left
 	gap          time.Duration // least time between calls while it refuses, in large fleets
 	pace         float64       // this courier's own calls a second
+	lostPace     float64       // that with which it began as no keeper answered any more
 	bucket       bucket
 	wanting      bool // a request waited for a token
 	fullAt       time.Duration
@@ -418,7 +420,16 @@
 func (r *route) shutUntil() time.Duration { return max(r.waitUntil, r.pauseUntil) }
 
 // evenShare is one courier's part of a route's limit.
-func (c *Courier) evenShare(r *route) float64 { return r.limit / float64(c.s.Fleet) }
+func (c *Courier) evenShare(r *route) float64 { return c.bears(r) / float64(c.s.Fleet) }
+
+// bears is a route's limit, in calls a second: until it is known, the mean
+// destination's part of the quotas.
+func (c *Courier) bears(r *route) float64 {
+	if r.limit <= 0 {
+		return c.leastRate() / leastPart
+	}
+	return r.limit
+}
 
 // notUp is the part of a route's listed endpoints that is down or cold.
 func (r *route) notUp() float64 {
