A keeper heard again ends its couriers' own pace at once: a jam followed the cut

Cause: a courier that was lost made its next call at its own pace and learnt only then that its keeper is back (lease.Holder.May, fleet.go lost). 330 such calls, one a courier as its next message comes, went on top of all that the keeper granted to the rest. Besides, the pace's start was taken over 10 s also by a courier that had counted for 7, and a limit that was told to be cut did not cut it.

Change: a courier stops being lost as soon as the keeper that it passed over first is heard from, by a grant or its greeting. The pace starts with what was served since that is counted, at most 10 s, and follows a told limit.

--- a/courier.go
+++ b/courier.go
@@ -600,7 +600,7 @@
 			// The pace keeps its part of a limit that is cut or restored at once.
 			// What changes less is mostly noise.
 			if r.limit > 0 && math.Max(v/r.limit, r.limit/v) > limitJump {
-				r.pace *= v / r.limit
+				r.pace, r.lostPace = r.pace*v/r.limit, r.lostPace*v/r.limit
 			}
 			r.limit = v
 		}
--- a/fleet.go
+++ b/fleet.go
@@ -51,12 +51,13 @@
 // its part of the limit as the keeper shared it out. Their first calls are spread, as
 // each would else make one at once.
 func (c *Courier) lost(r *route, share float64) bool {
-	if h := c.leased(r); h == nil || !h.Lost() {
+	if h := c.leased(r); h == nil || !h.Lost(c.line) {
 		r.lostPace = 0
 		return false
 	}
 	if r.lostPace == 0 {
-		r.lostPace = math.Max(share*paceFloor, r.dest.served.sum(c.now)/seconds(ledgerSpan))
+		known := min(ledgerSpan, max(c.now-r.dest.since, c.prompt))
+		r.lostPace = math.Max(share*paceFloor, r.dest.served.sum(c.now)/seconds(known))
 		r.pace, r.wanting = r.lostPace, false
 		r.bucket = bucket{tokens: c.rng.Float64(), at: c.now, begun: true}
 	}
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -47,6 +47,12 @@
 // Heard tells that a courier has said something.
 func (l *Line) Heard(peer int) { delete(l.passed, peer) }
 
+// Silent tells that a courier was passed over and has not been heard since.
+func (l *Line) Silent(peer int) bool {
+	_, silent := l.passed[peer]
+	return silent
+}
+
 // Pass passes a courier over for a while.
 func (l *Line) Pass(peer int, now time.Duration) { l.passed[peer] = now + PassedFor }
 
@@ -61,6 +67,7 @@
 	again  time.Duration // the wish is told anew then
 	n      int           // messages waiting, as told
 	lost   bool          // no keeper has answered since one was passed over: this courier goes by what it knows
+	over   int           // the one that was passed over first
 	pooled time.Duration // until then its keeper grants what a cold destination bears
 	wanted bool          // a message could go but for a grant
 }
@@ -76,8 +83,13 @@
 }
 
 // Lost tells that calls go without a grant, as no keeper answers. What goes so keeps to
-// a pace that is its caller's to set: all couriers may be lost at once.
-func (h *Holder) Lost() bool { return h.lost }
+// a pace that is its caller's to set: all couriers may be lost at once. As soon as the
+// keeper has been heard, calls wait for its grants: those that went besides would come on
+// top of all that it grants the others.
+func (h *Holder) Lost(l *Line) bool {
+	h.lost = h.lost && l.Silent(h.over)
+	return h.lost
+}
 
 func (h *Holder) expire(now time.Duration) {
 	if h.calls > 0 && now >= h.until {
@@ -142,11 +154,15 @@
 	}
 	if h.asked > 0 && h.tries > 0 && now-h.asked >= answerIn && h.tries >= asksMost {
 		l.Pass(h.keeper, now)
-		h.asked, h.lost = 0, true
+		if h.asked = 0; !h.lost {
+			h.lost, h.over = true, h.keeper
+		}
 	}
 	peer, ok := l.Keeper(dest, now)
 	if !ok {
-		h.lost, h.asked, h.back = true, 0, 0
+		if h.asked, h.back = 0, 0; !h.lost {
+			h.lost, h.over = true, l.First(dest)
+		}
 		return 0, 0, false, now + aloneFor
 	}
 	due := h.asked == 0 || peer != h.keeper || n > h.n || h.tries > 0 && now-h.asked >= answerIn || h.tries == 0 && now >= h.again
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -106,13 +106,18 @@
 	assert.Equal(t, []int{first, first, first + 1, first + 1, first + 2, first + 2}, asked)
 	h.Called()
 	line.Heard(first + 1)
+	assert.True(t, h.Lost(line), "its own keeper is silent")
 	assert.True(t, h.May(now))
 	peer, back, ask, _ := h.Ask(now, 7, 0, line)
 	assert.True(t, ask)
 	assert.Equal(t, first+1, peer)
 	assert.Zero(t, back)
+	lost := h
 	h.Granted(now, peer, 0, false)
 	assert.False(t, h.May(now))
+	line.Heard(first)
+	assert.False(t, lost.Lost(line), "it will grant again, as to all")
+	assert.False(t, lost.May(now))
 }
 
 // A grant is good for a while; what is not called goes back.
--- a/sleep.go
+++ b/sleep.go
@@ -81,6 +81,7 @@
 	if ev.Slept < ledgerSpan {
 		d.first.add(c.now, s.First*(1-float64(ev.Slept)/float64(ledgerSpan)))
 		d.repeats.add(c.now, s.Repeats)
+		d.since = c.now - ledgerSpan
 		d.served.add(c.now, s.Served*(1-float64(ev.Slept)/float64(ledgerSpan)))
 	}
 	if g := &c.repeatGap[d.kindNo]; *g == c.prompt { // nothing has been learnt of the kind since
--- a/state.go
+++ b/state.go
@@ -453,9 +453,10 @@
 	routes  []*route
 	eps     []*endpoint
 	queue   []*request
-	first   slider // deposits: first sends
-	repeats slider // withdrawals
-	served  slider // successes
+	first   slider        // deposits: first sends
+	repeats slider        // withdrawals
+	served  slider        // successes
+	since   time.Duration // these are counted
 	window  float64
 	calls   int
 	recent  float64 // smoothed latency, in seconds
@@ -530,7 +531,7 @@
 func (c *Courier) destination(id DestinationID) *destination {
 	d := c.dests[id]
 	if d == nil {
-		d = &destination{id: id, kind: Kind{BundleMax: 1}, window: math.Max(1, math.Floor(startShare*float64(c.s.Slots)))}
+		d = &destination{id: id, since: c.now, kind: Kind{BundleMax: 1}, window: math.Max(1, math.Floor(startShare*float64(c.s.Slots)))}
 		d.first.span, d.repeats.span, d.served.span = ledgerSpan, ledgerSpan, ledgerSpan
 		c.dests[id] = d
 		c.order = append(c.order, d)
