A window holds over a slow record, a clock set back and a key under a new id

A disk that takes its time lets the bytes leave past the window: it looks again behind the record (internal/core send.go; TestSlowRecord). - A restart with the clock set back counted a negative time since the first attempt, which lengthened the window: it counts as over (admit.go; TestClockSetBackOverRestart). - A client without an answer may hand its message in again under a new id with the same idempotency key; the second began a window of its own. internal/once remembers keys whose attempts may have run until their window is over, 8,192 at the most, and a message with such a key goes on in that window (TestSameKeyUnderAnotherID, TestSameKeyAfterRestart).

Walked through and safe: a write that the socket refuses took no byte (nbio makes one write call and buffers what is left of a partial one, which counts as left); an answer cut short or spoilt counts as a reset, which may have run; a call that is given up ends its connection and later data is dropped; a dial that is given up before its first byte proves that nothing ran; a record of an attempt stands before its bytes (TestKilledAtEachStep, new: six steps, inside and past the window); a keyed message restored without its endpoint stays where its group is not all. Left: two open messages of one key can both be out, which the endpoint tells by that key; a key delivered and settled before a restart is not remembered past it.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -135,7 +135,9 @@
 		Attempts: m.Attempts, Ran: m.Ran,
 	}
 	if m.Ran {
-		ev.RanFor = now.Sub(m.RanSince)
+		if ev.RanFor = now.Sub(m.RanSince); ev.RanFor < 0 { // the clock was set back: it may be any time ago
+			ev.RanFor = f.class.Window
+		}
 	}
 	c.feed(ev)
 }
@@ -159,7 +161,11 @@
 			c.Log.Error("a message in the journal came by a front that is not there", "id", m.ID)
 		case m.State == store.Open && known:
 			c.Counters.Restored++
-			c.hand(&flow{msg: m, class: &c.Settings.Classes[no]})
+			f := &flow{msg: m, class: &c.Settings.Classes[no]}
+			if m.Ran {
+				c.left(f, m.RanSince.Sub(c.start))
+			}
+			c.hand(f)
 		default:
 			f := &flow{msg: m, class: &snowjunction.Class{}}
 			if known {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,7 @@
 	"snowjunction/internal/distrust"
 	"snowjunction/internal/dormancy"
 	"snowjunction/internal/learnt"
+	"snowjunction/internal/once"
 	"snowjunction/internal/store"
 )
 
@@ -131,6 +132,7 @@
 	picker   *learnt.Picker
 	learning *Timer // until something learnt may be written
 	resting  *Timer // until destinations may go to sleep
+	once     *once.Book
 	idle     func() // called once frozen and no call is out
 }
 
@@ -170,6 +172,7 @@
 		asking: map[uint64][]*flow{}, owing: map[uint64][]*flow{}, unknown: map[uint64]int{},
 		classes: map[string]int{}, tenants: map[string]int{},
 		routes: newRoutes(len(cfg.Fronts)), picker: learnt.NewPicker(),
+		once: once.New(onceMost),
 		dirs: make([]*directory, len(cfg.Fronts)),
 	}
 	for front, d := range cfg.Directories {
@@ -187,6 +190,7 @@
 const (
 	settleSlack = 60 * time.Millisecond
 	windowSlack = 60 * time.Millisecond
+	onceMost    = 8192 // idempotency keys that are remembered for their windows
 )
 
 // feed has the module asked about ev, with all else that comes before the
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -34,6 +34,8 @@
 	learnt  Learnt
 	dirs    map[int]Directory
 	plugins Plugins
+	dir     string           // of the journal
+	heirs   []*store.Message // what an earlier process has left in it
 }
 
 type testCall struct {
@@ -86,7 +88,10 @@
 	t := b.t
 	log := slog.New(slog.DiscardHandler)
 	var err error
-	b.journal, _, err = store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
+	if b.dir == "" {
+		b.dir = t.TempDir()
+	}
+	b.journal, b.heirs, err = store.Load(store.Options{Dir: b.dir, Bytes: 3e6, Log: log})
 	require.NoError(t, err)
 	t.Cleanup(func() { b.journal.Close() })
 	s := snowjunction.Settings{
@@ -372,6 +377,142 @@
 	assert.Equal(t, store.Failed, b.ended[0].State)
 }
 
+// slowDisk is a journal whose records of attempts take a while.
+type slowDisk struct {
+	*store.Journal
+	b    *bench
+	take time.Duration
+}
+
+func (s *slowDisk) Sent(m *store.Message, at time.Time) error {
+	err := s.Journal.Sent(m, at)
+	s.b.now = s.b.now.Add(s.take)
+	return err
+}
+
+// The record of a repeat takes until its window is over: its bytes stay here.
+func TestSlowRecord(t *testing.T) {
+	b := newBench(t, nil)
+	disk := &slowDisk{Journal: b.journal, b: b}
+	b.c.Journal = disk
+	b.add("m1", "order", 9)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	disk.take = 5 * time.Second
+	b.calls[0].done(Result{Outcome: snowjunction.Reset})
+	b.step(5 * ms)
+	assert.Len(t, b.calls, 1)
+	require.Len(t, b.ended, 1)
+	assert.False(t, b.ended[0].Out)
+	assert.Equal(t, uint64(1), b.c.Counters.Sent)
+}
+
+// A clock that was set back over a restart says nothing of how much of a window is left.
+func TestClockSetBackOverRestart(t *testing.T) {
+	b := newBench(t, nil)
+	m := &store.Message{ID: "m1", IdempotencyKey: "k", Class: "order", Destination: 7, Deadline: b.now.Add(time.Minute)}
+	require.NoError(t, b.journal.Take(m))
+	require.NoError(t, b.journal.Sent(m, b.now.Add(time.Hour)))
+	require.NoError(t, b.journal.Came(m, true))
+	b.c.Restore([]*store.Message{m})
+	b.step(5 * ms)
+	assert.Empty(t, b.calls)
+	require.Len(t, b.ended, 1)
+	assert.Equal(t, store.Failed, b.ended[0].State)
+}
+
+// A client that had no answer hands its message in again under a new id and the same
+// idempotency key: the window goes on from the first id's attempt.
+func TestSameKeyUnderAnotherID(t *testing.T) {
+	for _, c := range []struct {
+		what    string
+		outcome snowjunction.Outcome
+		after   time.Duration
+		key     string
+		sent    bool
+	}{
+		{"inside", snowjunction.Reset, 2 * time.Second, "k", true},
+		{"at the window's end", snowjunction.Reset, 4950 * ms, "k", false},
+		{"delivered, and its client has not heard of it", snowjunction.OK, 4950 * ms, "k", false},
+		{"it never ran", snowjunction.Full, 4950 * ms, "k", true},
+		{"past the window the key is forgotten here", snowjunction.Reset, 6 * time.Second, "k", true},
+		{"another key", snowjunction.Reset, 4950 * ms, "other", true},
+	} {
+		b := newBench(t, nil)
+		hand := func(id, key string, left time.Duration) {
+			require.NoError(t, b.c.TakeIn(Request{ID: id, Class: "order", IdempotencyKey: key, Destination: 7, Left: left},
+				func(Answer, *store.Message) bool { return true }))
+			b.step(5 * ms)
+		}
+		hand("m1", "k", 40*ms) // it ends with this one attempt
+		require.Len(t, b.calls, 1, c.what)
+		b.step(27 * ms)
+		b.calls[0].done(Result{Outcome: c.outcome})
+		b.step(c.after - 32*ms)
+		require.Len(t, b.calls, 1, c.what)
+		hand("m2", c.key, time.Second)
+		b.step(100 * ms)
+		assert.Equal(t, c.sent, len(b.calls) == 2, c.what)
+	}
+}
+
+// A restart forgets no key of what it takes up.
+func TestSameKeyAfterRestart(t *testing.T) {
+	b := newBench(t, nil)
+	m := &store.Message{ID: "m1", IdempotencyKey: "k", Class: "order", Destination: 7, Deadline: b.now.Add(time.Minute)}
+	require.NoError(t, b.journal.Take(m))
+	require.NoError(t, b.journal.Sent(m, b.now.Add(-4940*ms)))
+	b.c.Restore([]*store.Message{func() *store.Message { require.NoError(t, b.journal.Came(m, true)); return m }()})
+	b.step(60 * ms)
+	require.Len(t, b.ended, 1)
+	require.NoError(t, b.c.TakeIn(Request{ID: "m2", Class: "order", IdempotencyKey: "k", Destination: 7, Left: time.Second},
+		func(Answer, *store.Message) bool { return true }))
+	b.step(100 * ms)
+	assert.Empty(t, b.calls)
+}
+
+// The process is killed at each step of an order's way, and another takes up its journal:
+// what may have run goes again inside its window alone, what has ended not at all.
+func TestKilledAtEachStep(t *testing.T) {
+	steps := []string{"taken", "sent", "came, may have run", "came, never ran", "ended", "settled"}
+	for at, step := range steps {
+		for _, later := range []time.Duration{time.Second, 6 * time.Second} {
+			b := newBench(t, nil)
+			m := &store.Message{ID: "m1", IdempotencyKey: "k", Class: "order", Destination: 7, Deadline: b.now.Add(time.Minute)}
+			require.NoError(t, b.journal.Take(m))
+			for i := 1; i <= at; i++ {
+				var err error
+				switch steps[i] {
+				case "sent":
+					err = b.journal.Sent(m, b.now)
+				case "came, may have run":
+					if step == steps[i] || at > 3 {
+						err = b.journal.Came(m, true)
+					}
+				case "came, never ran":
+					if step == steps[i] {
+						err = b.journal.Came(m, false)
+					}
+				case "ended":
+					err = b.journal.Ended(m, store.Delivered, 0, b.now)
+				case "settled":
+					err = b.journal.Settle(m)
+				}
+				require.NoError(t, err)
+			}
+			next := newBenchWith(&bench{t: t, now: b.now.Add(later), settle: true, dir: b.dir}, nil)
+			next.c.Restore(next.heirs)
+			next.step(5 * ms)
+			may := step == "taken" || step == "came, never ran" || later < 5*time.Second && (step == "sent" || step == "came, may have run")
+			assert.Equal(t, may, len(next.calls) == 1, "%s, %v later", step, later)
+			if step == "ended" {
+				require.Len(t, next.ended, 1, "its client's side hears of it")
+				assert.Equal(t, store.Delivered, next.ended[0].State)
+			}
+		}
+	}
+}
+
 func TestFreezeLeavesTheRestInTheJournal(t *testing.T) {
 	b := newBench(t, nil)
 	b.add("m1", "status", 0)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -48,6 +48,9 @@
 			c.Log.Error("journal", "err", err)
 		}
 	}
+	if !mayHaveRun(r.Outcome) && !f.msg.Ran {
+		c.once.Never(f.once(), f.msg.ID)
+	}
 	c.evidence(a, r)
 	c.learn(snowjunction.DestinationID(f.msg.Destination))
 	ev := snowjunction.AttemptEnded{
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -90,6 +90,11 @@
 		c.unsent(a)
 		return
 	}
+	if !may() { // the journal took its time
+		c.unsent(a)
+		return
+	}
+	c.left(f, c.since())
 	c.Counters.Sent++
 	a.call = to.Call(f.msg, shape, left, may, func(r Result) { c.read(a, r) })
 	a.connect = c.Loop.After(c.Settings.ConnectTimeout, func() {
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"snowjunction"
+	"snowjunction/internal/once"
 	"snowjunction/internal/store"
 )
 
@@ -79,10 +80,25 @@
 		Destination: r.Destination, Class: r.Class, Tenant: r.Tenant,
 		Deadline: c.Loop.Now().Add(r.Left), Again: r.Again, Body: r.Body,
 	}}
+	if at, ran := c.once.Since(f.once(), c.since()); ran && class.Effect == snowjunction.Keyed {
+		f.msg.Ran, f.msg.RanSince = true, c.start.Add(at) // under another id: its window goes on
+	}
 	c.admit(f)
 	return nil
 }
 
+// once is what an endpoint knows a flow's message by.
+func (f *flow) once() once.Key {
+	return once.Key{Destination: f.msg.Destination, Text: f.msg.IdempotencyKey}
+}
+
+// left has it remembered that an attempt of a flow may run from then on.
+func (c *Core) left(f *flow, at time.Duration) {
+	if f.class.Effect == snowjunction.Keyed && f.msg.IdempotencyKey != "" {
+		c.once.Left(f.once(), f.msg.ID, at, f.class.Window+2*windowSlack) // as its client reckons it
+	}
+}
+
 func (c *Core) check(r Request) (*snowjunction.Class, error) {
 	bad := func(format string, args ...any) (*snowjunction.Class, error) {
 		return nil, fmt.Errorf("%w: %s", ErrRequest, fmt.Sprintf(format, args...))
--- /dev/null
+++ b/internal/once/once_test.go
@@ -0,0 +1,47 @@
+package once
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const window = 3 * time.Second
+
+func TestFirstCounts(t *testing.T) {
+	b, k := New(10), Key{7, "k1"}
+	b.Left(k, "m1", time.Second, window)
+	b.Left(k, "m2", 3*time.Second, window)
+	b.Never(k, "m2") // what the second proves says nothing of the first
+	at, ok := b.Since(k, 3900*time.Millisecond)
+	assert.True(t, ok)
+	assert.Equal(t, time.Second, at)
+	_, other := b.Since(Key{8, "k1"}, 2*time.Second)
+	assert.False(t, other, "another destination knows nothing of it")
+	_, ok = b.Since(k, 4*time.Second)
+	assert.False(t, ok, "the window is over")
+	b.Left(k, "m3", 5*time.Second, window)
+	at, _ = b.Since(k, 6*time.Second)
+	assert.Equal(t, 5*time.Second, at)
+	b.Never(k, "m3")
+	_, ok = b.Since(k, 6*time.Second)
+	assert.False(t, ok)
+}
+
+func TestBounded(t *testing.T) {
+	b := New(100)
+	for i := range 1000 {
+		b.Left(Key{1, strconv.Itoa(i)}, "m", time.Duration(i)*time.Millisecond, window)
+		b.Left(Key{2, strconv.Itoa(i)}, "m", time.Duration(i)*time.Millisecond, window)
+		b.Never(Key{2, strconv.Itoa(i)}, "m")
+		assert.LessOrEqual(t, b.Len(), 100)
+		assert.LessOrEqual(t, len(b.order), 100)
+	}
+	_, ok := b.Since(Key{1, "970"}, time.Second)
+	assert.True(t, ok)
+	b.Left(Key{1, "x"}, "m", time.Minute, window)
+	assert.Equal(t, 1, b.Len())
+	assert.Len(t, b.order, 1)
+}
