A lost courier's next call goes sooner by what answers tell is left of the limit

Cause: the pace without a keeper starts with what a courier was served at; two or three messages in ten seconds say little of its next ones, and the pace grows by a fifth of the even part a second. What one courier leaves was nobody's, though each answer tells it.

Change: an answer that tells of more than half of the limit left (freeOver, as in limited) brings the next call forward by the rest.

--- a/fleet.go
+++ b/fleet.go
@@ -90,8 +90,13 @@
 	return true
 }
 
-// reported takes what an answer has told of r's limit.
+// reported takes what an answer has told of r's limit. What of it is left is left over by
+// the whole fleet: a lost courier's next call may go so much sooner, or what one leaves
+// that has nothing to send would be nobody's.
 func (c *Courier) reported(r *route, values int) {
+	if r.lostPace > 0 && values > 0 {
+		r.bucket.tokens += math.Max(0, r.left-freeOver)
+	}
 	if values > 0 && r.limit > 0 {
 		r.reportedAt, r.news.Limit = c.now, r.limit
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -17,6 +17,7 @@
 	closed int               // times that idle connections were dropped
 	no     map[RequestID]int // attempts
 	gone   bool              // nobody listens where it calls
+	left   float64           // of the limit, as answers tell
 }
 
 func newMember(t *testing.T, number int, notes bool) *member {
@@ -26,7 +27,7 @@
 		Tenants: []Tenant{{Quota: 600}}, Report: []ReportField{AllowanceLeft, LimitRate}, ConnectTimeout: 1500 * time.Millisecond, FallTime: 1500 * time.Millisecond,
 	})
 	require.NoError(t, err)
-	m := &member{Courier: c, t: t, no: map[RequestID]int{}}
+	m := &member{Courier: c, t: t, no: map[RequestID]int{}, left: 0.8}
 	m.at(0, List{Kind: ListFull, Destinations: 14, Endpoints: []Endpoint{{ID: 1, Destination: 7, Phase: Ready}}})
 	return m
 }
@@ -52,7 +53,7 @@
 					continue
 				}
 				events = append(events, AttemptEnded{
-					Request: a.Request, Endpoint: a.Endpoint, Attempt: no, Took: 20 * time.Millisecond, Done: true, Report: []float64{0.8, 44},
+					Request: a.Request, Endpoint: a.Endpoint, Attempt: no, Took: 20 * time.Millisecond, Done: true, Report: []float64{m.left, 44},
 				})
 			}
 		}
@@ -127,13 +128,31 @@
 	run(time.Second, 13*time.Second, always)
 	was := m.sent
 	assert.InDelta(t, 24, was, 6, "two a second")
+	m.left = 0.4
 	run(13*time.Second, 19*time.Second, func(int) bool { return false })
-	assert.InDelta(t, 12, m.sent-was, 6, "nobody answers")
+	assert.InDelta(t, 12, m.sent-was, 4, "nobody answers")
+	was, m.left = m.sent, 0.9
+	run(19*time.Second, 25*time.Second, func(int) bool { return false })
+	assert.Greater(t, m.sent-was, 18, "answers tell that others leave most of the limit")
 	was = m.sent
-	run(19*time.Second, 25*time.Second, always)
+	run(25*time.Second, 31*time.Second, always)
 	assert.InDelta(t, 12, m.sent-was, 4, "a keeper answers")
 }
 
+// A limit that is told to be cut cuts the pace of one without a keeper, and a restored one
+// restores it.
+func TestPaceWithoutKeepersFollowsTheLimit(t *testing.T) {
+	m := newMember(t, 79, true)
+	m.at(time.Second, handed(1))
+	r := m.dests[7].routes[0]
+	r.pace, r.lostPace, r.limit = 2, 4, 44
+	m.report(r, []float64{0, 11})
+	assert.InDelta(t, 0.5, r.pace, 0.01)
+	assert.InDelta(t, 1, r.lostPace, 0.01)
+	m.report(r, []float64{0, 44})
+	assert.InDelta(t, 4, r.lostPace, 0.01)
+}
+
 // The keeper grants what the limit allows and no more, and holds back after a refusal.
 func TestKeeperGrants(t *testing.T) {
 	m := newMember(t, 3, true)
