Discovery is asked within half the drain grace: a call went to an endpoint that drained

Cause: patience.First spread first asks over up to 2 s in large fleets, longer than the 1 s in which nothing new may go to an endpoint that drains. patience.Lost was worse: 2 to 4 s after a connection to the agent broke, in a fleet of 300. Ruled out: a late watch (the first answer names all six changes), the list held after it (the connection ends with the answer), the dial (the request was decided within 25 ms).

Change: both are bounded by half of the settings' grace (1 s where they tell none); only where connections fail again and again do pauses grow to the fleet's. Pauses after answers that are errors stay as they were.

--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -22,23 +22,32 @@
 	Most = 4 * time.Second
 	// unreadMost bounds those between lists that cannot be taken.
 	unreadMost = 5 * time.Second
-	// few couriers need not spread their first asks, and firstMost bounds the others'.
-	few       = 4
-	firstMost = 2 * time.Second
+	// few couriers need not spread their first asks.
+	few = 4
+	// grace is that for endpoints that drain where the settings tell none.
+	grace = time.Second
 )
 
 // Patience is one courier's, towards one directory.
 type Patience struct {
 	rng     *rand.Rand
 	base    time.Duration
-	refused int // calls in a row that were answered with an error
-	unread  int // lists in a row that could not be taken
+	soon    time.Duration // bounds what may be late without a reason of the directory's
+	refused int           // calls in a row that were answered with an error
+	lost    int           // connections in a row that broke or did not come up
+	unread  int           // lists in a row that could not be taken
 }
 
 // New returns the patience of one of so many couriers; a fleet under one counts as
-// one. The seed is the courier's own: two that draw alike would ask together.
-func New(fleet int, seed uint64) *Patience {
+// one. The seed is the courier's own: two that draw alike would ask together. What an
+// agent holds counts as told, asked or not, and endpoints that drain get nothing more
+// after within: first asks and the first one after a lost connection come in half of it.
+func New(fleet int, seed uint64, within time.Duration) *Patience {
+	if within <= 0 {
+		within = grace
+	}
 	return &Patience{
+		soon: within / 2,
 		rng:  rand.New(rand.NewPCG(seed, 0x70617469656e6365)),
 		base: min(pause*time.Duration(max(2, min(fleet, 1<<20)))/2, Most),
 	}
@@ -51,11 +60,16 @@
 	if p.base <= few*pause/2 {
 		return 0
 	}
-	return time.Duration(p.rng.Int64N(int64(min(p.base, firstMost))))
+	return time.Duration(p.rng.Int64N(int64(min(p.base, p.soon))))
 }
 
-// Lost is the pause after a connection that broke or did not come up.
-func (p *Patience) Lost() time.Duration { return p.draw(p.base) }
+// Lost is the pause after a connection that broke or did not come up: short after the
+// first, as the agent may be there, and longer after each that follows.
+func (p *Patience) Lost() time.Duration {
+	d := grown(min(p.base, p.soon), p.lost, p.base)
+	p.lost++
+	return p.draw(d)
+}
 
 // Refused is the pause after an answer that is an error. What it tells to wait, 0 for
 // nothing, is the least, up to Most.
@@ -73,7 +87,7 @@
 }
 
 // Served tells that a list has been taken: the next pause is the first again.
-func (p *Patience) Served() { p.refused, p.unread = 0, 0 }
+func (p *Patience) Served() { p.refused, p.unread, p.lost = 0, 0, 0 }
 
 func grown(d time.Duration, times int, most time.Duration) time.Duration {
 	return min(d<<min(times, 16), most)
