A limit that a courier has known for a while makes no jump at its keeper

Each courier that asks for the first time since the cut tells the limit that it knew before, and the keeper takes it for a cut taken back. Couriers are 300 and call that destination seldom, so stale ones do not end.

At fault: consult in fleet.go, which sends r.news.Limit - set by the last answer, whenever that was - and, to a keeper not told yet, r.limit; Ledger.Report, which jumps to any of them.

Change: a limit told more than 250 ms ago, as long as a grant is good, goes out marked old (flag 128 of an ask). The account takes an old one where it knows none, or as one more reading of the same, never as a jump.

--- a/api.go
+++ b/api.go
@@ -298,6 +298,7 @@
 	Serves      bool    // it has answered one again; from a keeper: somebody else's
 	Cold        bool    // from a keeper: it is back from an outage, and grants are what it bears
 	Limit       float64 // as an answer has told it, in calls a second; 0: nothing new
+	Old         bool    // with Asks: the limit is what the sender has known for a while
 }
 
 // Action is something to do now.
--- a/fleet.go
+++ b/fleet.go
@@ -21,7 +21,8 @@
 	failingEvery = 2 * time.Second        // a courier whose calls fail says so again
 	returnSpread = 300 * time.Millisecond // in which all call a destination that has returned
 	greetMost    = 1024
-	ledgersMost  = 4096 // kept at once; those not asked for ledgerIdle go first
+	limitNews    = 250 * time.Millisecond // for which a told limit is news, as long as a grant is good
+	ledgersMost  = 4096                   // kept at once; those not asked for ledgerIdle go first
 	ledgerIdle   = time.Minute
 	rankUnit     = 100 // of Note.Rank: a message's worth of one
 )
@@ -192,6 +193,7 @@
 			if peer+1 != r.toldTo && news.Limit == 0 { // it may have come up a moment ago
 				news.Limit = r.limit
 			}
+			news.Old = news.Limit > 0 && c.now-r.reportedAt > limitNews
 		}
 	}
 	if !ok && told {
@@ -278,7 +280,7 @@
 		})
 		c.ledgers[n.Destination] = l
 	}
-	l.Report(c.now, n.Limit)
+	l.Report(c.now, n.Limit, n.Old)
 	if n.Failing {
 		l.Failing(c.now, peer)
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -139,6 +139,27 @@
 	assert.InDelta(t, 12, m.sent-was, 4, "a keeper answers")
 }
 
+// What a courier tells with an ask is news for a moment alone: then it may be from before
+// a cut, as from all that have not called since.
+func TestToldLimitGetsOld(t *testing.T) {
+	m := newMember(t, 79, true)
+	asked := func(at time.Duration) Note {
+		m.at(at, handed(RequestID(at)))
+		require.Len(t, m.told, 1)
+		n := m.told[0].Notes[0]
+		require.True(t, n.Asks)
+		return n
+	}
+	asked(time.Second)
+	m.at(1010*time.Millisecond, Heard{Peer: m.told[0].Peer, Notes: []Note{{Destination: 7, Grants: true, Calls: 1}}})
+	n := asked(1100 * time.Millisecond)
+	assert.False(t, n.Old && n.Limit > 0)
+	m.at(1110*time.Millisecond, Heard{Peer: m.told[0].Peer, Notes: []Note{{Destination: 7, Grants: true, Calls: 1}}})
+	n = asked(3 * time.Second)
+	assert.Equal(t, 44.0, n.Limit)
+	assert.True(t, n.Old)
+}
+
 // A limit that is told to be cut cuts the pace of one without a keeper, and a restored one
 // restores it.
 func TestPaceWithoutKeepersFollowsTheLimit(t *testing.T) {
@@ -171,6 +192,10 @@
 	}
 	n := granted(2*time.Second, 2900*time.Millisecond)
 	assert.InDelta(t, 35, n, 4)
+	for peer := range 60 { // what they knew before is no news
+		m.at(2*time.Second, Heard{Peer: peer + 10, Notes: []Note{{Destination: 7, Asks: true, Calls: 1, Rank: 10, Limit: 400, Old: true}}})
+	}
+	assert.InDelta(t, 40, m.ledgers[7].Rate(), 0.01)
 	m.at(2900*time.Millisecond, Heard{Peer: 9, Notes: []Note{{Destination: 7, Refused: 1}}})
 	assert.Zero(t, granted(2901*time.Millisecond, 2980*time.Millisecond))
 }
--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -10,7 +10,7 @@
 //	uvarint  limit in tenths of a call a second, with flag 16
 //	flag 32  the sender's calls fail
 //	flag 64  a call has been answered again
-//	flag 128 grants are what a cold destination bears
+//	flag 128 grants are what a cold destination bears; with flag 1, the limit is no news
 package notes
 
 import (
@@ -34,7 +34,8 @@
 	limit   = 16
 	failing = 32
 	serves  = 64
-	cold    = 128
+	cold    = 128 // with grants
+	old     = 128 // with asks
 
 	callsMost = 255
 	backMost  = 1000
@@ -76,7 +77,8 @@
 	}
 	flag(n.Failing, failing)
 	flag(n.Serves, serves)
-	flag(n.Cold, cold)
+	flag(n.Cold && !n.Asks, cold)
+	flag(n.Old && n.Asks, old)
 	if flag(n.Asks, asks) || flag(n.Grants, grants) {
 		b = append(b, byte(min(max(n.Calls, 0), callsMost)))
 	}
@@ -104,7 +106,8 @@
 		n := snowjunction.Note{Destination: snowjunction.DestinationID(r.Uint(math.MaxUint32))}
 		flags := r.Byte()
 		n.Asks, n.Grants = flags&asks != 0, flags&grants != 0
-		n.Failing, n.Serves, n.Cold = flags&failing != 0, flags&serves != 0, flags&cold != 0
+		n.Failing, n.Serves = flags&failing != 0, flags&serves != 0
+		n.Cold, n.Old = !n.Asks && flags&cold != 0, n.Asks && flags&old != 0
 		if n.Asks || n.Grants {
 			n.Calls = int(r.Byte())
 		}
--- a/internal/notes/notes_test.go
+++ b/internal/notes/notes_test.go
@@ -23,7 +23,11 @@
 				n.Grants, n.Calls = true, rapid.IntRange(0, callsMost).Draw(t, "calls")
 			}
 			n.Failing, n.Serves = rapid.Bool().Draw(t, "failing"), rapid.Bool().Draw(t, "serves")
-			n.Cold = rapid.Bool().Draw(t, "cold")
+			if high := rapid.Bool().Draw(t, "cold or old"); n.Asks {
+				n.Old = high
+			} else {
+				n.Cold = high
+			}
 			n.Back = rapid.IntRange(-backMost, backMost).Draw(t, "back")
 			n.Refused = rapid.IntRange(0, backMost).Draw(t, "refused")
 			n.Limit = float64(rapid.IntRange(0, limitMost*10).Draw(t, "limit")) / 10
