A second address answers readyz and telemetry, each figure counted where its event is

Change: a front of its own on the engine (internal/front/console) with a parser without I/O (internal/proto/oneline, fuzzed): one call a connection, answered within the turn from counts that are there. Messages are counted at their ends and refusals, attempts when their bytes leave. Callers are bounded (32, 5 s); a bad call gets `error` and a close; an address that cannot be bound ends the start with one line; without `console` nothing listens. Not taken: a listener on a goroutine of its own, as the admin socket has: its answers would wait for the loop all the same, and its connections not count against the descriptors.

--- a/courier.go
+++ b/courier.go
@@ -782,7 +782,7 @@
 		switch {
 		case r.pace > 0:
 			share := c.evenShare(r)
-			r.pace = math.Max(share*paceFloor, math.Min(r.pace, math.Max(r.lostPace, share*c.t.PaceStart))*paceCut)
+			r.pace = math.Max(share*paceFloor, math.Min(r.pace, c.paceTop(r))*paceCut)
 		case c.limited(r, wait):
 		case r.limit > 0:
 			r.gap = min(max(2*r.gap, c.repeatGap[r.dest.kindNo]), gapMost*c.prompt)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Columns   []string // names of the load report's values
 	Names     Names
 	Peers     Peers
+	Console   string // the second address; empty: nothing listens there
 }
 
 // Peers are the other couriers of the fleet and how they are reached.
@@ -122,7 +123,7 @@
 		return env(name)
 	}
 	c := &Config{
-		Name: or("name", "GW_NAME"), Listen: or("listen", "GW_LISTEN"),
+		Name: or("name", "GW_NAME"), Listen: or("listen", "GW_LISTEN"), Console: or("console", "GW_CONSOLE"),
 		Discovery: or("discovery", "GW_DISCOVERY"), State: env("GW_STATE"),
 		Limits: Limits{
 			MemoryMB: positive(v.GetInt("limits", "memory_mb"), defaultMemoryMB),
@@ -130,7 +131,11 @@
 			DiskMB:   positive(v.GetFloat64("limits", "disk_mb"), defaultDiskMB),
 		},
 	}
-	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	addrs := []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}}
+	if c.Console != "" {
+		addrs = append(addrs, struct{ name, addr string }{"console", c.Console})
+	}
+	for _, a := range addrs {
 		if _, err := netip.ParseAddrPort(a.addr); err != nil {
 			return nil, fmt.Errorf("%s: %q is not an address with a port", a.name, a.addr)
 		}
@@ -172,6 +177,7 @@
 	}{
 		{"name", c.Name == other.Name},
 		{"listen", c.Listen == other.Listen},
+		{"console", c.Console == other.Console},
 		{"limits", c.Limits == other.Limits},
 		{"settings", reflect.DeepEqual(c.Settings, settings) && slices.Equal(c.Columns, other.Columns)},
 		{"peers", reflect.DeepEqual(c.Peers, other.Peers)},
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -110,7 +110,9 @@
 func TestPeers(t *testing.T) {
 	parse := func(more, may string) Peers {
 		c, err := Parse([]byte(`{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1",
-			"settings":{"my-number":1,"limits":{"may-tell":`+may+`}}`+more+`}`), func(string) string { return "x" })
+			"settings":{"my-number":1,"limits":{"may-tell":`+may+`}}`+more+`}`), func(name string) string {
+			return strings.TrimPrefix(name, "GW_CONSOLE")
+		})
 		require.NoError(t, err)
 		assert.Equal(t, 1, c.Settings.Number)
 		return c.Peers
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -202,6 +202,7 @@
 	if err := c.Journal.Take(f.msg); err != nil {
 		c.Log.Error("not taken on", "id", f.msg.ID, "err", err)
 		c.Counters.Refused++
+		c.of(f).throttled++
 		answer(Answer{Verdict: Fixed, After: c.Settings.MaxRetry / 2}, nil)
 		c.forgo(f)
 		return false
@@ -225,6 +226,7 @@
 // refuse gives a flow that is not taken on its fixed response.
 func (c *Core) refuse(f *flow, after time.Duration) {
 	c.Counters.Refused++
+	c.of(f).throttled++
 	c.traceEnd(f, "turned_away", after)
 	if c.ids[f.name()] == f && f.id == 0 {
 		delete(c.ids, f.name())
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -76,9 +76,11 @@
 	c.traceEnd(f, "refused", after)
 	if s == store.Returned {
 		c.Counters.Refused++
+		c.of(f).throttled++
 		answer(Answer{Verdict: Fixed, After: after}, nil)
 	} else {
 		c.Counters.Failed++
+		c.of(f).faulted++
 		answer(Answer{Verdict: Failed}, nil)
 	}
 }
@@ -94,12 +96,15 @@
 	switch s {
 	case store.Delivered:
 		c.Counters.Delivered++
+		c.of(f).fulfilled++
 	case store.Withdrawn, store.Deleted:
 		c.Counters.Withdrawn++
 	case store.Failed:
 		c.Counters.Failed++
+		c.of(f).faulted++
 	case store.Returned:
 		c.Counters.Returned++
+		c.of(f).throttled++
 	}
 	c.traceEnd(f, s.String(), after)
 	if c.Plugins != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -133,7 +133,9 @@
 	learning *Timer // until something learnt may be written
 	resting  *Timer // until destinations may go to sleep
 	once     *once.Book
-	idle     func() // called once frozen and no call is out
+	relayed  uint64  // attempts whose bytes have left, or leave
+	tallies  []tally // by class, and one for what is of none
+	idle     func()  // called once frozen and no call is out
 }
 
 // flow is one message on its way.
@@ -172,7 +174,7 @@
 		asking: map[uint64][]*flow{}, owing: map[uint64][]*flow{}, unknown: map[uint64]int{},
 		classes: map[string]int{}, tenants: map[string]int{},
 		routes: newRoutes(len(cfg.Fronts)), picker: learnt.NewPicker(),
-		once: once.New(onceMost),
+		once: once.New(onceMost), tallies: make([]tally, len(cfg.Settings.Classes)+1),
 		dirs: make([]*directory, len(cfg.Fronts)),
 	}
 	for front, d := range cfg.Directories {
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -16,6 +16,7 @@
 	limit    *Timer // to give the attempt up
 	connect  *Timer // to give it up if no byte of it could leave
 	call     Call   // nil while it waits for its key's turn or a plug-in
+	written  bool   // its bytes have left, or leave
 	reading  bool   // its answer has come and plug-ins are asked about it
 }
 
@@ -96,7 +97,18 @@
 	}
 	c.left(f, c.since())
 	c.Counters.Sent++
-	a.call = to.Call(f.msg, shape, left, may, func(r Result) { c.read(a, r) })
+	later := func() bool {
+		if !may() {
+			return false
+		}
+		if a.call != nil {
+			c.wrote(a)
+		}
+		return true
+	}
+	if a.call = to.Call(f.msg, shape, left, later, func(r Result) { c.read(a, r) }); a.call.Left() {
+		c.wrote(a)
+	}
 	a.connect = c.Loop.After(c.Settings.ConnectTimeout, func() {
 		if !a.call.Left() {
 			c.expire(a, snowjunction.ConnectFailed)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"snowjunction/internal/core"
 	"snowjunction/internal/describe"
 	"snowjunction/internal/dircache"
+	"snowjunction/internal/front/console"
 	"snowjunction/internal/front/platform"
 	"snowjunction/internal/front/push"
 	"snowjunction/internal/idlestore"
@@ -244,10 +245,24 @@
 		c.core.Pause(wordWithin)
 	}
 	c.core.Restore(left) // before the loop runs: nothing new comes in front of it
+	second := ""
+	if c.cfg.Console != "" {
+		front, err := console.Start(console.Config{
+			Loop: c.loop, Engine: c.engine, Listen: c.cfg.Console, Ready: c.platform.Ready,
+			Figures: func() core.Figures { return c.core.Figures(platformFront) },
+		})
+		if err != nil {
+			return err
+		}
+		second = front.Addr()
+	}
 	if err := c.openDoor(); err != nil {
 		return err
 	}
 	c.log.Info("started", "listen", c.platform.Addr(), "push", c.push.Addr(), "restored", c.core.Counters.Restored)
+	if second != "" {
+		c.log.Info("second address", "listen", second)
+	}
 	return nil
 }
 
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -52,6 +52,9 @@
 	notices   notices
 }
 
+// Ready tells whether messages are taken.
+func (f *Front) Ready() bool { return f.ready && !f.draining }
+
 // New returns a front that does nothing yet.
 func New(cfg Config) *Front {
 	if cfg.Lists == (ListLimits{}) {
--- a/state.go
+++ b/state.go
@@ -324,6 +324,18 @@
 	return e.Phase == Ready && now >= e.route.toldUntil && now < c.last(r)
 }
 
+// Avoided is how many listed endpoints get nothing now but a trial.
+func (c *Courier) Avoided() (n int) {
+	for _, d := range c.order {
+		for _, e := range d.eps {
+			if e.Phase == Ready && e.state == down {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // closeCall counts an outcome of a call; the last frees its slot.
 func (c *Courier) closeCall(b *call) {
 	if b.left--; b.left == 0 {
@@ -422,6 +434,9 @@
 // evenShare is one courier's part of a route's limit.
 func (c *Courier) evenShare(r *route) float64 { return c.bears(r) / float64(c.s.Fleet) }
 
+// paceTop is the pace from which a refusal cuts, at the most.
+func (c *Courier) paceTop(r *route) float64 { return math.Max(r.lostPace, c.evenShare(r)*c.t.PaceStart) }
+
 // bears is a route's limit, in calls a second: until it is known, the mean
 // destination's part of the quotas.
 func (c *Courier) bears(r *route) float64 {
