--- a/state.go
+++ b/state.go
@@ -435,7 +435,9 @@
 func (c *Courier) evenShare(r *route) float64 { return c.bears(r) / float64(c.s.Fleet) }
 
 // paceTop is the pace from which a refusal cuts, at the most.
-func (c *Courier) paceTop(r *route) float64 { return math.Max(r.lostPace, c.evenShare(r)*c.t.PaceStart) }
+func (c *Courier) paceTop(r *route) float64 {
+	return math.Max(r.lostPace, c.evenShare(r)*c.t.PaceStart)
+}
 
 // bears is a route's limit, in calls a second: until it is known, the mean
 // destination's part of the quotas.
