--- a/internal/front/late_test.go
+++ b/internal/front/late_test.go
@@ -111,3 +111,54 @@
 		assert.Equal(t, int32(1), conns.Load(), name)
 	}
 }
+
+// The answer to a call that was given up comes late: it is nobody's, neither that call's nor
+// the next one's.
+func TestLateAnswerOfACallGivenUp(t *testing.T) {
+	loop := core.NewLoop(time.Now)
+	log := slog.New(slog.DiscardHandler)
+	engine, err := net.New(net.Config{Post: loop.Post, Log: log, MaxConns: 8})
+	require.NoError(t, err)
+	defer engine.Stop()
+	front := platform.New(platform.Config{Loop: loop, Engine: engine, Log: log, Settings: snowjunction.Settings{ConnIdle: time.Minute}})
+	server, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer server.Close()
+	came, answer := make(chan string, 2), make(chan string, 2)
+	go func() {
+		for {
+			conn, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				b := make([]byte, 4096)
+				n, _ := conn.Read(b)
+				came <- string(b[:n])
+				_, _ = conn.Write([]byte(<-answer))
+				_, _ = conn.Read(b)
+			}()
+		}
+	}()
+	target := front.Target(core.Entry{Name: "s-1", Addr: server.Addr().String()})
+	results := map[string]core.Result{}
+	call := func(id string) core.Call {
+		return target.Call(&store.Message{ID: id}, core.Shape{}, 10*time.Second, always, func(r core.Result) { results[id] = r })
+	}
+	first := call("m1")
+	loop.RunUntil(first.Left)
+	assert.Contains(t, <-came, "m1")
+	first.GiveUp()
+	answer <- "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	call("m2")
+	heard := false
+	go func() {
+		text := <-came
+		answer <- "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+		loop.Post(func() { heard = text != "" })
+	}()
+	loop.RunUntil(func() bool { return heard && len(results) > 0 })
+	assert.Equal(t, map[string]core.Result{"m2": results["m2"]}, results)
+	assert.Equal(t, snowjunction.Full, results["m2"].Outcome)
+}
