--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -374,6 +374,40 @@
 	`)
 }
 
+// A courier of a rolling restart comes up with the list that it kept, while its agent says
+// nothing, and is moved to another by SIGHUP. That tells that the endpoint it knows drains:
+// what is handed in after that goes to the new one alone.
+func TestRestartedThenMoved(t *testing.T) {
+	p := start(t)
+	p.Server("other")
+	list := `{"generation":9,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"` + p.Name("target") +
+		`","cell":7,"lifecycle":"Terminating","zone":"a","machineType":"k"},{"instanceId":"s-2","hostPort":"` + p.Server("second") +
+		`","cell":7,"lifecycle":"Ready","zone":"a","machineType":"k"}]}`
+	p.Let("list", list)
+	p.Let("size", strconv.Itoa(len(list)))
+	p.Run(`
+		client dial c
+		c send "*1\r\n$4\r\nPING\r\n"
+		c expect "+PONG\r\n"
+		courier wait kill
+		courier wait start
+	`)
+	p.Let("discovery", p.Name("other"))
+	p.Run(`
+		courier wait hup
+		other accept d
+		d expect "GET /discovery/hosts HTTP/1.1\r\n"
+		d send "HTTP/1.1 200 OK\r\nContent-Length: $size\r\n\r\n$list"
+		d expect "...GET /discovery/hosts?after=9&wait_ms="
+		client dial c
+		c send "$ADDm2$STATUSx\r\n"
+		c expect "+OK\r\n"
+		second accept t
+		t expect "...X-Request-ID: m2\r\n"
+		t send "$ok"
+	`)
+}
+
 // A configuration that cannot be read changes nothing and ends nothing.
 func TestBadConfigurationAtReload(t *testing.T) {
 	p := start(t)
