--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -23,13 +23,8 @@
 	os.Exit(m.Run())
 }
 
-// start starts a courier with one target for destination 7 and a silent one for
-// destination 9. A limit on sockets may be given.
-func start(t *testing.T, limits ...int) *scenario.Play {
+func prepare(t *testing.T) *scenario.Courier {
 	c := scenario.NewCourier(t)
-	if len(limits) > 0 {
-		c.Limits["sockets"] = limits[0]
-	}
 	c.Targets = []scenario.Target{
 		{Name: "s-1", Addr: c.Play.Server("target"), Cell: 7}, {Name: "s-9", Addr: c.Play.Server("silent"), Cell: 9},
 	}
@@ -37,6 +32,16 @@
 	// $ADD id $STATUS byte: a message of one byte without a key.
 	c.Play.Let("ADD", "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000000\r\n$2\r\n")
 	c.Play.Let("STATUS", "\r\n$29\r\nc=status,t=town,d=8000,dest=7\r\n$1\r\n")
+	return c
+}
+
+// start starts a courier with one target for destination 7 and a silent one for
+// destination 9. A limit on sockets may be given.
+func start(t *testing.T, limits ...int) *scenario.Play {
+	c := prepare(t)
+	if len(limits) > 0 {
+		c.Limits["sockets"] = limits[0]
+	}
 	require.NoError(t, c.Start())
 	return c.Play
 }
--- a/fleet.go
+++ b/fleet.go
@@ -280,7 +280,11 @@
 		})
 		c.ledgers[n.Destination] = l
 	}
-	l.Report(c.now, n.Limit, n.Old)
+	if n.Old {
+		l.Known(c.now, n.Limit)
+	} else {
+		l.Report(c.now, n.Limit)
+	}
 	if n.Failing {
 		l.Failing(c.now, peer)
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -62,7 +62,7 @@
 	}
 	f := &Front{Config: cfg, clients: map[*client]bool{}, targets: map[*target]bool{}}
 	f.discovery.front = f
-	f.discovery.patience = patience.New(cfg.Settings.Fleet, cfg.Settings.Seed, cfg.Settings.DrainGrace)
+	f.discovery.patience = patience.New(cfg.Settings.Fleet, cfg.Settings.Seed).Within(cfg.Settings.DrainGrace)
 	f.notices.front = f
 	return f
 }
--- a/internal/lease/ledger.go
+++ b/internal/lease/ledger.go
@@ -102,11 +102,15 @@
 // Used is when the account was asked last.
 func (l *Ledger) Used() time.Duration { return l.used }
 
-// Report takes a limit that an answer to any courier has told. An old one is what its
-// courier has known for a while: of a fleet that calls a destination seldom, many know the
-// limit from before a cut, and each would undo what others have been told since. It
-// counts where none is known, or as one more reading of the same.
-func (l *Ledger) Report(now time.Duration, limit float64, old bool) {
+// Report takes a limit that an answer to any courier has told.
+func (l *Ledger) Report(now time.Duration, limit float64) { l.report(now, limit, false) }
+
+// Known takes a limit that its courier has known for a while: of a fleet that calls a
+// destination seldom, many know the one from before a cut, and each would undo what others
+// have been told since. It counts where none is known, or as one more reading of the same.
+func (l *Ledger) Known(now time.Duration, limit float64) { l.report(now, limit, true) }
+
+func (l *Ledger) report(now time.Duration, limit float64, old bool) {
 	if !(limit > 0) || math.IsInf(limit, 0) {
 		return
 	}
--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -24,8 +24,8 @@
 	unreadMost = 5 * time.Second
 	// few couriers need not spread their first asks.
 	few = 4
-	// grace is that for endpoints that drain where the settings tell none.
-	grace = time.Second
+	// firstMost bounds first asks where nothing else is told: half of a second's grace.
+	firstMost = 500 * time.Millisecond
 )
 
 // Patience is one courier's, towards one directory.
@@ -39,20 +39,25 @@
 }
 
 // New returns the patience of one of so many couriers; a fleet under one counts as
-// one. The seed is the courier's own: two that draw alike would ask together. What an
-// agent holds counts as told, asked or not, and endpoints that drain get nothing more
-// after within: first asks and the first one after a lost connection come in half of it.
-func New(fleet int, seed uint64, within time.Duration) *Patience {
-	if within <= 0 {
-		within = grace
-	}
+// one. The seed is the courier's own: two that draw alike would ask together.
+func New(fleet int, seed uint64) *Patience {
 	return &Patience{
-		soon: within / 2,
+		soon: firstMost,
 		rng:  rand.New(rand.NewPCG(seed, 0x70617469656e6365)),
 		base: min(pause*time.Duration(max(2, min(fleet, 1<<20)))/2, Most),
 	}
 }
 
+// Within tells the grace for endpoints that drain, if it is over 0. What an agent holds
+// counts as told, asked or not: first asks, and the first one after a lost connection,
+// come in half of it.
+func (p *Patience) Within(grace time.Duration) *Patience {
+	if grace > 0 {
+		p.soon = grace / 2
+	}
+	return p
+}
+
 // First is when a courier that starts with a list asks first: couriers of a large fleet that
 // start together would fill the directory's queue at once, and many of them wait in vain.
 // A few ask at once.
