Tests name a list for discovery in one place

Need: TestRestartedThenMoved stood beside TestPlatformMoves line for line where both name a list. Change: letList, used by the three tests that do so; assertions as they were.

--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -35,6 +35,12 @@
 	return c
 }
 
+// letList names a list for discovery to send, and its size.
+func letList(p *scenario.Play, list string) {
+	p.Let("list", list)
+	p.Let("size", strconv.Itoa(len(list)))
+}
+
 // start starts a courier with one target for destination 7 and a silent one for
 // destination 9. A limit on sockets may be given.
 func start(t *testing.T, limits ...int) *scenario.Play {
@@ -182,8 +188,7 @@
 	p := start(t)
 	list := `{"generation":2,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","cell":7,` +
 		`"lifecycle":"Terminating","zone":"a","machineType":"k"}]}`
-	p.Let("list", list)
-	p.Let("size", strconv.Itoa(len(list)))
+	letList(p, list)
 	p.Run(`
 		client dial c
 		c send "$ADDm1$STATUSx\r\n"
@@ -349,8 +354,7 @@
 	p.Server("other")
 	list := `{"generation":1,"reset":true,"instances":[{"instanceId":"s-2","hostPort":"` + p.Server("second") +
 		`","cell":7,"lifecycle":"Ready","zone":"a","machineType":"k"}]}`
-	p.Let("list", list)
-	p.Let("size", strconv.Itoa(len(list)))
+	letList(p, list)
 	p.Run(`
 		client dial c
 		c send "$ADDm1\r\n$27\r\nc=status,t=town,d=50,dest=9\r\n$0\r\n\r\n"
@@ -388,8 +392,7 @@
 	list := `{"generation":9,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"` + p.Name("target") +
 		`","cell":7,"lifecycle":"Terminating","zone":"a","machineType":"k"},{"instanceId":"s-2","hostPort":"` + p.Server("second") +
 		`","cell":7,"lifecycle":"Ready","zone":"a","machineType":"k"}]}`
-	p.Let("list", list)
-	p.Let("size", strconv.Itoa(len(list)))
+	letList(p, list)
 	p.Run(`
 		client dial c
 		c send "*1\r\n$4\r\nPING\r\n"
