exclude and include: a durable overlay that the module sees as draining, cold when back

Chosen: a set of names beside the list (internal/exclusions), written whole and renamed into place before the `done`, shown to the module as a draining phase, and for the warm-up time after its return as WasOut, from which the module makes it cold.

--- a/api.go
+++ b/api.go
@@ -171,6 +171,10 @@
 	// Doubtful: the word on it is old, and nothing has shown that it is still
 	// there. One call at a time goes to it, where no better one is free.
 	Doubtful bool
+
+	// WasOut is how long it had been taken out by hand, where that ended a moment ago:
+	// it has been restarted and is cold. 0: it was not.
+	WasOut time.Duration
 }
 
 // Outcome is how an attempt or a probe ended.
--- a/cmd/snowjunction/console_test.go
+++ b/cmd/snowjunction/console_test.go
@@ -90,3 +90,53 @@
 	require.Error(t, c.Start())
 	require.Regexp(t, `snowjunction: listen for console: .*in use`, c.Log())
 }
+
+// An endpoint that is taken out gets nothing, across a kill and lists that say the contrary,
+// until it is called back; then what waits for it goes.
+func TestExcludedOutlastsKill(t *testing.T) {
+	c := prepare(t)
+	c.Peers = map[string]any{"console": "127.0.0.1:0"}
+	begin := func() {
+		require.NoError(t, c.Start())
+		m, err := c.Await(`msg="second address" .*listen=(\S+)`)
+		require.NoError(t, err)
+		c.Play.Let("console", m[1])
+	}
+	begin()
+	for call, want := range map[string]string{
+		"exclude s-2": "error no such endpoint", "include s-2": "error no such endpoint", "exclude": "error the endpoint's id is wanted",
+		"include s-1": "done",
+	} {
+		c.Play.Run("console dial q\nq send \"" + call + "\\n\"\nq expect \"" + want + "\\n\"\nq expect EOF")
+	}
+	c.Play.Run(`
+		console dial q
+		q send "exclude s-1\n"
+		q expect "done\n"
+		client dial c
+		c send "$ADDm1$STATUSx\r\n"
+		c expect "+OK\r\n"
+		courier wait kill
+	`)
+	begin()
+	letList(c.Play, `{"generation":9,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"`+c.Targets[0].Addr+
+		`","zone":"a","machineType":"k","cell":7,"lifecycle":"Ready","weight":1,"startedAtMs":0}]}`)
+	c.Play.Run(`
+		discovery accept d
+		discovery accept d
+		d expect "...\r\n\r\n"
+		d send "HTTP/1.1 200 OK\r\nContent-Length: $size\r\n\r\n$list"
+		d expect "GET /discovery/hosts?after=9"
+		client dial c
+		c send "$ADDm2$STATUSy\r\n"
+		c expect "+OK\r\n"
+		console dial q
+		q send "telemetry\n"
+		q expect "...\"relayed\":0,\"open_requests\":2,\"registry_entries\":1,\"out_of_rotation\":1}\nend\n"
+		console dial q
+		q send "include s-1\n"
+		q expect "done\n"
+		target accept t
+		t expect "POST /inbox HTTP/1.1\r\n"
+	`)
+}
--- a/courier.go
+++ b/courier.go
@@ -149,7 +149,7 @@
 		if entry.Phase == Gone {
 			c.leave(e)
 		}
-		e.Phase, e.Weight, e.Doubtful = entry.Phase, entry.Weight, entry.Doubtful
+		e.update(entry, c.now)
 		if c.s.WeightsAreLimits && entry.Weight > 0 {
 			e.route.limit = entry.Weight
 		}
--- a/courier_test.go
+++ b/courier_test.go
@@ -1141,3 +1141,34 @@
 		c.choose(d, d.eps)
 	}
 }
+
+// An endpoint that was out by hand comes back cold, whatever it was before: among its likes,
+// new to the module, or after its destination has slept.
+func TestBackFromHandIsCold(t *testing.T) {
+	back := Endpoint{ID: 10, Destination: 1, Phase: Ready, Weight: 20, WasOut: 5 * time.Second}
+	state := &State{Window: 4, Routes: []RouteState{{Limit: 20}}, EndpointsSeen: []EndpointState{{ID: 10, Condition: Serving}}}
+	for name, news := range map[string][]Event{
+		"known":  {List{Kind: ListDelta, Endpoints: []Endpoint{{ID: 10, Destination: 1, Phase: Ready}, back}}},
+		"new":    {List{Kind: ListDelta, Endpoints: []Endpoint{back}}},
+		"asleep": {Wake{Destination: 1, Endpoints: []Endpoint{back}, State: state}},
+	} {
+		g := newRig(t, nil)
+		g.step(0, news...)
+		most := coldSafety * g.c.s.FallMultiple * g.c.s.ColdShare * 20 * g.c.s.FallTime.Seconds()
+		sent := 0
+		for id := RequestID(1); id < 60; id++ {
+			for _, out := range sends(g.step(ms, req(id, safe))) {
+				sent++
+				g.step(0, g.end(out, OK))
+			}
+		}
+		if sent == 0 || float64(sent) > most {
+			t.Errorf("%s: %d sends to a cold endpoint, of %.0f", name, sent, most)
+		}
+		again := back
+		again.Weight = 21 // listed again while cold: that is no other return
+		since := g.c.eps[10].since
+		g.step(time.Second, List{Kind: ListDelta, Endpoints: []Endpoint{again}})
+		want(t, name, g.c.eps[10].since, since)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,7 @@
 	"snowjunction/internal/belief"
 	"snowjunction/internal/distrust"
 	"snowjunction/internal/dormancy"
+	"snowjunction/internal/exclusions"
 	"snowjunction/internal/learnt"
 	"snowjunction/internal/once"
 	"snowjunction/internal/store"
@@ -98,6 +99,7 @@
 	// what another front lists is true.
 	Directories map[int]Directory
 	Fleet       Fleet           // nil: there is none, or nothing can be told to it
+	Exclusions  Exclusions      // nil: no endpoint can be taken out by hand
 	Heard       func(front int) // nil, or called after news of a front's list, and when its directory has vouched for it
 }
 
@@ -133,7 +135,8 @@
 	learning *Timer // until something learnt may be written
 	resting  *Timer // until destinations may go to sleep
 	once     *once.Book
-	relayed  uint64  // attempts whose bytes have left, or leave
+	relayed  uint64 // attempts whose bytes have left, or leave
+	out      *exclusions.Set
 	tallies  []tally // by class, and one for what is of none
 	idle     func()  // called once frozen and no call is out
 }
@@ -175,7 +178,7 @@
 		classes: map[string]int{}, tenants: map[string]int{},
 		routes: newRoutes(len(cfg.Fronts)), picker: learnt.NewPicker(),
 		once: once.New(onceMost), tallies: make([]tally, len(cfg.Settings.Classes)+1),
-		dirs: make([]*directory, len(cfg.Fronts)),
+		dirs: make([]*directory, len(cfg.Fronts)), out: exclusions.New(cfg.Settings.WarmUp),
 	}
 	for front, d := range cfg.Directories {
 		c.dirs[front] = &directory{book: belief.New(d.Belief), judge: distrust.New(d.Trust)}
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -28,7 +28,7 @@
 func (c *Core) Figures(front int) Figures {
 	x := Figures{
 		Fulfilled: map[string]uint64{}, Throttled: map[string]uint64{}, Faulted: map[string]uint64{},
-		Open: c.held - len(c.fresh), Entries: c.routes.tables[front].Len(), OutOfRotation: c.courier.Avoided(), Relayed: c.relayed,
+		Open: c.held - len(c.fresh), Entries: c.routes.tables[front].Len(), OutOfRotation: c.courier.Avoided() + c.excluded(front), Relayed: c.relayed,
 	}
 	for i, cl := range c.Settings.Classes {
 		t := c.tallies[i]
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -85,6 +85,8 @@
 	target   Target // nil once it has left
 	goneAt   time.Time
 	standing belief.Standing
+	out      bool          // by hand
+	wasOut   time.Duration // it came back from that a while ago; 0: it did not
 }
 
 type name struct {
@@ -256,13 +258,14 @@
 		g.members = append(g.members, m)
 		c.routes.byID[m.id] = m
 	}
-	if m.target != nil && (m.Addr != e.Addr || e.Phase != snowjunction.Ready) {
+	out, wasOut := c.outOf(front, e.Name)
+	if m.target != nil && (m.Addr != e.Addr || e.Phase != snowjunction.Ready || out) {
 		m.target.Leave()
 		m.target = nil
 	}
 	was, known := m.entry(), m.Name != ""
-	m.Entry, m.standing = e, c.standing(front, e.Name)
-	if m.target == nil && e.Phase == snowjunction.Ready {
+	m.Entry, m.standing, m.out, m.wasOut = e, c.standing(front, e.Name), out, wasOut
+	if m.target == nil && e.Phase == snowjunction.Ready && !out {
 		m.target = c.Fronts[front].Target(e)
 	}
 	if is := m.entry(); is != was || !known {
@@ -305,13 +308,13 @@
 	g.members = slices.DeleteFunc(g.members, func(x *listed) bool { return x == m })
 }
 
-// entry is an endpoint as the module is to see it: one that is refuted as draining.
+// entry is an endpoint as the module is to see it: one that is refuted, or out by hand, as draining.
 func (l *listed) entry() snowjunction.Endpoint {
 	e := snowjunction.Endpoint{
 		ID: l.id, Destination: l.Destination, Zone: l.Zone, Kind: l.Kind, Phase: l.Phase, Weight: l.Weight,
-		Doubtful: l.standing == belief.Doubtful,
+		Doubtful: l.standing == belief.Doubtful, WasOut: l.wasOut,
 	}
-	if l.standing == belief.Refuted && e.Phase == snowjunction.Ready {
+	if (l.out || l.standing == belief.Refuted) && e.Phase == snowjunction.Ready {
 		e.Phase = snowjunction.Draining
 	}
 	return e
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"snowjunction/internal/core"
 	"snowjunction/internal/describe"
 	"snowjunction/internal/dircache"
+	"snowjunction/internal/exclusions"
 	"snowjunction/internal/front/console"
 	"snowjunction/internal/front/platform"
 	"snowjunction/internal/front/push"
@@ -69,6 +70,7 @@
 	cache     *dircache.Cache  // nil: the list is not kept
 	learnt    *learnt.Store    // nil: nothing is
 	store     *idlestore.Store // nil: none
+	excluded  *exclusions.File
 	fleet     *config.Fleet
 	datagrams *net.Datagrams // nil: no notes
 
@@ -142,6 +144,7 @@
 	if c.learnt != nil {
 		c.learnt.Close()
 	}
+	c.excluded.Close()
 	c.count("ended")
 	return nil
 }
@@ -170,7 +173,7 @@
 	}
 	var left []*store.Message
 	c.journal, left, err = store.Load(store.Options{
-		Dir: cfg.State, Bytes: cfg.Bytes() - c.dir.Room(), Retain: pushCfg.Retain, Log: c.log,
+		Dir: cfg.State, Bytes: cfg.Bytes() - c.dir.Room() - exclusions.Room(), Retain: pushCfg.Retain, Log: c.log,
 	})
 	if err != nil {
 		return nil, nil, err
@@ -194,6 +197,8 @@
 		Dormancy: &c.idle.Dormancy, Directories: map[int]core.Directory{platformFront: c.dir.Directory},
 	}
 	c.keep(&coreCfg)
+	c.excluded = exclusions.Open(cfg.State, c.log)
+	coreCfg.Exclusions = c.excluded
 	if c.idle.Store != "" {
 		c.store, err = idlestore.Open(idlestore.Options{
 			Path: c.idle.Store, Bytes: c.idle.StoreBytes, Forget: c.idle.Dormancy.Forget,
@@ -236,6 +241,9 @@
 	if err := c.push.Start(c.core, left); err != nil {
 		return err
 	}
+	out := exclusions.New(c.cfg.Settings.WarmUp)
+	exclusions.Read(c.cfg.State, out, c.log)
+	c.core.RecallOut(out)
 	c.core.Recall(c.recalled)
 	c.recalled = nil
 	if err := c.platform.Start(c.core, c.begin); err != nil {
@@ -250,6 +258,7 @@
 		front, err := console.Start(console.Config{
 			Loop: c.loop, Engine: c.engine, Listen: c.cfg.Console, Ready: c.platform.Ready,
 			Figures: func() core.Figures { return c.core.Figures(platformFront) },
+			Exclude: func(id string, out bool, done func(error)) { c.core.Exclude(platformFront, id, out, done) },
 		})
 		if err != nil {
 			return err
@@ -369,8 +378,10 @@
 		c.reload(func(why string) { done(admin.Reply{Error: why, Value: c.plugins.List()}) })
 	case "directory":
 		done(admin.Reply{Value: c.believed()})
+	case "telemetry":
+		done(admin.Reply{Value: c.core.Figures(platformFront)})
 	default:
-		done(admin.Reply{Error: fmt.Sprintf("no request %q: there are directory, plugins and reload", r.Do)})
+		done(admin.Reply{Error: fmt.Sprintf("no request %q: there are directory, plugins, reload and telemetry", r.Do)})
 	}
 }
 
--- /dev/null
+++ b/internal/exclusions/exclusions_test.go
@@ -0,0 +1,113 @@
+package exclusions
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const cold = 14 * time.Second
+
+var noon = time.UnixMilli(1772366400000)
+
+// Twice out and once in is in; one that has come back counts as cold for a while, also to the
+// next life, and one that goes out again does not.
+func TestOutAndBack(t *testing.T) {
+	s := New(cold)
+	require.NoError(t, s.Exclude("s-1", noon))
+	require.NoError(t, s.Exclude("s-1", noon.Add(time.Second)))
+	assert.True(t, s.Out("s-1"))
+	assert.Zero(t, s.Cold("s-1", noon.Add(time.Second)))
+	assert.True(t, s.Include("s-1", noon.Add(5*time.Second)))
+	assert.False(t, s.Include("s-1", noon.Add(6*time.Second)), "once in is in")
+	for _, x := range []*Set{s, again(t, s, noon.Add(6*time.Second))} {
+		assert.False(t, x.Out("s-1"))
+		assert.Equal(t, 5*time.Second, x.Cold("s-1", noon.Add(18*time.Second)))
+		assert.Equal(t, 5*time.Second, x.Cold("s-1", noon.Add(-time.Hour)), "with the clock set back")
+		assert.Zero(t, x.Cold("s-1", noon.Add(19*time.Second)))
+	}
+	require.NoError(t, s.Exclude("s-1", noon.Add(7*time.Second)))
+	assert.Zero(t, s.Cold("s-1", noon.Add(7*time.Second)))
+	assert.Equal(t, []string{"s-1"}, again(t, s, noon.Add(time.Hour)).Names(), "out for as long as nobody calls it back")
+}
+
+func again(t *testing.T, s *Set, now time.Time) *Set {
+	x := New(cold)
+	require.Zero(t, x.Decode(s.Encode(now)))
+	return x
+}
+
+// There is a bound, and those long back make room.
+func TestBound(t *testing.T) {
+	s := New(cold)
+	for i := range Most {
+		require.NoError(t, s.Exclude(fmt.Sprint("s-", i), noon))
+	}
+	assert.ErrorIs(t, s.Exclude("more", noon), ErrMany)
+	assert.LessOrEqual(t, len(s.Encode(noon)), Bytes)
+	s.Include("s-1", noon)
+	assert.ErrorIs(t, s.Exclude("more", noon), ErrMany, "it may be cold still")
+	assert.NoError(t, s.Exclude("more", noon.Add(cold)))
+}
+
+// A torn file costs what is behind the tear and is told of in a line.
+func TestTornFile(t *testing.T) {
+	s := New(cold)
+	for _, name := range []string{"s-1", "s-2", "s-3"} {
+		require.NoError(t, s.Exclude(name, noon))
+	}
+	whole := s.Encode(noon)
+	for at := range whole {
+		x := New(cold)
+		assert.Equal(t, at%(len(whole)/3), x.Decode(whole[:at]))
+		assert.Len(t, x.Names(), at/(len(whole)/3))
+	}
+	dir := t.TempDir()
+	f := Open(dir, slog.New(slog.DiscardHandler))
+	done := make(chan error, 1)
+	f.Put(whole[:len(whole)-1], func(err error) { done <- err })
+	require.NoError(t, <-done)
+	f.Close()
+	var told []string
+	x := New(cold)
+	Read(dir, x, slog.New(slog.NewTextHandler(lines(func(s string) { told = append(told, s) }), nil)))
+	assert.Equal(t, []string{"s-1", "s-2"}, x.Names())
+	require.Len(t, told, 1)
+	assert.Contains(t, told[0], "cannot be read whole")
+}
+
+// What cannot be written is told to whoever waits for it.
+func TestUnwritten(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, os.MkdirAll(filepath.Join(dir, fileName, "in the way"), 0o700))
+	f := Open(dir, slog.New(slog.DiscardHandler))
+	done := make(chan error, 1)
+	f.Put(nil, func(err error) { done <- err })
+	assert.ErrorContains(t, <-done, "write what is out")
+	f.Close()
+}
+
+type lines func(string)
+
+func (l lines) Write(b []byte) (int, error) {
+	l(string(b))
+	return len(b), nil
+}
+
+func FuzzDecode(f *testing.F) {
+	s := New(cold)
+	_ = s.Exclude("s-1", noon)
+	f.Add(s.Encode(noon))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s := New(cold)
+		if lost := s.Decode(b); lost < 0 || lost > len(b) || len(s.stays) > Most {
+			t.Fatal(lost)
+		}
+	})
+}
--- a/internal/front/console/console.go
+++ b/internal/front/console/console.go
@@ -1,6 +1,7 @@
 // Package console is the second address: staff ask there how the courier does. Each
 // connection carries one call and gets one answer, done or error, whatever the load: it
-// is made of counts that are there, and waits for nothing.
+// is made of counts that are there, and waits for nothing but the disk, where what staff
+// wants is to last.
 package console
 
 import (
@@ -25,6 +26,9 @@
 	Listen  string
 	Ready   func() bool         // whether messages are taken
 	Figures func() core.Figures // what is counted
+	// Exclude takes an endpoint out, or lets it serve again. done is called once that
+	// lasts, or with why it is not so.
+	Exclude func(id string, out bool, done func(error))
 }
 
 // Front is the second address. It belongs to the loop's goroutine.
@@ -81,10 +85,15 @@
 	if !ok && err == nil {
 		return
 	}
-	text := ""
-	if err == nil {
-		text, err = c.front.answer(call)
+	if err != nil {
+		c.answer("", err)
+		return
 	}
+	c.front.ask(call, c.answer)
+}
+
+// answer answers the call. A caller that has gone meanwhile hears nothing.
+func (c *caller) answer(text string, err error) {
 	if err != nil {
 		c.conn.Write([]byte("error " + err.Error() + "\n"))
 		c.end(net.Protocol)
@@ -112,18 +121,26 @@
 var (
 	errReady = errors.New("not ready")
 	errCall  = errors.New("unknown call")
+	errID    = errors.New("the endpoint's id is wanted")
 )
 
-func (f *Front) answer(c oneline.Call) (string, error) {
-	switch {
+// ask carries a call out. Those that change something are answered once that lasts.
+func (f *Front) ask(c oneline.Call, answer func(string, error)) {
+	switch out := c.Word == "exclude"; {
 	case c.Word == "readyz" && c.Arg == "":
 		if !f.Ready() {
-			return "", errReady
+			answer("", errReady)
+			return
 		}
-		return "done\n", nil
+		answer("done\n", nil)
 	case c.Word == "telemetry" && c.Arg == "":
 		b, err := json.Marshal(f.Figures())
-		return string(b) + "\nend\n", err
+		answer(string(b)+"\nend\n", err)
+	case (out || c.Word == "include") && c.Arg == "":
+		answer("", errID)
+	case out || c.Word == "include":
+		f.Exclude(c.Arg, out, func(err error) { answer("done\n", err) })
+	default:
+		answer("", errCall)
 	}
-	return "", errCall
 }
--- a/sleep.go
+++ b/sleep.go
@@ -102,6 +102,9 @@
 		e.latency, e.state, e.since = was.Latency, health(was.Condition), c.now-was.For-ago
 		e.failedAt, e.downFor, e.backoff = c.now-was.Failed-ago, was.DownFor, was.Backoff
 		e.trialAt, e.fails, e.vouched = c.now+max(0, was.Trial-ago), was.Fails, was.Vouched
+		if e.WasOut > 0 {
+			e.returns(c.now)
+		}
 	}
 	if len(d.routes) == 0 && len(s.Routes) == 1 { // its endpoints are yet to be listed: they join this route
 		d.routes = append(d.routes, &route{dest: d, left: 1})
--- a/state.go
+++ b/state.go
@@ -542,7 +542,7 @@
 	e.route = d.routes[len(d.routes)-1]
 	e.route.eps = append(e.route.eps, e)
 	d.eps = append(d.eps, e)
-	e.soured = make([]time.Duration, len(c.s.Classes))
+	e.soured, e.WasOut = make([]time.Duration, len(c.s.Classes)), 0 // update takes it
 }
 
 func (c *Courier) destination(id DestinationID) *destination {
@@ -626,6 +626,20 @@
 	c.active = kept
 }
 
+// update takes what the list says of an endpoint. One that comes back from having been out
+// by hand is cold, whatever it was before.
+func (e *endpoint) update(entry Endpoint, now time.Duration) {
+	back := entry.WasOut > 0 && e.WasOut == 0
+	e.Phase, e.Weight, e.Doubtful, e.WasOut = entry.Phase, entry.Weight, entry.Doubtful, entry.WasOut
+	if back {
+		e.returns(now)
+	}
+}
+
+func (e *endpoint) returns(now time.Duration) {
+	e.state, e.since, e.downFor, e.fails = cold, now, e.WasOut, 0
+}
+
 // soon asks to be woken at t, if nothing comes before.
 func (c *Courier) soon(t time.Duration) {
 	if c.due == 0 || t < c.due {
