--- a/api.go
+++ b/api.go
@@ -235,6 +235,15 @@
 		Attempts int
 		Ran      bool
 		RanFor   time.Duration
+
+		// The last of these attempts is out still, at OutOn, and left so long ago; 0: none is.
+		OutOn  EndpointID
+		OutFor time.Duration
+	}
+	// Rests tells of a key whose next message may not go for so long.
+	Rests struct {
+		Key uint64
+		For time.Duration
 	}
 	// StreamStarted tells that an answer has begun to flow.
 	StreamStarted struct {
@@ -286,6 +295,7 @@
 func (ProbeEnded) event()    {}
 func (Withdrawn) event()     {}
 func (Timer) event()         {}
+func (Rests) event()         {}
 func (Heard) event()         {}
 
 // Note is what one courier tells another of one destination: what it wishes, or what
--- a/courier.go
+++ b/courier.go
@@ -176,7 +176,7 @@
 	c.sweepAt = min(c.sweepAt, c.last(r))
 	// After a restart a further attempt is a repeat like any other: it needs
 	// an effect that allows it, attempts left and the ledger's consent.
-	if r.attempts > 0 && !c.repeatable(r) {
+	if r.attempts > 0 && !c.goesOn(r, ev) && !c.repeatable(r) {
 		c.giveUp(r)
 	}
 }
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -139,6 +139,9 @@
 			ev.RanFor = f.class.Window
 		}
 	}
+	if f.going != nil {
+		ev.OutOn, ev.OutFor = c.goOn(f)
+	}
 	c.feed(ev)
 }
 
@@ -165,6 +168,10 @@
 			if m.Ran {
 				c.left(f, m.RanSince.Sub(c.start))
 			}
+			if call, ok := c.going[m.Seq]; ok && m.Out {
+				f.going = &call
+				delete(c.going, m.Seq)
+			}
 			c.hand(f)
 		default:
 			f := &flow{msg: m, class: &snowjunction.Class{}}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,7 @@
 	"snowjunction/internal/distrust"
 	"snowjunction/internal/dormancy"
 	"snowjunction/internal/exclusions"
+	"snowjunction/internal/handover"
 	"snowjunction/internal/learnt"
 	"snowjunction/internal/once"
 	"snowjunction/internal/store"
@@ -127,7 +128,10 @@
 	tenants  map[string]int
 	draining bool
 	frozen   bool
-	paused   bool // the first decisions wait for the directory's word
+	hushed   bool                     // another process of this courier is to decide
+	going    map[uint64]handover.Call // by their messages' numbers: calls that have been taken over
+	outs     int                      // changes to what is out by hand that are yet to last
+	paused   bool                     // the first decisions wait for the directory's word
 	book     *dormancy.Book
 	updates  updates
 	dirs     []*directory // by front; nil: what it lists is true
@@ -150,6 +154,7 @@
 	attempt *attempt   // the one that is out
 	fresh   bool       // the module is yet to look at it for the first time
 	ended   bool
+	going   *handover.Call // another process of this courier has made its attempt
 }
 
 // New returns a core. Its fronts are numbered as given.
@@ -202,7 +207,7 @@
 // next tick.
 func (c *Core) feed(ev snowjunction.Event) {
 	c.events = append(c.events, ev)
-	if c.due == nil && !c.frozen && !c.paused {
+	if c.due == nil && !c.frozen && !c.paused && !c.hushed {
 		c.due = c.Loop.After(c.handled.Add(c.Settings.Tick).Sub(c.Loop.Now()), c.handle)
 	}
 }
@@ -220,7 +225,7 @@
 		return
 	}
 	c.paused = false
-	if len(c.events) > 0 && c.due == nil && !c.frozen {
+	if len(c.events) > 0 && c.due == nil && !c.frozen && !c.hushed {
 		c.due = c.Loop.After(0, c.handle)
 	}
 }
@@ -228,7 +233,7 @@
 // handle lets the module decide, at most once a tick, and does what it says.
 func (c *Core) handle() {
 	c.due = nil
-	if c.frozen {
+	if c.frozen || c.hushed {
 		return
 	}
 	c.handled = c.Loop.Now()
--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -69,8 +69,10 @@
 		return
 	}
 	c.Log.Info("by hand", "endpoint", name, "out", out, "was", was, "destination", e.Destination)
+	c.outs++
 	c.Exclusions.Put(c.out.Encode(c.Loop.Now()), func(err error) {
 		c.Loop.Post(func() {
+			c.outs--
 			if err != nil && was != out && c.out.Out(name) == out {
 				_ = change(was)
 			}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
@@ -25,6 +24,7 @@
 	"snowjunction/internal/front/console"
 	"snowjunction/internal/front/platform"
 	"snowjunction/internal/front/push"
+	"snowjunction/internal/handover"
 	"snowjunction/internal/idlestore"
 	"snowjunction/internal/learnt"
 	"snowjunction/internal/net"
@@ -74,6 +74,16 @@
 	fleet     *config.Fleet
 	datagrams *net.Datagrams // nil: no notes
 
+	process  *process
+	console  *console.Front  // nil: none
+	callers  []handover.Conn // of the second address, in an earlier life of this process
+	handover *handover.Door  // nil: nobody can take over
+	draining bool            // it ends in order
+	yielding bool            // another process is to go on
+	link     *handover.Link  // to that one
+	estate   *handover.Estate
+	second   int // the second address's socket, once handed over; -1: none
+
 	door     string             // path of the admin socket; "": none
 	socket   *admin.Socket      // nil: none
 	reading  bool               // files are being read anew
@@ -101,86 +111,46 @@
 	return slog.New(slog.NewTextHandler(o.Log, opts))
 }
 
-// Run is the courier from its start to its end. An error means that it could
-// not start; it is one line.
-func Run(o Options) error {
-	// First of all: a signal that came before would end the process there and
-	// then.
-	signals := o.Signals
-	if signals == nil {
-		own := make(chan os.Signal, 4)
-		signal.Notify(own, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
-		signals = own
-	}
-	c, left, err := build(o)
-	if err != nil {
-		return err
-	}
-	defer c.journal.Close()
-	if err := c.start(left); err != nil {
-		return err
-	}
-	go func() {
-		for s := range signals {
-			c.loop.Post(func() { c.signal(s) })
+// prepare makes the parts that need nothing of the folder, plug-ins among them.
+func (p *process) prepare() (*courier, error) {
+	f := p.files
+	c := &courier{
+		process: p, cfg: f.cfg, env: p.o.Env, idle: f.idle, dir: f.directory, fleet: f.fleet, door: f.plugins.Admin,
+		loop: core.NewLoop(time.Now), log: p.log,
+	}
+	if c.plugins = plugin.New(plugin.Config{Loop: c.loop, Log: c.log, Command: p.o.Host, Bodies: f.plugins.Bodies}); len(f.manifests) > 0 {
+		why, done := "", false
+		c.plugins.Replace(f.manifests, func(err string) { why, done = err, true })
+		if c.loop.RunUntil(func() bool { return done }); why != "" {
+			return nil, errors.New(why)
 		}
-	}()
-	c.loop.Run()
-	c.platform.Close()
-	c.push.Close()
-	if c.datagrams != nil {
-		c.datagrams.Close()
 	}
-	if c.socket != nil {
-		c.socket.Close()
-	}
-	c.plugins.Close()
-	if c.store != nil {
-		c.store.Close()
-	}
-	if c.cache != nil {
-		c.cache.Close()
-	}
-	if c.learnt != nil {
-		c.learnt.Close()
-	}
-	c.excluded.Close()
-	c.count("ended")
-	return nil
+	return c, nil
 }
 
-// build reads what the courier is told and makes its parts.
-func build(o Options) (*courier, []*store.Message, error) {
-	f, err := readAll(o.Env, nil)
-	if err != nil {
-		return nil, nil, err
-	}
-	cfg, pushCfg := f.cfg, f.push
-	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * memoryShare))
-	c := &courier{cfg: cfg, env: o.Env, idle: f.idle, dir: f.directory, fleet: f.fleet, door: f.plugins.Admin, loop: core.NewLoop(time.Now)}
-	c.log = o.Logger().With("courier", cfg.Name)
-	api, life, err := descriptions(pushCfg)
-	if err != nil {
-		return nil, nil, err
-	}
-	if c.plugins = plugin.New(plugin.Config{Loop: c.loop, Log: c.log, Command: o.Host, Bodies: f.plugins.Bodies}); len(f.manifests) > 0 {
-		why, done := "", false
-		c.plugins.Replace(f.manifests, func(err string) { why, done = err, true })
-		if c.loop.RunUntil(func() bool { return done }); why != "" {
-			return nil, nil, errors.New(why)
+// build makes the other parts, of a folder that this process owns. The estate, if there is
+// one, is the courier's from then on.
+func (c *courier) build(e *handover.Estate) (left []*store.Message, err error) {
+	cfg, pushCfg := c.cfg, c.process.files.push
+	if c.engine, err = net.New(net.Config{Post: c.loop.Post, Log: c.log, MaxConns: max(cfg.Limits.Sockets-descriptors, cfg.Limits.Sockets/2)}); err != nil {
+		return nil, err
+	}
+	// An address that somebody else has ends the start before anything of the folder is touched.
+	if err := c.reserve(e, pushCfg.Listen); err != nil {
+		return nil, err
+	}
+	goes := map[uint64]bool{}
+	if e != nil {
+		for _, x := range e.Calls {
+			goes[x.Seq] = x.FD >= 0
 		}
 	}
-	var left []*store.Message
 	c.journal, left, err = store.Load(store.Options{
 		Dir: cfg.State, Bytes: cfg.Bytes() - c.dir.Room() - exclusions.Room(), Retain: pushCfg.Retain, Log: c.log,
+		Goes: func(seq uint64) bool { return goes[seq] },
 	})
 	if err != nil {
-		return nil, nil, err
-	}
-	c.engine, err = net.New(net.Config{Post: c.loop.Post, Log: c.log, MaxConns: max(cfg.Limits.Sockets-descriptors, cfg.Limits.Sockets/2)})
-	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	c.platform = platform.New(platform.Config{
 		Loop: c.loop, Engine: c.engine, Log: c.log, Number: platformFront, Listen: cfg.Listen,
@@ -188,7 +158,7 @@
 		Lists: platform.ListLimits{Bytes: c.idle.ListBytes, Entries: c.idle.ListEntries},
 	})
 	c.push = push.New(push.Config{
-		Loop: c.loop, Engine: c.engine, Log: c.log, Number: pushFront, Push: pushCfg, API: api, Life: life,
+		Loop: c.loop, Engine: c.engine, Log: c.log, Number: pushFront, Push: pushCfg, API: c.process.api, Life: c.process.life,
 		Columns: cfg.Columns, Settings: cfg.Settings,
 	})
 	coreCfg := core.Config{
@@ -196,7 +166,7 @@
 		Fronts:   []core.Front{platformFront: c.platform, pushFront: c.push},
 		Dormancy: &c.idle.Dormancy, Directories: map[int]core.Directory{platformFront: c.dir.Directory},
 	}
-	c.keep(&coreCfg)
+	c.keep(&coreCfg, e)
 	c.excluded = exclusions.Open(cfg.State, c.log)
 	coreCfg.Exclusions = c.excluded
 	if c.idle.Store != "" {
@@ -212,8 +182,28 @@
 	}
 	c.join(&coreCfg)
 	coreCfg.Plugins = c.plugins
-	c.core, err = core.New(coreCfg)
-	return c, left, err
+	if c.core, err = core.New(coreCfg); err == nil && c.process.last != nil {
+		c.core.Carry(c.process.last)
+	}
+	return left, err
+}
+
+// reserve binds the clients' addresses, or goes on with the sockets that have been handed over.
+func (c *courier) reserve(e *handover.Estate, pushListen string) error {
+	if e != nil {
+		for i, l := range e.Listeners {
+			if l.FD >= 0 {
+				if err := c.engine.Inherit(l.Kind, l.FD); err != nil {
+					c.log.Warn("a listener could not be taken over", "kind", l.Kind, "err", err)
+				}
+				e.Listeners[i].FD = -1
+			}
+		}
+	}
+	if err := c.engine.Reserve(platform.ListenerKind, c.cfg.Listen); err != nil || pushListen == "" {
+		return err
+	}
+	return c.engine.Reserve(push.ListenerKind, pushListen)
 }
 
 // descriptions reads the push front's documents, if it is on.
@@ -236,38 +226,51 @@
 	return api, life, err
 }
 
-// start opens the fronts and takes up what an earlier process left.
-func (c *courier) start(left []*store.Message) error {
+// start opens the fronts and takes up what an earlier process left, or hands over.
+func (c *courier) start(left []*store.Message, e *handover.Estate) error {
 	if err := c.push.Start(c.core, left); err != nil {
 		return err
 	}
 	out := exclusions.New(c.cfg.Settings.WarmUp)
 	exclusions.Read(c.cfg.State, out, c.log)
 	c.core.RecallOut(out)
-	c.core.Recall(c.recalled)
+	if e != nil {
+		c.core.TakeOver(e)
+	} else {
+		c.core.Recall(c.recalled)
+	}
 	c.recalled = nil
 	if err := c.platform.Start(c.core, c.begin); err != nil {
 		return err
 	}
-	if c.begin.Held && len(left) > 0 {
+	if c.begin.Held && len(left) > 0 && (e == nil || !e.Live) {
 		c.core.Pause(wordWithin)
 	}
 	c.core.Restore(left) // before the loop runs: nothing new comes in front of it
+	if e != nil {
+		c.platform.TakeOver(e.Clients)
+		c.log.Info("taken over", "clients", len(e.Clients), "calls", len(e.Calls), "known", len(e.Known), "keys", len(e.Keys))
+		c.forgo()
+	}
+	c.engine.Disinherit()
 	second := ""
 	if c.cfg.Console != "" {
-		front, err := console.Start(console.Config{
+		var err error
+		c.console, err = console.Start(console.Config{
 			Loop: c.loop, Engine: c.engine, Listen: c.cfg.Console, Ready: c.platform.Ready,
-			Figures: func() core.Figures { return c.core.Figures(platformFront) },
+			Figures: func(done func(core.Figures)) { done(c.core.Figures(platformFront)) },
 			Exclude: func(id string, out bool, done func(error)) { c.core.Exclude(platformFront, id, out, done) },
 		})
 		if err != nil {
 			return err
 		}
-		second = front.Addr()
+		second = c.console.Addr()
+		c.console.TakeOver(c.callers)
 	}
 	if err := c.openDoor(); err != nil {
 		return err
 	}
+	c.openHandover()
 	c.log.Info("started", "listen", c.platform.Addr(), "push", c.push.Addr(), "restored", c.core.Counters.Restored)
 	if second != "" {
 		c.log.Info("second address", "listen", second)
@@ -276,6 +279,10 @@
 }
 
 func (c *courier) signal(s os.Signal) {
+	if c.yielding { // whoever goes on is told
+		c.process.later(s)
+		return
+	}
 	switch s {
 	case syscall.SIGUSR1:
 		c.count("counters")
@@ -402,6 +409,7 @@
 // drain ends the courier in order: it takes nothing more, lets its clients go,
 // finishes what it can and leaves the rest in the journal.
 func (c *courier) drain() {
+	c.draining = true
 	c.log.Info("draining", "held", c.core.Held())
 	c.core.Drain()
 	c.platform.Drain()
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -10,6 +10,7 @@
 	"snowjunction/internal/core"
 	"snowjunction/internal/dircache"
 	"snowjunction/internal/front/platform"
+	"snowjunction/internal/handover"
 	"snowjunction/internal/learnt"
 )
 
@@ -158,13 +159,22 @@
 
 // keep reads what an earlier life has left beside its journal, and has this one leave
 // the like. What cannot be read or written costs what is known, not the start.
-func (c *courier) keep(cfg *core.Config) {
+func (c *courier) keep(cfg *core.Config, e *handover.Estate) {
 	wrong := func(file string, err error) { c.log.Warn("not taken up", "file", file, "err", err) }
 	var kept *dircache.Snapshot
-	if c.dir.Cache {
-		if kept = dircache.Load(c.cfg.State, wrong); kept != nil {
-			kept.Rename(c.cfg.Names.Zones, c.cfg.Names.Kinds)
+	if e != nil && len(e.List) > 0 {
+		var err error
+		if kept, err = dircache.Decode(e.List); err != nil {
+			wrong("the list handed over", err)
 		}
+	}
+	if kept == nil && c.dir.Cache {
+		kept = dircache.Load(c.cfg.State, wrong)
+	}
+	if kept != nil {
+		kept.Rename(c.cfg.Names.Zones, c.cfg.Names.Kinds)
+	}
+	if c.dir.Cache {
 		cache, err := dircache.Open(dircache.Options{Dir: c.cfg.State, Bytes: c.dir.CacheBytes, Generations: c.dir.Generations, Log: c.log})
 		if err != nil {
 			c.log.Warn("the directory's list is not kept", "err", err)
--- /dev/null
+++ b/internal/daemon/handover.go
@@ -0,0 +1,364 @@
+package daemon
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"snowjunction/internal/core"
+	"snowjunction/internal/dircache"
+	"snowjunction/internal/front/console"
+	"snowjunction/internal/handover"
+	"snowjunction/internal/learnt"
+	"snowjunction/internal/net"
+)
+
+const (
+	quietWithin = 500 * time.Millisecond // for notices and what cannot be handed over, before a handover
+	quietAgain  = 2 * time.Millisecond
+	listMost    = 16 << 20 // bytes of the directory's list that are handed over
+)
+
+// openHandover lets another process ask for the folder. Where there are no such sockets this
+// process serves all the same.
+func (c *courier) openHandover() {
+	if c.process.lock == nil {
+		return
+	}
+	var err error
+	c.handover, err = handover.Open(c.cfg.State, c.hello, func(err error) {
+		c.log.Warn("a handover was refused", "err", err)
+	})
+	if err != nil {
+		c.log.Warn("no handovers: another process has to wait for this one's end", "err", err)
+	}
+}
+
+// hello serves a connection of another process, by its first frame.
+func (c *courier) hello(link *handover.Link, f handover.Frame, err error) {
+	say := func(k handover.Kind, text string) {
+		_ = link.Send(handover.Frame{Kind: k, Text: text, FD: -1})
+		link.Close()
+	}
+	switch {
+	case err != nil: // another version: it has been started to go on, and has to without an estate
+		c.log.Warn("a handover was refused: this process ends, and the other starts as after any end", "err", err)
+		say(handover.Refusal, fmt.Sprintf("this process speaks version %d: it ends", handover.Version))
+		c.loop.Post(func() { c.signal(syscall.SIGTERM) })
+	case f.Kind == handover.Hello:
+		c.loop.Post(func() {
+			if c.draining || c.yielding {
+				go say(handover.Refusal, "it ends")
+				return
+			}
+			c.yield(link)
+		})
+	case f.Kind == handover.Ask:
+		got := make(chan string, 1)
+		c.loop.Post(func() { c.answer(f.Text, func(text string) { got <- text }) })
+		select {
+		case text := <-got:
+			say(handover.Told, text)
+		case <-time.After(handover.AskWithin):
+			link.Close()
+		}
+	default:
+		c.log.Warn("a handover was refused", "err", handover.ErrFrame, "kind", f.Kind)
+		link.Close()
+	}
+}
+
+// answer answers what a process that has handed over asks for its callers.
+func (c *courier) answer(text string, done func(string)) {
+	if c.yielding {
+		return // the next owner is asked again
+	}
+	word, id, _ := strings.Cut(text, " ")
+	switch word {
+	case "exclude", "include":
+		c.core.Exclude(platformFront, id, word == "exclude", func(err error) {
+			if err != nil {
+				done("error " + err.Error())
+				return
+			}
+			done("done")
+		})
+	case "telemetry":
+		b, err := json.Marshal(c.core.Figures(platformFront))
+		if err != nil {
+			b = nil
+		}
+		done(string(b))
+	case "reload":
+		c.reload(func(string) {})
+		done("done")
+	default:
+		done("error unknown call")
+	}
+}
+
+// yield hands over: nothing more is decided here, what is under way comes to a point where
+// another process can go on with it, and the loop ends with the estate in hand.
+func (c *courier) yield(link *handover.Link) {
+	c.yielding, c.link = true, link
+	c.log.Info("handing over", "held", c.core.Held(), "connections", c.engine.Open())
+	c.core.Hush()
+	c.platform.Hush()
+	c.push.Drain()
+	if c.console != nil {
+		c.console.Hush()
+	}
+	c.engine.Retire(func(fds map[string]int) {
+		limit := c.loop.Now().Add(quietWithin)
+		var look func()
+		look = func() {
+			unready := c.core.Unready()
+			if (unready > 0 || !c.platform.Hushed() || c.reading) && c.loop.Now().Before(limit) {
+				c.loop.After(quietAgain, look)
+				return
+			}
+			if unready > 0 || !c.platform.Hushed() {
+				c.log.Warn("not all came to rest before the handover", "calls", unready, "notices", !c.platform.Hushed())
+			}
+			c.gather(fds)
+		}
+		look()
+	})
+}
+
+// gather takes all that is handed over out of this process's hands.
+func (c *courier) gather(fds map[string]int) {
+	e := &handover.Estate{}
+	c.second = -1
+	for kind, fd := range fds {
+		if kind == console.ListenerKind {
+			c.second = fd
+			continue
+		}
+		e.Listeners = append(e.Listeners, handover.Listener{Kind: kind, FD: fd})
+	}
+	_, _, e.Live = c.core.Word(platformFront)
+	e.List = c.list()
+	calls, clients := c.core.Hand(), c.platform.Hand()
+	callers := func() []handover.Conn { return nil }
+	if c.console != nil {
+		callers = c.console.Hand()
+	}
+	c.platform.Close()
+	c.push.Close()
+	c.engine.Halt(func() {
+		e.Clients, c.callers = clients(), callers()
+		calls(e)
+		if c.reading { // the next owner has read its files before, perhaps
+			c.process.later(syscall.SIGHUP)
+		}
+		c.estate = e
+		c.loop.End()
+	})
+}
+
+// list is the directory's list in the form in which it is kept.
+func (c *courier) list() []byte {
+	gen, agent, known := c.platform.Told()
+	if !known {
+		return nil
+	}
+	told := c.loop.Now()
+	if _, age, live := c.core.Word(platformFront); !live {
+		told = told.Add(-age)
+	}
+	w := dircache.NewWriter(dircache.Head{
+		Told: told, Generation: gen, Agent: agent, Zones: dircache.Names(c.cfg.Names.Zones), Kinds: dircache.Names(c.cfg.Names.Kinds),
+	}, listMost)
+	for e := range c.core.Table(platformFront).From(0) {
+		w.Add(e)
+	}
+	b := w.Bytes()
+	if c.cache != nil && len(b) <= c.dir.CacheBytes {
+		c.cache.Put(b)
+	}
+	return b
+}
+
+// close ends all parts. What is kept beside the journal is written before it returns.
+func (c *courier) close() {
+	if c.estate == nil {
+		c.platform.Close()
+		c.push.Close()
+	}
+	c.handover.Close()
+	if c.datagrams != nil {
+		c.datagrams.Close()
+	}
+	if c.socket != nil {
+		c.socket.Close()
+	}
+	c.plugins.Close()
+	if c.store != nil {
+		c.store.Close()
+	}
+	if c.cache != nil {
+		c.cache.Close()
+	}
+	if c.learnt != nil {
+		if c.estate != nil {
+			c.learnt.Put(c.known())
+		}
+		c.learnt.Close()
+	}
+	c.excluded.Close()
+	c.journal.Close()
+	c.count("ended")
+}
+
+// known is what is handed over of destinations in use, for an ordinary restart should both
+// processes die.
+func (c *courier) known() (out []learnt.Record) {
+	for _, k := range c.estate.Known {
+		if k.Awake {
+			out = append(out, learnt.Record{Destination: k.Destination, At: k.At, Text: k.Text})
+		}
+	}
+	return out
+}
+
+// forgo ends the calls that were taken over and that nobody waits for.
+func (c *courier) forgo() {
+	for _, x := range c.core.Forgone() {
+		if x.FD >= 0 {
+			_ = unix.Close(x.FD)
+		}
+	}
+}
+
+// linger keeps a process that has handed over answering at its second address, until it is
+// told to end or has lingered for long. It returns true where the folder has no owner any
+// more: then this process owns it again.
+func (p *process) linger(c *courier) (owns bool) {
+	loop := core.NewLoop(time.Now)
+	engine, err := net.New(net.Config{Post: loop.Post, Log: p.log, MaxConns: descriptors})
+	if err != nil {
+		p.log.Error("ends after the handover", "err", err)
+		return false
+	}
+	var front *console.Front
+	if c.second >= 0 {
+		if err = engine.Inherit(console.ListenerKind, c.second); err == nil {
+			front, err = console.Start(console.Config{
+				Loop: loop, Engine: engine, Listen: c.cfg.Console, Ready: func() bool { return false },
+				Figures: func(done func(core.Figures)) { p.figures(loop, done) },
+				Exclude: func(id string, out bool, done func(error)) { p.exclude(loop, id, out, done) },
+			})
+		}
+		if err != nil {
+			p.log.Error("the second address ends with the handover", "err", err)
+		} else {
+			front.TakeOver(c.callers)
+		}
+	}
+	c.callers, c.second = nil, -1
+	p.hear(func(s os.Signal) {
+		loop.Post(func() {
+			switch s {
+			case syscall.SIGHUP:
+				go p.owner("reload")
+			case syscall.SIGTERM, syscall.SIGINT:
+				loop.End()
+			}
+		})
+	})
+	loop.After(lingerFor, loop.End)
+	var look func()
+	look = func() {
+		if lock, err := handover.Acquire(p.files.cfg.State); err == nil {
+			p.lock, owns = lock, true
+			p.log.Warn("owns the folder again", "why", "the process that took it over is gone")
+			loop.End()
+			return
+		}
+		loop.After(lookForIt, look)
+	}
+	loop.After(lookForIt, look)
+	loop.Post(debug.FreeOSMemory)
+	loop.Run()
+	p.hear(nil)
+	ended := make(chan struct{})
+	engine.Stop()
+	engine.Halt(func() { close(ended) })
+	loop.RunUntil(func() bool {
+		select {
+		case <-ended:
+			return true
+		default:
+			return false
+		}
+	})
+	if !owns {
+		p.log.Info("ended after the handover")
+	}
+	return owns
+}
+
+// owner asks the folder's owner, and once more where it changes meanwhile.
+func (p *process) owner(call string) (string, error) {
+	var err error
+	for range 2 {
+		var link *handover.Link
+		if link, err = handover.Dial(p.files.cfg.State); err != nil {
+			continue
+		}
+		if err = link.Send(handover.Frame{Kind: handover.Ask, Text: call, FD: -1}); err == nil {
+			var f handover.Frame
+			if f, err = link.Receive(handover.AskWithin); err == nil && f.Kind == handover.Told {
+				link.Close()
+				return f.Text, nil
+			}
+		}
+		link.Close()
+		if err == nil {
+			err = handover.ErrFrame
+		}
+	}
+	return "", err
+}
+
+// figures are this process's counts, which stand, with how things are at the owner. What is
+// open is counted there.
+func (p *process) figures(loop *core.Loop, done func(core.Figures)) {
+	x := p.last.Figures(platformFront)
+	x.Open = 0
+	go func() {
+		text, err := p.owner("telemetry")
+		var now core.Figures
+		if err == nil {
+			err = json.Unmarshal([]byte(text), &now)
+		}
+		if err == nil {
+			x.Entries, x.OutOfRotation = now.Entries, now.OutOfRotation
+		}
+		loop.Post(func() { done(x) })
+	}()
+}
+
+func (p *process) exclude(loop *core.Loop, id string, out bool, done func(error)) {
+	call := "include "
+	if out {
+		call = "exclude "
+	}
+	go func() {
+		text, err := p.owner(call + id)
+		if err != nil {
+			err = errors.New("the owner does not answer")
+		} else if why, bad := strings.CutPrefix(text, "error "); bad {
+			err = errors.New(why)
+		}
+		loop.Post(func() { done(err) })
+	}()
+}
--- /dev/null
+++ b/internal/daemon/process.go
@@ -0,0 +1,308 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"snowjunction/internal/core"
+	"snowjunction/internal/describe"
+	"snowjunction/internal/handover"
+)
+
+// process is what outlasts the couriers of one process: a handover that fails makes it go on
+// with a new one of its own.
+type process struct {
+	o    Options
+	log  *slog.Logger
+	api  *describe.API
+	life *describe.Life
+
+	files files
+	lock  *handover.Lock // nil: the folder cannot be locked here, or is somebody else's
+	last  *core.Core     // of the courier before, for its counts
+
+	mu      sync.Mutex
+	deliver func(os.Signal)
+	waiting []os.Signal
+}
+
+const (
+	askAgain  = 50 * time.Millisecond // between two looks at who owns the folder
+	tellEvery = 5 * time.Second       // between lines that say why this process waits
+	lingerFor = 10 * time.Second      // after a handover, where nobody ends this process
+	lookForIt = 100 * time.Millisecond
+	reclaims  = 25 // looks at the lock before a courier that gave it away leaves
+)
+
+// Run is the courier from its start to its end. An error means that it could not start; it
+// is one line.
+func Run(o Options) error {
+	// First of all: a signal that came before would end the process there and then.
+	signals := o.Signals
+	if signals == nil {
+		own := make(chan os.Signal, 4)
+		signal.Notify(own, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
+		signals = own
+	}
+	f, err := readAll(o.Env, nil)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(float64(f.cfg.Limits.MemoryMB<<20) * memoryShare))
+	p := &process{o: o, files: f, log: o.Logger().With("courier", f.cfg.Name)}
+	if p.api, p.life, err = descriptions(f.push); err != nil {
+		return err
+	}
+	go func() {
+		for s := range signals {
+			p.later(s)
+		}
+	}()
+	c, err := p.prepare()
+	if err != nil {
+		return err
+	}
+	estate, err := p.own()
+	if err != nil || estate == nil && p.ended() {
+		c.plugins.Close()
+		return err
+	}
+	for {
+		left, err := c.build(estate)
+		if err == nil {
+			err = c.start(left, estate)
+		}
+		if err != nil {
+			if c.journal != nil {
+				c.journal.Close()
+			}
+			return err
+		}
+		estate = nil
+		p.hear(func(s os.Signal) { c.loop.Post(func() { c.signal(s) }) })
+		c.loop.Run()
+		p.hear(nil)
+		c.close()
+		if c.estate == nil {
+			p.lock.Close()
+			return nil
+		}
+		p.last = c.core
+		if p.give(c.link, c.estate) {
+			estate = c.estate
+		} else if c.estate.Close(); !p.linger(c) {
+			return nil
+		}
+		old := c
+		if c, err = p.prepare(); err != nil {
+			return err
+		}
+		c.callers = old.callers
+		if old.second >= 0 && estate != nil {
+			estate.Listeners = append(estate.Listeners, handover.Listener{Kind: "console", FD: old.second})
+		}
+	}
+}
+
+// later has a signal heard by whoever hears them now, or next.
+func (p *process) later(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.deliver != nil {
+		p.deliver(s)
+	} else {
+		p.waiting = append(p.waiting, s)
+	}
+}
+
+// hear has signals delivered from now on; nil: they wait.
+func (p *process) hear(deliver func(os.Signal)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deliver = deliver
+	if deliver == nil {
+		return
+	}
+	for _, s := range p.waiting {
+		deliver(s)
+	}
+	p.waiting = nil
+}
+
+// ended tells that a process which owns nothing yet has been told to end.
+func (p *process) ended() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.waiting {
+		if s == syscall.SIGTERM || s == syscall.SIGINT {
+			return true
+		}
+	}
+	return false
+}
+
+// own returns once this process owns the folder: it was free, or its owner has handed it over
+// with an estate. Without both it waits, and says why, until it is told to end.
+func (p *process) own() (*handover.Estate, error) {
+	dir := p.files.cfg.State
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, fmt.Errorf("open the journal: %w", err)
+	}
+	told, said := time.Time{}, ""
+	for !p.ended() {
+		lock, err := handover.Acquire(dir)
+		if err == nil {
+			p.lock = lock
+			return nil, nil
+		}
+		if !errors.Is(err, handover.ErrOwned) {
+			p.log.Warn("nothing tells who owns the folder: two processes must not run over it", "err", err)
+			return nil, nil
+		}
+		estate, err := p.ask(dir)
+		if err == nil {
+			return estate, nil
+		}
+		if now := time.Now(); now.Sub(told) >= tellEvery || err.Error() != said {
+			told, said = now, err.Error()
+			p.log.Warn("waits for the folder's owner to end", "why", said)
+		}
+		time.Sleep(askAgain)
+	}
+	return nil, nil
+}
+
+// ask asks the owner to hand over.
+func (p *process) ask(dir string) (*handover.Estate, error) {
+	link, err := handover.Dial(dir)
+	if err != nil {
+		return nil, err
+	}
+	defer link.Close()
+	if err := link.Send(handover.Frame{Kind: handover.Hello, Text: p.files.cfg.Name, FD: -1}); err != nil {
+		return nil, err
+	}
+	var side handover.Younger
+	got := handover.Collector{}
+	for {
+		f, err := link.Receive(handover.StepWithin)
+		ev := handover.Broken
+		switch {
+		case err != nil:
+		case f.Kind == handover.Refusal:
+			err = fmt.Errorf("the owner does not hand over: %s", f.Text)
+		case f.Kind == handover.DeedTo:
+			ev = handover.GotDeed
+		default:
+			var whole bool
+			if whole, err = got.Add(f); err == nil && !whole {
+				continue
+			}
+			if err == nil {
+				ev = handover.GotEstate
+			}
+		}
+		switch side.On(ev) {
+		case handover.Answer:
+			if err := link.Send(handover.Frame{Kind: handover.ReadyFor, FD: -1}); err == nil {
+				continue
+			}
+		case handover.Own:
+			p.lock = handover.Received(f.FD)
+			_ = link.Send(handover.Frame{Kind: handover.Took, FD: -1}) // the lock is here, whatever the elder hears
+			return &got.Estate, nil
+		}
+		if f.Kind == handover.DeedTo && err == nil {
+			_ = unix.Close(f.FD)
+		}
+		got.Estate.Close()
+		if err == nil {
+			err = handover.ErrFrame
+		}
+		return nil, err
+	}
+}
+
+// give hands an estate over. It returns true where this process owns on: then the estate is
+// still its own, but for what could not be kept meanwhile.
+func (p *process) give(link *handover.Link, e *handover.Estate) bool {
+	defer link.Close()
+	var side handover.Elder
+	side.On(handover.GotHello)
+	event := handover.Quiet
+	for {
+		switch side.On(event) {
+		case handover.Offer:
+			event = p.offer(link, e)
+		case handover.Deed:
+			if err := link.Send(handover.Frame{Kind: handover.DeedTo, FD: p.lock.FD()}); err != nil {
+				p.log.Warn("not handed over", "step", "lock", "err", err)
+				return true // it has not left
+			}
+			p.lock.Close()
+			p.lock = nil
+			event = handover.Broken
+			if f, err := link.Receive(handover.StepWithin); err == nil && f.Kind == handover.Took {
+				event = handover.GotTaken
+			}
+		case handover.Leave:
+			p.log.Info("handed over", "clients", len(e.Clients), "calls", len(e.Calls))
+			return false
+		case handover.Reclaim:
+			for range reclaims {
+				lock, err := handover.Acquire(p.files.cfg.State)
+				if err == nil {
+					p.lock = lock
+					p.log.Warn("not handed over", "step", "taken", "why", "the other process is gone")
+					return true
+				}
+				time.Sleep(lookForIt / 5)
+			}
+			p.log.Warn("handed over", "why", "another process owns the folder, though none has said so")
+			return false
+		default:
+			return true
+		}
+	}
+}
+
+// offer sends an estate and waits for word that it has come. Where both processes together
+// would hold too many descriptors, each is closed here as it leaves.
+func (p *process) offer(link *handover.Link, e *handover.Estate) handover.Event {
+	n := 0
+	e.Each(func(*int) { n++ })
+	var err error
+	tight := 2*n+2*descriptors > p.files.cfg.Limits.Sockets
+	for f := range e.Frames {
+		if err = link.Send(f); err != nil {
+			break
+		}
+		if tight && f.FD >= 0 {
+			e.Each(func(fd *int) {
+				if *fd == f.FD {
+					_ = unix.Close(*fd)
+					*fd = -1
+				}
+			})
+		}
+	}
+	if err == nil {
+		var f handover.Frame
+		if f, err = link.Receive(handover.StepWithin); err == nil && f.Kind == handover.ReadyFor {
+			return handover.GotReady
+		}
+	}
+	p.log.Warn("not handed over", "step", "estate", "err", err)
+	return handover.Broken
+}
--- a/internal/dormancy/dormancy.go
+++ b/internal/dormancy/dormancy.go
@@ -78,6 +78,7 @@
 	dest       Destination
 	at         time.Duration
 	restart    bool          // it was awake, or asleep, when the process ended
+	handed     bool          // it was awake when another process handed it over
 	binds      time.Duration // until then it binds
 	text       []byte
 	prev, next *keep
@@ -264,6 +265,12 @@
 	if err != nil { // it was written here: never
 		m = nil
 	}
+	if k.handed && m != nil {
+		b.awake++
+		b.Counts.Woke++
+		b.Counts.Known++
+		return Woken{Memento: m, Slept: now - k.at}
+	}
 	if k.restart && m != nil {
 		b.awake++
 		b.Counts.Woke++
@@ -291,6 +298,24 @@
 	return true
 }
 
+// Hand takes a memento that another process of this courier has made a moment ago: it counts
+// as this one's own knowledge, told waits included. An awake destination's is taken as it was.
+func (b *Book) Hand(d Destination, text []byte, at, now time.Duration, awake, restart bool) bool {
+	m, err := memento.Decode(text)
+	if err != nil || b.bytes+len(text)+keepCost > b.cfg.Memory {
+		return false
+	}
+	b.put(&keep{dest: d, at: at, binds: at + b.binds(&m.State), text: text, handed: awake, restart: restart})
+	return true
+}
+
+// Each calls f with what is kept of those asleep.
+func (b *Book) Each(f func(d Destination, text []byte, at time.Duration, restart bool)) {
+	for d, k := range b.kept {
+		f(d, k.text, k.at, k.restart)
+	}
+}
+
 // resume weighs what was known before a restart. The restart has ended told waits;
 // what paces calls stays. An outage is neither forgotten nor believed in when long
 // over: then its endpoints count as back and cold.
--- a/internal/front/console/console.go
+++ b/internal/front/console/console.go
@@ -16,7 +16,8 @@
 
 const (
 	silentFor   = 5 * time.Second // that a caller may take for its line
-	callersMost = 32              // beyond, the one that has been there for longest goes
+	readMost    = oneline.Most + 4
+	callersMost = 32 // beyond, the one that has been there for longest goes
 )
 
 // Config is what the front needs.
@@ -24,8 +25,8 @@
 	Loop    *core.Loop
 	Engine  *net.Engine
 	Listen  string
-	Ready   func() bool         // whether messages are taken
-	Figures func() core.Figures // what is counted
+	Ready   func() bool                   // whether messages are taken
+	Figures func(done func(core.Figures)) // what is counted
 	// Exclude takes an endpoint out, or lets it serve again. done is called once that
 	// lasts, or with why it is not so.
 	Exclude func(id string, out bool, done func(error))
@@ -36,6 +37,7 @@
 	Config
 	addr    string
 	callers []*caller // the oldest first
+	hushed  bool      // calls wait for whoever goes on
 }
 
 // Start listens; an error says why it cannot.
@@ -53,6 +55,7 @@
 	front  *Front
 	conn   *net.Conn
 	parser oneline.Parser
+	read   []byte // of a call that is not answered
 	limit  *core.Timer
 }
 
@@ -61,9 +64,13 @@
 		f.spare()
 	}
 	c := &caller{front: f, conn: conn}
+	f.join(c)
+	return c
+}
+
+func (f *Front) join(c *caller) {
 	c.limit = f.Loop.After(silentFor, func() { c.end(net.Idle) })
 	f.callers = append(f.callers, c)
-	return c
 }
 
 // spare ends the caller that has been there for longest.
@@ -81,6 +88,12 @@
 
 // Data reads the call and answers it.
 func (c *caller) Data(b []byte) {
+	if c.read = append(c.read, b[:min(len(b), readMost)]...); c.front.hushed {
+		return
+	}
+	if len(c.read) > readMost {
+		c.read = c.read[:readMost]
+	}
 	call, ok, err := c.parser.Feed(b)
 	if !ok && err == nil {
 		return
@@ -134,8 +147,10 @@
 		}
 		answer("done\n", nil)
 	case c.Word == "telemetry" && c.Arg == "":
-		b, err := json.Marshal(f.Figures())
-		answer(string(b)+"\nend\n", err)
+		f.Figures(func(x core.Figures) {
+			b, err := json.Marshal(x)
+			answer(string(b)+"\nend\n", err)
+		})
 	case (out || c.Word == "include") && c.Arg == "":
 		answer("", errID)
 	case out || c.Word == "include":
--- a/internal/front/platform/listener.go
+++ b/internal/front/platform/listener.go
@@ -21,6 +21,7 @@
 	conn   *net.Conn
 	parser resp.Parser
 	due    []*answer // in the order of the requests
+	taking bool      // it is being taken over: no answer goes yet
 	quit   bool      // ends after the answers that are due
 	opened time.Time
 	served bool      // has sent a command that makes sense
@@ -28,7 +29,10 @@
 }
 
 type answer struct {
-	text []byte // nil: not known yet
+	text  []byte       // nil: not known yet
+	asked core.Request // until then
+	until time.Time    // its deadline
+	no    uint64       // of the front's requests
 }
 
 // pipelineMost bounds the answers one connection may be waiting for.
@@ -163,10 +167,21 @@
 		return
 	}
 	r.Origin = c.front.Number
+	c.hand(r)
+}
+
+func (c *client) hand(r core.Request) {
 	a := &answer{}
 	c.due = append(c.due, a)
-	err = c.front.core.TakeIn(r, func(x core.Answer, _ *store.Message) bool {
-		a.text = render(x)
+	c.take(a, r)
+}
+
+// take hands a message in whose answer has its place already.
+func (c *client) take(a *answer, r core.Request) {
+	c.front.requests++
+	a.asked, a.until, a.no = r, c.front.Loop.Now().Add(r.Left), c.front.requests
+	err := c.front.core.TakeIn(r, func(x core.Answer, _ *store.Message) bool {
+		a.text, a.asked = render(x), core.Request{}
 		if !c.conn.Up() {
 			return false
 		}
@@ -194,6 +209,9 @@
 
 // flush sends the answers that are known, up to the first that is not.
 func (c *client) flush() {
+	if c.taking {
+		return
+	}
 	n := 0
 	var out []byte
 	for ; n < len(c.due) && c.due[n].text != nil; n++ {
--- a/internal/front/platform/notices.go
+++ b/internal/front/platform/notices.go
@@ -24,6 +24,7 @@
 	limit  *core.Timer
 	pause  *core.Timer
 	closed bool
+	held   bool // no further request begins
 }
 
 const (
@@ -39,7 +40,7 @@
 
 // next sends what is queued, unless a request is out.
 func (n *notices) next() {
-	if n.out > 0 || len(n.queue) == 0 || n.pause != nil || n.closed {
+	if n.out > 0 || len(n.queue) == 0 || n.pause != nil || n.closed || n.held {
 		return
 	}
 	if n.conn == nil {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -50,6 +50,7 @@
 	targets   map[*target]bool
 	discovery discovery
 	notices   notices
+	requests  uint64 // handed in by clients
 }
 
 // Ready tells whether messages are taken.
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -35,6 +35,7 @@
 	rest   *core.Timer // runs while an answer has begun and is not whole
 	used   time.Time
 	kept   time.Duration // idle before the call that is out; 0: new
+	read   []byte        // of an answer that is not whole
 }
 
 const (
@@ -236,6 +237,7 @@
 func (l *link) Data(b []byte) {
 	begun := l.parser.Begun()
 	l.parser.Feed(b)
+	l.read = append(l.read, b...)
 	if l.done == nil && !begun || !l.sent { // nothing was asked
 		l.end(net.Protocol)
 		l.Closed(net.Protocol)
@@ -257,7 +259,7 @@
 		return
 	}
 	l.rest.Stop()
-	l.rest = nil
+	l.rest, l.read = nil, nil
 	switch {
 	case r.Close:
 		l.conn.Close(net.Finished)
--- a/internal/front/push/push.go
+++ b/internal/front/push/push.go
@@ -119,11 +119,14 @@
 	if f.Push.Listen == "" {
 		return nil
 	}
-	addr, err := f.Engine.Listen("push client", f.Push.Listen, f.accept, f.spareClient)
+	addr, err := f.Engine.Listen(ListenerKind, f.Push.Listen, f.accept, f.spareClient)
 	f.addr = addr
 	return err
 }
 
+// ListenerKind is the front's listener, in a handover.
+const ListenerKind = "push client"
+
 // Addr is the address that clients reach; "": none.
 func (f *Front) Addr() string { return f.addr }
 
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -2,10 +2,13 @@
 
 import (
 	stdnet "net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
+
+	"snowjunction/internal/handover"
 )
 
 // Conn is one connection. It belongs to the loop's goroutine.
@@ -20,9 +23,33 @@
 	over     bool
 	accepted bool
 	in, out  int
-	cancel   func() // calls off the dialling
+	written  atomic.Int64 // of out, what the kernel has taken
+	cancel   func()       // calls off the dialling
+	detached bool
+	rest     []byte // what came while it was being detached
+}
+
+// Detach takes the connection from the engine, for another process to go on with: its socket
+// stays open under the descriptor returned. ok is false where it is not up, or bytes written
+// to it have not left yet. The handler hears nothing more; what had been read already is Rest,
+// once the engine has come to a halt.
+func (c *Conn) Detach() (from handover.Conn, ok bool) {
+	if !c.Up() || c.written.Load() != int64(c.out) {
+		return from, false
+	}
+	fd, err := handover.Copy(c.nc.Hash())
+	if err != nil {
+		return from, false
+	}
+	c.detached = true
+	c.end(HandedOver)
+	_ = c.nc.Close()
+	return handover.Conn{FD: fd, Peer: c.peer, Since: c.since, In: c.in, Out: c.out}, true
 }
 
+// Rest is what was read of a detached connection and never handed to its handler.
+func (c *Conn) Rest() []byte { return c.rest }
+
 // Peer is the other side's address.
 func (c *Conn) Peer() string { return c.peer }
 
@@ -45,7 +72,7 @@
 // Close ends the connection for the reason given. The handler hears nothing
 // of it. Later calls do nothing.
 func (c *Conn) Close(code Code) {
-	if c.over {
+	if c == nil || c.over {
 		return
 	}
 	c.end(code)
@@ -82,6 +109,10 @@
 }
 
 func (c *Conn) data(b []byte) {
+	if c.detached {
+		c.rest = append(c.rest, b...)
+		return
+	}
 	if c.over || c.handler == nil {
 		return
 	}
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -9,12 +9,16 @@
 	"fmt"
 	"log/slog"
 	stdnet "net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+
+	"snowjunction/internal/handover"
 )
 
 // Code is the reason for which a connection ended; docs/oncall.md lists them.
@@ -38,6 +42,7 @@
 	Slow        Code = "slow"         // the other side does not read what it is sent
 	Abuse       Code = "abuse"        // too much of what costs only this side
 	Shutdown    Code = "shutdown"     // the courier ends
+	HandedOver  Code = "handed_over"  // another process of this courier goes on with it
 )
 
 // Handler is told what happens on a connection, on the loop's goroutine.
@@ -60,7 +65,10 @@
 	nb        *nbio.Engine
 	open      int
 	accepted  int // of these, by listeners
-	listeners []stdnet.Listener
+	listeners []listener
+	accepting sync.WaitGroup
+	inherited map[string]stdnet.Listener
+	halting   atomic.Bool
 	stopped   chan struct{}
 
 	mu      sync.Mutex
@@ -106,7 +114,16 @@
 	})
 	e.nb.OnClose(func(nc *nbio.Conn, err error) {
 		if c, ok := nc.Session().(*Conn); ok {
-			cfg.Post(func() { c.ended(codeOf(err)) })
+			code := codeOf(err)
+			if e.halting.Load() {
+				code = Shutdown
+			}
+			cfg.Post(func() { c.ended(code) })
+		}
+	})
+	e.nb.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
+		if c, ok := nc.Session().(*Conn); ok {
+			c.written.Add(int64(n))
 		}
 	})
 	if err := e.nb.Start(); err != nil {
@@ -145,6 +162,136 @@
 		l.Close()
 	}
 	e.listeners = nil
+	e.Disinherit()
+}
+
+type listener struct {
+	stdnet.Listener
+	kind string
+}
+
+// Reserve binds the address that Listen will listen on for a kind, unless a listener has been
+// inherited for that.
+func (e *Engine) Reserve(kind, addr string) error {
+	l := e.inherited[kind]
+	if l != nil && same(l.Addr().String(), addr) {
+		return nil
+	}
+	if l != nil {
+		l.Close()
+		delete(e.inherited, kind)
+	}
+	l, err := stdnet.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", kind, err)
+	}
+	e.inherit(kind, l)
+	return nil
+}
+
+// same tells whether a listener at have is what want asks for, which may leave the port open.
+func same(have, want string) bool {
+	host, port, err := stdnet.SplitHostPort(want)
+	if err == nil && port == "0" {
+		at, _, _ := stdnet.SplitHostPort(have)
+		return at == host
+	}
+	return have == want
+}
+
+func (e *Engine) inherit(kind string, l stdnet.Listener) {
+	if e.inherited == nil {
+		e.inherited = map[string]stdnet.Listener{}
+	}
+	e.inherited[kind] = l
+}
+
+// Inherit has Listen go on, for a kind, with a socket that another process has listened on.
+// The descriptor is the engine's from then on.
+func (e *Engine) Inherit(kind string, fd int) error {
+	f := os.NewFile(uintptr(fd), kind)
+	defer f.Close()
+	l, err := stdnet.FileListener(f)
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", kind, err)
+	}
+	e.inherit(kind, l)
+	return nil
+}
+
+// Disinherit closes what was inherited or reserved and that nothing listens on.
+func (e *Engine) Disinherit() {
+	for _, l := range e.inherited {
+		l.Close()
+	}
+	e.inherited = nil
+}
+
+// Retire stops accepting and calls done with copies of the listening sockets, by kind, once
+// all that has been accepted has its handler. What waits in their queues stays there.
+func (e *Engine) Retire(done func(fds map[string]int)) {
+	fds := map[string]int{}
+	for _, l := range e.listeners {
+		if fd, err := copyOf(l.Listener); err == nil {
+			fds[l.kind] = fd
+		}
+		l.Close()
+	}
+	e.listeners = nil
+	go func() {
+		e.accepting.Wait()
+		e.cfg.Post(func() { done(fds) })
+	}()
+}
+
+// Halt ends the engine, with all connections that have not been detached, and calls done once
+// all that had been read has been looked at.
+func (e *Engine) Halt(done func()) {
+	e.halting.Store(true)
+	go func() {
+		e.nb.Stop()
+		e.cfg.Post(done)
+	}()
+}
+
+func copyOf(x any) (int, error) {
+	sc, ok := x.(syscall.Conn)
+	if !ok {
+		return -1, errors.ErrUnsupported
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return -1, err
+	}
+	fd, cerr := -1, error(nil)
+	if err := rc.Control(func(p uintptr) { fd, cerr = handover.Copy(int(p)) }); err != nil {
+		return -1, err
+	}
+	return fd, cerr
+}
+
+// Adopt goes on with a connection that another process has had, whose descriptor is the
+// engine's from then on. kind and accepted are as for any; handler hears of what comes. It is
+// nil where there is no room or the descriptor is none.
+func (e *Engine) Adopt(kind string, accepted bool, from handover.Conn, handler Handler) *Conn {
+	f := os.NewFile(uintptr(from.FD), kind)
+	raw, err := stdnet.FileConn(f)
+	f.Close()
+	if err != nil {
+		e.cfg.Log.Warn("a connection could not be taken over", "kind", kind, "peer", from.Peer, "err", err)
+		return nil
+	}
+	c := &Conn{engine: e, kind: kind, peer: from.Peer, since: from.Since, accepted: accepted, handler: handler, in: from.In, out: from.Out}
+	c.written.Store(int64(from.Out))
+	e.open++
+	if accepted {
+		e.accepted++
+	}
+	if !c.attach(raw) {
+		c.end(Limit)
+		return nil
+	}
+	return c
 }
 
 // Full tells that no further connection can be opened.
@@ -161,12 +308,15 @@
 // has. Listen returns the address, which tells the port where addr leaves it
 // open.
 func (e *Engine) Listen(kind, addr string, accept func(*Conn) Handler, spare func() bool) (string, error) {
-	l, err := stdnet.Listen("tcp", addr)
-	if err != nil {
-		return "", fmt.Errorf("listen for %s: %w", kind, err)
+	if err := e.Reserve(kind, addr); err != nil {
+		return "", err
 	}
-	e.listeners = append(e.listeners, l)
+	l := e.inherited[kind]
+	delete(e.inherited, kind)
+	e.listeners = append(e.listeners, listener{l, kind})
+	e.accepting.Add(1)
 	go func() {
+		defer e.accepting.Done()
 		for {
 			raw, err := l.Accept()
 			switch {
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -66,6 +66,15 @@
 	return n.at, true
 }
 
+// Each calls f with the notes whose windows are not over, in the order noted.
+func (b *Book) Each(now time.Duration, f func(k Key, id string, at, until time.Duration)) {
+	for _, n := range b.order {
+		if !n.gone && now < n.until {
+			f(n.key, n.id, n.at, n.until)
+		}
+	}
+}
+
 // Len is the number of keys that are remembered.
 func (b *Book) Len() int { return len(b.first) }
 
--- a/internal/proto/resp/resp.go
+++ b/internal/proto/resp/resp.go
@@ -43,6 +43,22 @@
 // Idle tells that no command has begun.
 func (p *Parser) Idle() bool { return p.want == 0 && p.pos == len(p.buf) }
 
+// Rest is what has come of a command that is not whole: a parser fed with it stands where
+// this one does.
+func (p *Parser) Rest() []byte {
+	var b []byte
+	if p.want > 0 {
+		b = append(strconv.AppendInt(append(b, '*'), int64(len(p.args)+p.want), 10), "\r\n"...)
+		for _, a := range p.args {
+			b = append(append(append(strconv.AppendInt(append(b, '$'), int64(len(a)), 10), "\r\n"...), a...), "\r\n"...)
+		}
+		if p.size >= 0 {
+			b = append(strconv.AppendInt(append(b, '$'), int64(p.size), 10), "\r\n"...)
+		}
+	}
+	return append(b, p.buf[p.pos:]...)
+}
+
 // Next returns the next whole command, or nil until there is one. After an
 // error the stream is of no use. The arguments are the caller's to keep.
 func (p *Parser) Next() ([][]byte, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -67,6 +67,10 @@
 	Bytes  int64         // that the folder may hold
 	Retain time.Duration // how long a settled message's end is kept, if Keep says so
 	Log    *slog.Logger
+
+	// Goes tells of a message, by its number, that the attempt which is out goes on in this
+	// process; nil: none does.
+	Goes func(seq uint64) bool
 }
 
 // retainMost bounds how many settled messages are kept.
@@ -115,7 +119,7 @@
 	}
 	slices.SortFunc(out, func(a, b *Message) int { return int(int64(a.Seq) - int64(b.Seq)) })
 	for _, m := range out {
-		if m.Out { // the process ended with it out: it may have run
+		if m.Out && (o.Goes == nil || !o.Goes(m.Seq)) { // the process ended with it out: it may have run
 			j.ran(m)
 		}
 		if m.Settled {
--- a/state.go
+++ b/state.go
@@ -128,6 +128,11 @@
 			}
 		case Heard:
 			c.heard(ev)
+		case Rests:
+			if c.lines[ev.Key] == nil {
+				c.lines[ev.Key] = &line{rest: c.now + ev.For}
+				c.idle = append(c.idle, ev.Key)
+			}
 		case Timer:
 			if ev.Token == c.timer {
 				c.timerAt = 0
@@ -311,6 +316,29 @@
 	return b
 }
 
+// goesOn takes up a request whose attempt is out still, and tells whether it is one.
+func (c *Courier) goesOn(r *request, ev Request) bool {
+	e := c.eps[ev.OutOn]
+	if ev.OutOn == 0 || e == nil || e.route.dest != r.dest {
+		return false
+	}
+	b := c.open(e)
+	delete(c.round, e) // nothing joins what has left
+	b.sent, b.size, b.left = c.now-ev.OutFor, 1, 1
+	r.call = b
+	r.dest.queue = remove(r.dest.queue, r)
+	return true
+}
+
+// Resting calls f with the keys that rest, and for how long.
+func (c *Courier) Resting(f func(key uint64, left time.Duration)) {
+	for key, l := range c.lines {
+		if l.rest > c.now {
+			f(key, l.rest-c.now)
+		}
+	}
+}
+
 // Stands tells whether an attempt that is out, but of which no byte has left yet,
 // may still leave at now. A connection may take a second and more to come up: since
 // the decision its message's window or time may have ended, or the destination have
