Handover tests: kills, silence, foreign frames, load; a resumed courier keeps its second address

The steps as a property over random deaths, breaks and late waits (no two owners, who decides holds the lock); frames round trip, torn, foreign and of another version; the lock in flight; two processes with a message out, a key in order, half a request and a client only connected; askers that go away at each step; the new one killed, the old one stopped, ending, without a door; an address that is somebody else's; five processes in a row under load, without and with kills.

Found by them and mended: after a handover in vain the second address was bound anew, as the socket kept for it was closed before it was listened on (start in daemon.go).

--- /dev/null
+++ b/cmd/snowjunction/handover_test.go
@@ -0,0 +1,405 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/core"
+	"snowjunction/internal/handover"
+	"snowjunction/internal/record"
+	"snowjunction/internal/scenario"
+	"snowjunction/internal/standin/load"
+)
+
+// pair is a courier with a second address, and a process to be started beside it.
+func pair(t *testing.T) (old, next *scenario.Courier) {
+	old = prepare(t)
+	old.Peers = map[string]any{"console": "127.0.0.1:0"}
+	require.NoError(t, old.Start())
+	console(t, old, "old")
+	p := old.Play
+	p.Let("last", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	// $ADDm1$STATUSx is a message as in prepare; $KEY id $ORDER key byte: one of a key in order.
+	p.Let("KEY", "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n0000000000000009\r\n$2\r\n")
+	p.Let("ORDER", "\r\n$34\r\nc=order,t=town,d=15000,dest=7,k=")
+	return old, old.Beside("next")
+}
+
+// console names the second address of a courier that has started.
+func console(t *testing.T, c *scenario.Courier, name string) {
+	m, err := c.Await(`msg="second address" .*listen=(\S+)`)
+	require.NoError(t, err)
+	c.Play.Let(name, m[1])
+}
+
+// telemetry is what a second address tells.
+func telemetry(t *testing.T, p *scenario.Play, name string) (x core.Figures) {
+	c, err := net.DialTimeout("tcp", p.Name(name), scenario.Limit)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("telemetry\n"))
+	require.NoError(t, err)
+	require.NoError(t, json.NewDecoder(c).Decode(&x))
+	return x
+}
+
+// Messages out, a key's in order, half a request and a client that is only connected pass to
+// the process started beside the first: nothing is lost, sent twice or out of order, and what
+// is counted is counted once.
+func TestHandover(t *testing.T) {
+	old, next := pair(t)
+	p := old.Play
+	p.Run(`
+		client dial a
+		a send "$ADDm1$STATUSx\r\n"
+		a expect "+OK\r\n"
+		target accept t1
+		t1 expect "...X-Request-ID: m1\r\n"
+		t1 expect "...\r\n\r\nx"
+		client dial k
+		k send "$KEYo1$ORDERk1\r\n$1\r\na\r\n"
+		k expect "+OK\r\n"
+		target accept t2
+		t2 expect "...X-Request-ID: o1\r\n"
+		t2 expect "...\r\n\r\na"
+		k send "$KEYo2$ORDERk2\r\n$1\r\nb\r\n"
+		k expect "+OK\r\n"
+		client dial half
+		half send "*1\r\n$4\r\nPING\r\n"
+		half expect "+PONG\r\n"
+		half send "*5\r\n$7\r\nOUT.ADD\r\n$16\r\n00000000"
+		t1 send "HTTP/1.1 200"
+		client dial quiet
+		next wait start
+		courier wait "handed over"
+		half send "00000000\r\n$2\r\nm2$STATUSy\r\n"
+		half expect "+OK\r\n"
+		target accept t3
+		t3 expect "...X-Request-ID: m2\r\n"
+		t3 expect "...\r\n\r\ny"
+		t3 send "$last"
+		t1 send " OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+		quiet send "*1\r\n$4\r\nPING\r\n"
+		quiet expect "+PONG\r\n"
+		# the key's second goes once the first has ended, on the connection that was handed over
+		t2 send "$ok"
+		t2 expect "POST /inbox HTTP/1.1\r\n"
+		t2 expect "...X-Request-ID: o2\r\n"
+		t2 expect "...\r\n\r\nb"
+		t2 send "$ok"
+		old dial q
+		q send "readyz\n"
+		q expect "error not ready\n"
+		a send "$ADDm3$STATUSz\r\n"
+		a expect "+OK\r\n"
+		t2 expect "...X-Request-ID: m3\r\n"
+	`)
+	console(t, next, "new")
+	was, is := telemetry(t, p, "old"), telemetry(t, p, "new")
+	assert.Equal(t, core.Figures{Fulfilled: map[string]uint64{"order": 0, "status": 0}, Throttled: is.Throttled, Faulted: is.Faulted, Relayed: 2, Entries: 2}, was)
+	assert.Equal(t, map[string]uint64{"order": 2, "status": 2}, is.Fulfilled)
+	assert.EqualValues(t, 3, is.Relayed)
+	assert.Equal(t, 1, is.Open)
+	require.NoError(t, old.Signal(syscall.SIGTERM))
+	p.Run(`
+		t2 send "$ok"
+		courier wait exit
+		next wait term
+		next wait exit
+	`)
+}
+
+// Calls that reach the process which has handed over hold at the owner, and a SIGHUP does.
+func TestCallsToBothProcesses(t *testing.T) {
+	old, next := pair(t)
+	p := old.Play
+	p.Run(`
+		old dial half
+		half send "exclude "
+		next wait start
+		half send "s-1\n"
+		half expect "done\n"
+		half expect EOF
+		old dial q
+		q send "exclude s-2\n"
+		q expect "error no such endpoint\n"
+	`)
+	console(t, next, "new")
+	assert.Equal(t, 1, telemetry(t, p, "new").OutOfRotation)
+	assert.Equal(t, 1, telemetry(t, p, "old").OutOfRotation)
+	require.NoError(t, old.Signal(syscall.SIGHUP))
+	p.Run(`
+		next wait "configuration read again"
+		old dial q
+		q send "include s-1\n"
+		q expect "done\n"
+		courier wait kill
+		client dial c
+		c send "$ADDm1$STATUSx\r\n"
+		c expect "+OK\r\n"
+		target accept t
+		t expect "...X-Request-ID: m1\r\n"
+		new dial q
+		q send "exclude s-1\n"
+		q expect "done\n"
+	`)
+	assert.Equal(t, 1, telemetry(t, p, "new").OutOfRotation)
+}
+
+// The new process is killed while the old one still answers: that one owns again, from the
+// journal, as after any restart. A third process, started at once, finds one owner.
+func TestNewOneDies(t *testing.T) {
+	old, _ := pair(t)
+	p := old.Play
+	p.Run(`
+		client dial a
+		a send "$ADDm1$STATUSx\r\n"
+		a expect "+OK\r\n"
+		target accept t1
+		t1 expect "...X-Request-ID: m1\r\n"
+		next wait start
+		next wait kill
+		courier wait "owns the folder again"
+		courier wait "msg=started"
+		target accept t2
+		t2 expect "...X-Request-ID: m1\r\n"
+		t2 expect "...\r\n\r\nx"
+		t2 send "$ok"
+	`)
+	old.Beside("third")
+	p.Run(`
+		third wait start
+		client dial c
+		c send "$ADDm2$STATUSy\r\n"
+		c expect "+OK\r\n"
+		target accept t3
+		t3 expect "...X-Request-ID: m2\r\n"
+	`)
+}
+
+// Another process asks and goes away, or falls silent, at each step: the owner goes on with
+// its clients and calls, and the next one that asks is handed everything.
+func TestAskedInVain(t *testing.T) {
+	old, _ := pair(t)
+	p := old.Play
+	p.Run(`
+		client dial a
+		a send "$ADDm1$STATUSx\r\n"
+		a expect "+OK\r\n"
+		target accept t1
+		t1 expect "...X-Request-ID: m1\r\n"
+		t1 expect "...\r\n\r\nx"
+	`)
+	for _, last := range []handover.Kind{handover.Hello, handover.Clients, handover.End, handover.DeedTo} {
+		link, err := handover.Dial(old.State())
+		require.NoError(t, err)
+		require.NoError(t, link.Send(handover.Frame{Kind: handover.Hello, Text: "n0", FD: -1}))
+		for kind := handover.Hello; kind != last; {
+			f, err := link.Receive(handover.StepWithin)
+			require.NoError(t, err)
+			switch kind = f.Kind; {
+			case kind == handover.DeedTo:
+				require.NoError(t, syscall.Close(f.FD))
+			case f.FD >= 0:
+				defer syscall.Close(f.FD)
+			}
+			if kind == handover.End && last != kind {
+				require.NoError(t, link.Send(handover.Frame{Kind: handover.ReadyFor, FD: -1}))
+			}
+		}
+		link.Close()
+		p.Run(`
+			courier wait "not handed over"
+			courier wait "msg=started"
+			a send "*1\r\n$4\r\nPING\r\n"
+			a expect "+PONG\r\n"
+			old dial q
+			q send "readyz\n"
+			q expect "done\n"
+		`)
+	}
+	assert.EqualValues(t, 1, telemetry(t, p, "old").Relayed)
+	p.Run(`
+		next wait start
+		t1 send "$ok"
+		a send "$ADDm2$STATUSy\r\n"
+		a expect "+OK\r\n"
+		t1 expect "POST /inbox HTTP/1.1\r\nHost: $target\r\nX-Request-ID: m2\r\n"
+	`)
+}
+
+// What is no frame is refused with one line; a process that speaks another version has the
+// owner end in order, and starts as after any end.
+func TestForeignFrames(t *testing.T) {
+	old, _ := pair(t)
+	raw := func(b []byte) {
+		c, err := net.Dial("unixpacket", filepath.Join(old.State(), "handover.sock"))
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = c.Write(b)
+		require.NoError(t, err)
+		_, _ = c.Read(make([]byte, 1024))
+	}
+	hello := handover.Frame{Kind: handover.Hello, Text: "n0", FD: -1}.Encode()
+	raw(hello[:len(hello)-1])
+	raw([]byte("GET / HTTP/1.1\r\n\r\n"))
+	raw(handover.Frame{Kind: handover.ReadyFor, FD: -1}.Encode())
+	old.Play.Run(`
+		courier wait "a handover was refused"
+		courier wait "a handover was refused"
+		courier wait "a handover was refused"
+		client dial a
+		a send "$ADDm1$STATUSx\r\n"
+		a expect "+OK\r\n"
+		target accept t1
+		t1 expect "...X-Request-ID: m1\r\n"
+		t1 expect "...\r\n\r\nx"
+	`)
+	hello[record.Frame]++
+	raw(record.Seal(hello))
+	old.Play.Run(`
+		courier wait "this process ends"
+		t1 send "$ok"
+		courier wait exit
+		next wait start
+	`)
+}
+
+// The owner stands still, does not answer or is already ending: the other waits and says so,
+// ends when told to, and starts once the owner is gone or hands over.
+func TestOwnerStandsStill(t *testing.T) {
+	old, next := pair(t)
+	require.NoError(t, old.Signal(syscall.SIGSTOP))
+	require.NoError(t, next.Launch())
+	old.Play.Run(`
+		next wait "waits for the folder's owner"
+		next wait term
+		next wait exit
+	`)
+	require.NoError(t, next.Launch())
+	old.Play.Run(`next wait "waits for the folder's owner"`)
+	require.NoError(t, old.Signal(syscall.SIGCONT))
+	old.Play.Run(`
+		next wait "msg=started"
+		courier wait term
+		courier wait exit
+	`)
+	old.Beside("third")
+	old.Play.Run(`
+		next wait term
+		third wait start
+		next wait exit
+	`)
+}
+
+// The folder's owner is no courier that can be asked: the process waits for the lock alone.
+func TestOwnerWithoutDoor(t *testing.T) {
+	c := prepare(t)
+	lock, err := handover.Acquire(c.State())
+	require.NoError(t, err)
+	require.NoError(t, c.Launch())
+	c.Play.Run(`courier wait "waits for the folder's owner"`)
+	lock.Close()
+	c.Play.Run(`courier wait "msg=started"`)
+}
+
+// An address that a program has which is no courier of this folder ends the start with one
+// line, before anything in the folder is touched.
+func TestAddressTaken(t *testing.T) {
+	c := prepare(t)
+	c.Peers = map[string]any{"listen": c.Play.Server("foreign")}
+	require.Error(t, c.Start())
+	assert.Regexp(t, `snowjunction: listen for client: .*in use\n$`, c.Log())
+	files, err := os.ReadDir(c.State())
+	require.NoError(t, err)
+	assert.Empty(t, files)
+}
+
+// Processes follow one another under load, by upgrades alone: every message is answered at once,
+// has one end, in order, and none is sent twice.
+func TestUpgradesUnderLoad(t *testing.T) { upgrades(t, false) }
+
+// The same with one that starts right after a kill, and one whose elder is told to end first.
+func TestUpgradesAndKills(t *testing.T) { upgrades(t, true) }
+
+func upgrades(t *testing.T, rough bool) {
+	const lanes, each = 6, 50
+	s := newStageWith(t, 2, map[string]any{}, func(s *stage) {
+		s.Peers = map[string]any{"listen": "127.91.7.3:0"} // where no connection of a test begins
+	}, false)
+	s.Peers["listen"] = s.Play.Name("client")
+	var wg sync.WaitGroup
+	for lane := range lanes {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range each {
+				m := load.Message{ID: fmt.Sprintf("m-%d-%d", lane, i), Class: "status", Tenant: "town", Destination: uint32(1 + lane%2), Left: 8 * time.Second}
+				if lane < 3 {
+					m.Class, m.Keyed, m.Key, m.Seq, m.Left = "order", true, uint64(lane+1), uint64(i), 20*time.Second
+				}
+				for tries := 1; ; tries++ { // a client that is not answered sends the same again
+					v, after, err := s.client.Add(m)
+					if !rough {
+						assert.NoError(t, err)
+					}
+					if v == load.Taken || v == load.Failed || tries > 1000 {
+						break
+					} else if v == load.Refused {
+						time.Sleep(after)
+					}
+				}
+			}
+		}()
+	}
+	now := s.Courier
+	for i := range 5 {
+		next := now.Beside(fmt.Sprint("process ", i))
+		switch {
+		case rough && i == 2:
+			require.NoError(t, now.Stop(syscall.SIGKILL))
+			require.NoError(t, next.Start())
+		case rough && i == 3:
+			require.NoError(t, next.Launch())
+			require.NoError(t, now.Stop(syscall.SIGTERM))
+			_, err := next.Await(`msg=started`)
+			require.NoError(t, err)
+		default:
+			require.NoError(t, next.Start())
+			require.NoError(t, now.Stop(syscall.SIGTERM))
+		}
+		now = next
+	}
+	wg.Wait()
+	sent := map[string]load.Message{}
+	for _, m := range s.client.Sent {
+		sent[m.ID] = m
+	}
+	s.client.Sent = nil
+	for _, m := range maps.All(sent) {
+		s.client.Sent = append(s.client.Sent, m)
+	}
+	var e load.Ends
+	s.until("every message's end", func() bool {
+		e = s.client.Account(s.seen, s.directory.Notices(), nil)
+		return e.Open == 0
+	})
+	assert.Equal(t, lanes*each, e.Handed)
+	assert.Zero(t, e.Unheard+e.Doubled+e.Failed, "%+v", e)
+	n := s.counts()
+	assert.Zero(t, n.OutOfOrder+n.InWait+n.Drained, "%+v", n)
+	if !rough {
+		assert.Zero(t, n.Copies, "%+v", n)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -252,7 +252,6 @@
 		c.log.Info("taken over", "clients", len(e.Clients), "calls", len(e.Calls), "known", len(e.Known), "keys", len(e.Keys))
 		c.forgo()
 	}
-	c.engine.Disinherit()
 	second := ""
 	if c.cfg.Console != "" {
 		var err error
@@ -267,6 +266,7 @@
 		second = c.console.Addr()
 		c.console.TakeOver(c.callers)
 	}
+	c.engine.Disinherit()
 	if err := c.openDoor(); err != nil {
 		return err
 	}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -16,6 +16,7 @@
 
 	"snowjunction/internal/core"
 	"snowjunction/internal/describe"
+	"snowjunction/internal/front/console"
 	"snowjunction/internal/handover"
 )
 
@@ -110,7 +111,7 @@
 		}
 		c.callers = old.callers
 		if old.second >= 0 && estate != nil {
-			estate.Listeners = append(estate.Listeners, handover.Listener{Kind: "console", FD: old.second})
+			estate.Listeners = append(estate.Listeners, handover.Listener{Kind: console.ListenerKind, FD: old.second})
 		}
 	}
 }
--- /dev/null
+++ b/internal/handover/frame_test.go
@@ -0,0 +1,195 @@
+package handover
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"snowjunction/internal/record"
+)
+
+var noon = time.Unix(1772366400, 5)
+
+// whole is an estate with everything in it; its descriptors are of its own making.
+func whole(t testing.TB) *Estate {
+	fd := func() int {
+		f, err := os.Open(os.DevNull)
+		require.NoError(t, err)
+		defer f.Close()
+		n, err := Copy(int(f.Fd()))
+		require.NoError(t, err)
+		return n
+	}
+	conn := func(bytes string) Conn {
+		return Conn{FD: fd(), Peer: "127.0.0.1:9", Since: noon, In: 7, Out: 5, Bytes: []byte(bytes)}
+	}
+	return &Estate{
+		Listeners: []Listener{{"client", fd()}},
+		Clients: []Client{
+			{Conn: conn("*5\r\n$7\r\nOUT"), Served: true, Changed: noon, Due: []Due{
+				{Request: &Request{ID: "m1", IdempotencyKey: "k", Key: 9, Class: "order", Tenant: "town", Destination: 7, Deadline: noon, Again: true, Order: 3, Body: []byte("x\x00y")}},
+				{Text: []byte("+OK\r\n")},
+			}},
+			{Conn: conn(strings.Repeat("long", pieceMost/3))},
+		},
+		Calls: []Call{{
+			Conn: conn("HTTP/1.1 2"), Seq: 12, Endpoint: Endpoint{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Zone: 1, Kind: 2, Weight: 1.5},
+			Began: noon, Until: noon.Add(time.Second), Kept: time.Millisecond, WholeWants: true,
+		}},
+		Known: []Known{{Destination: 7, At: noon, Text: []byte("state"), Awake: true}},
+		Keys:  []Key{{Destination: 7, Text: "k", ID: "m0", At: noon, Until: noon.Add(time.Second)}},
+		Rests: []Rest{{Key: 9, Until: noon}},
+		List:  []byte("list"), Live: true,
+	}
+}
+
+func frames(e *Estate) (out []Frame) {
+	for f := range e.Frames {
+		out = append(out, f)
+	}
+	return out
+}
+
+// What is handed over arrives as it was, however long.
+func TestEstateRoundTrip(t *testing.T) {
+	e := whole(t)
+	defer e.Close()
+	var got Collector
+	all := frames(e)
+	for i, f := range all {
+		b := f.Encode()
+		require.LessOrEqual(t, len(b), PacketMost)
+		d, err := Decode(b, f.FD)
+		require.NoError(t, err)
+		done, err := got.Add(d)
+		require.NoError(t, err)
+		require.Equal(t, i == len(all)-1, done)
+	}
+	assert.Equal(t, e, &got.Estate)
+}
+
+// A torn, foreign or other version's frame is told from a good one; one that is missing or out
+// of place makes the estate no estate.
+func TestBadFrames(t *testing.T) {
+	good := Frame{Kind: Hello, Text: "n0", FD: -1}.Encode()
+	for at := range good {
+		_, err := Decode(good[:at], -1)
+		assert.ErrorIs(t, err, ErrFrame)
+	}
+	for what, b := range map[string][]byte{
+		"bit":     append(append([]byte{}, good[:len(good)-1]...), good[len(good)-1]^1),
+		"foreign": []byte("GET / HTTP/1.1\r\n\r\n"), "more": append(append([]byte{}, good...), 0),
+		"kind": Frame{Kind: kinds, FD: -1}.Encode(), "no descriptor": Frame{Kind: DeedTo}.Encode(),
+	} {
+		_, err := Decode(b, -1)
+		assert.ErrorIs(t, err, ErrFrame, what)
+	}
+	_, err := Decode(good, 5)
+	assert.ErrorIs(t, err, ErrFrame, "a descriptor that nobody wants")
+	other := append([]byte{}, good...)
+	other[record.Frame] = Version + 1
+	_, err = Decode(record.Seal(other), -1)
+	assert.ErrorIs(t, err, ErrVersion)
+
+	e := whole(t)
+	defer e.Close()
+	all := frames(e)
+	for i := range all {
+		var got Collector
+		var err error
+		for j, f := range all {
+			if j != i && err == nil {
+				_, err = got.Add(f)
+			}
+		}
+		if i < len(all)-1 {
+			assert.ErrorIs(t, err, ErrFrame, "without frame %d", i)
+		}
+	}
+	var got Collector
+	_, err = got.Add(Frame{Kind: Reads, FD: -1})
+	assert.ErrorIs(t, err, ErrFrame)
+}
+
+func FuzzDecode(f *testing.F) {
+	e := whole(f)
+	defer e.Close()
+	for _, x := range frames(e) {
+		f.Add(x.Encode(), x.FD >= 0)
+	}
+	f.Fuzz(func(t *testing.T, b []byte, carries bool) {
+		fd := -1
+		if carries {
+			fd = 1 << 20
+		}
+		if x, err := Decode(b, fd); err == nil {
+			var got Collector
+			_, _ = got.Add(Frame{Kind: Clients, FD: 1 << 20, body: appendTime(appendFlag(appendConn(nil, Conn{}), false), noon)})
+			_, _ = got.Add(x)
+		}
+	})
+}
+
+// The lock passes with its descriptor: at no moment is it free, and it ends with its holder.
+func TestLockPasses(t *testing.T) {
+	dir := t.TempDir()
+	lock, err := Acquire(dir)
+	require.NoError(t, err)
+	taken := func() bool {
+		l, err := Acquire(dir)
+		l.Close()
+		return errors.Is(err, ErrOwned)
+	}
+	got := make(chan *Lock)
+	door, err := Open(dir, func(l *Link, f Frame, err error) {
+		assert.NoError(t, err)
+		got <- Received(f.FD)
+		l.Close()
+	}, func(err error) { t.Error(err) })
+	require.NoError(t, err)
+	defer door.Close()
+	link, err := Dial(dir)
+	require.NoError(t, err)
+	defer link.Close()
+	require.NoError(t, link.Send(Frame{Kind: DeedTo, FD: lock.FD()}))
+	lock.Close()
+	assert.True(t, taken(), "on its way")
+	other := <-got
+	assert.True(t, taken(), "arrived")
+	other.Close()
+	assert.False(t, taken())
+}
+
+// Descriptors that come with what is no frame are closed; a connection that ends is told of.
+func TestForeignPackets(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), strings.Repeat("a-long-name", 12)) // over what a socket's path may have
+	require.NoError(t, os.Mkdir(dir, 0o700))
+	told := make(chan error, 4)
+	door, err := Open(dir, func(l *Link, _ Frame, _ error) { l.Close() }, func(err error) { told <- err })
+	require.NoError(t, err)
+	defer door.Close()
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	defer r.Close()
+	link, err := Dial(dir)
+	require.NoError(t, err)
+	_, _, err = link.c.WriteMsgUnix([]byte("rubbish"), unix.UnixRights(int(w.Fd())), nil)
+	require.NoError(t, err)
+	w.Close()
+	assert.ErrorIs(t, <-told, ErrFrame)
+	_, err = r.Read(make([]byte, 1))
+	assert.Error(t, err, "nobody holds the other end any more")
+	link.Close()
+	link, err = Dial(dir)
+	require.NoError(t, err)
+	link.Close()
+	assert.ErrorIs(t, <-told, io.EOF)
+}
--- a/internal/scenario/courier.go
+++ b/internal/scenario/courier.go
@@ -70,6 +70,23 @@
 	return c
 }
 
+// Beside prepares a second process of the same courier, over the same folder and with the same
+// configuration; its steps are the THING's of that name.
+func (c *Courier) Beside(name string) *Courier {
+	n := &Courier{
+		Play: c.Play, Settings: c.Settings, Limits: c.Limits, Targets: c.Targets, Env: c.Env, Peers: c.Peers,
+		dir: c.dir, state: c.state,
+	}
+	c.Play.On(name, n.step)
+	c.Play.T.Cleanup(func() {
+		n.Stop(syscall.SIGKILL)
+		if c.Play.T.Failed() {
+			c.Play.T.Logf("the log of %s:\n%s", name, n.Log())
+		}
+	})
+	return n
+}
+
 // Dir is a folder of the courier's, beside the one that lasts.
 func (c *Courier) Dir() string { return c.dir }
 
@@ -128,6 +145,20 @@
 // Start starts the courier and names where it listens: $client and, with the
 // push front on, $push.
 func (c *Courier) Start() error {
+	if err := c.Launch(); err != nil {
+		return err
+	}
+	m, err := c.Await(`msg=started .*listen=(\S+) push=(\S*)`)
+	if err != nil {
+		return err
+	}
+	c.Play.Let("client", m[1])
+	c.Play.Let("push", strings.Trim(m[2], `"`))
+	return nil
+}
+
+// Launch starts the process and does not wait for what becomes of it.
+func (c *Courier) Launch() error {
 	path, err := c.Config()
 	if err != nil {
 		return err
@@ -165,12 +196,6 @@
 		exited <- cmd.Wait()
 		close(grown)
 	}()
-	m, err := c.Await(`msg=started .*listen=(\S+) push=(\S*)`)
-	if err != nil {
-		return err
-	}
-	c.Play.Let("client", m[1])
-	c.Play.Let("push", strings.Trim(m[2], `"`))
 	return nil
 }
 
