No client is spared whose bytes wait unread; callers that half-close are answered

Conn.Unread asks the socket and what is on its way.

Connections of the second address now are the standard library's, and HalfClosed leaves one that has sent its call.

Tests: TestUnread, TestDetachAndAdopt, TestHalfClosedCaller (fails on the engine's connections), core's handover tests: a call goes on, told waits, keys. The race detector passes.

--- a/cmd/snowjunction/console_test.go
+++ b/cmd/snowjunction/console_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"io"
+	"net"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -140,3 +142,20 @@
 		t expect "POST /inbox HTTP/1.1\r\n"
 	`)
 }
+
+// A caller that ends its sending side behind its call, as a pipe does, is answered all the same;
+// one that does so before is let go.
+func TestHalfClosedCaller(t *testing.T) {
+	p := second(t)
+	for call, want := range map[string]string{"exclude s-1\n": "done\n", "readyz\n": "done\n", "exclude": ""} {
+		c, err := net.DialTimeout("tcp", p.Name("console"), scenario.Limit)
+		require.NoError(t, err)
+		_, err = c.Write([]byte(call))
+		require.NoError(t, err)
+		require.NoError(t, c.(*net.TCPConn).CloseWrite())
+		got, err := io.ReadAll(c)
+		require.NoError(t, err)
+		require.Equal(t, want, string(got))
+		c.Close()
+	}
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -35,8 +35,9 @@
 	learnt  Learnt
 	dirs    map[int]Directory
 	plugins Plugins
-	dir     string           // of the journal
-	heirs   []*store.Message // what an earlier process has left in it
+	dir     string                // of the journal
+	heirs   []*store.Message      // what an earlier process has left in it
+	goes    func(seq uint64) bool // which attempts go on
 }
 
 type testCall struct {
@@ -92,7 +93,7 @@
 	if b.dir == "" {
 		b.dir = t.TempDir()
 	}
-	b.journal, b.heirs, err = store.Load(store.Options{Dir: b.dir, Bytes: 3e6, Log: log})
+	b.journal, b.heirs, err = store.Load(store.Options{Dir: b.dir, Bytes: 3e6, Log: log, Goes: b.goes})
 	require.NoError(t, err)
 	t.Cleanup(func() { b.journal.Close() })
 	s := snowjunction.Settings{
--- /dev/null
+++ b/internal/core/handover_test.go
@@ -0,0 +1,123 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction"
+	"snowjunction/internal/handover"
+	"snowjunction/internal/store"
+)
+
+func (x *testCall) Hand() (handover.Call, bool) { return handover.Call{}, x.left }
+func (x *testCall) Rest() []byte                { return []byte("HTTP/1.1 2") }
+
+func (x testTarget) Adopt(m *store.Message, from handover.Call, done func(Result)) Call {
+	c := &testCall{m: m, left: true, done: done, kept: from.Kept}
+	x.b.calls = append(x.b.calls, c)
+	return c
+}
+
+// handed has b hand over, and returns the bench that goes on.
+func (b *bench) handed() (*bench, *handover.Estate) {
+	b.c.Hush()
+	e := &handover.Estate{}
+	b.c.Hand()(e)
+	require.NoError(b.t, b.journal.Close())
+	next := &bench{t: b.t, dir: b.dir, now: b.now.Add(10 * ms), settle: true, goes: func(seq uint64) bool {
+		for _, x := range e.Calls {
+			if x.Seq == seq {
+				return true
+			}
+		}
+		return false
+	}}
+	return newBenchWith(next, nil), e
+}
+
+func (b *bench) goOn(e *handover.Estate) {
+	b.c.TakeOver(e)
+	b.c.Restore(b.heirs)
+	b.step(10 * ms)
+}
+
+// A call that is out goes on: its message is not sent again, its key waits for it, and its end
+// is booked by the next owner alone.
+func TestCallGoesOn(t *testing.T) {
+	for outcome, again := range map[snowjunction.Outcome]bool{snowjunction.OK: false, snowjunction.Reset: true} {
+		b := newBench(t, nil)
+		b.add("o1", "order", 9)
+		b.step(5 * ms)
+		b.add("o2", "order", 9)
+		b.step(5 * ms)
+		require.Len(t, b.calls, 1)
+		b.calls[0].left = true
+		next, e := b.handed()
+		require.Len(t, e.Calls, 1)
+		assert.Equal(t, "HTTP/1.1 2", string(e.Calls[0].Bytes))
+		next.goOn(e)
+		require.Len(t, next.calls, 1, "adopted, and nothing else of that key")
+		assert.Empty(t, next.c.Forgone())
+		next.calls[0].done(Result{Outcome: outcome})
+		next.step(5 * ms)
+		next.step(200 * ms)
+		require.Len(t, next.calls, 2)
+		if again {
+			assert.Equal(t, "o1", next.calls[1].m.ID)
+			assert.Equal(t, 2, next.calls[1].m.Attempts)
+		} else {
+			assert.Equal(t, "o2", next.calls[1].m.ID)
+			assert.Equal(t, "o1", next.ended[0].ID)
+			assert.EqualValues(t, 1, next.c.Counters.Delivered)
+		}
+		assert.Zero(t, b.c.Counters.Delivered)
+	}
+}
+
+// What has been told and not been looked at when everything is handed over binds the next
+// owner: a wait, a key that rests after a call given up, an idempotency key that may have run.
+func TestToldIsHandedOver(t *testing.T) {
+	b := newBench(t, nil)
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.c.Hush()
+	b.calls[0].done(Result{Outcome: snowjunction.Full, Wait: time.Second})
+	next, e := b.handed()
+	next.goOn(e)
+	next.add("m2", "status", 0)
+	next.step(900 * ms)
+	assert.Empty(t, next.calls, "inside the wait")
+	next.step(200 * ms)
+	next.step(50 * ms)
+	assert.NotEmpty(t, next.calls)
+}
+
+func TestKeysAreHandedOver(t *testing.T) {
+	b := newBench(t, nil)
+	require.NoError(t, b.c.TakeIn(Request{ID: "o1", Class: "order", Key: 9, IdempotencyKey: "k", Destination: 7, Left: 50 * ms},
+		func(Answer, *store.Message) bool { return true }))
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.calls[0].left = true
+	b.step(60 * ms) // it is given up, and its call is out still
+	next, e := b.handed()
+	assert.Empty(t, e.Calls)
+	require.Len(t, e.Keys, 1)
+	require.Len(t, e.Rests, 1)
+	next.goOn(e)
+	next.add("o2", "order", 9)
+	next.step(20 * ms)
+	assert.Empty(t, next.calls, "the key rests")
+	next.step(200 * ms)
+	require.Len(t, next.calls, 1)
+	next.calls[0].done(Result{Outcome: snowjunction.OK})
+	next.step(4700 * ms)
+	require.NoError(t, next.c.TakeIn(Request{ID: "o3", Class: "order", IdempotencyKey: "k", Destination: 7, Left: time.Second},
+		func(Answer, *store.Message) bool { return true }))
+	next.step(100 * ms)
+	assert.Len(t, next.calls, 1, "the first one's window is over")
+}
--- a/internal/front/console/console.go
+++ b/internal/front/console/console.go
@@ -44,7 +44,8 @@
 func Start(cfg Config) (*Front, error) {
 	f := &Front{Config: cfg}
 	var err error
-	f.addr, err = cfg.Engine.Listen("console", cfg.Listen, f.accept, f.spare)
+	cfg.Engine.Halves(ListenerKind)
+	f.addr, err = cfg.Engine.Listen(ListenerKind, cfg.Listen, f.accept, f.spare)
 	return f, err
 }
 
@@ -56,6 +57,7 @@
 	conn   *net.Conn
 	parser oneline.Parser
 	read   []byte // of a call that is not answered
+	asked  bool   // a whole call has come
 	limit  *core.Timer
 }
 
@@ -98,6 +100,7 @@
 	if !ok && err == nil {
 		return
 	}
+	c.asked = true
 	if err != nil {
 		c.answer("", err)
 		return
@@ -105,6 +108,13 @@
 	c.front.ask(call, c.answer)
 }
 
+// HalfClosed leaves a caller that has sent its call, and ends one that has not.
+func (c *caller) HalfClosed() {
+	if !c.asked && !c.front.hushed {
+		c.end(net.PeerClosed)
+	}
+}
+
 // answer answers the call. A caller that has gone meanwhile hears nothing.
 func (c *caller) answer(text string, err error) {
 	if err != nil {
--- a/internal/front/console/handover.go
+++ b/internal/front/console/handover.go
@@ -31,7 +31,7 @@
 func (f *Front) TakeOver(callers []handover.Conn) {
 	for _, x := range callers {
 		c := &caller{front: f}
-		if c.conn = f.Engine.Adopt("console", true, x, c); c.conn != nil {
+		if c.conn = f.Engine.Adopt(ListenerKind, true, x, c); c.conn != nil {
 			f.join(c)
 			c.Data(x.Bytes)
 		}
--- a/internal/front/platform/listener.go
+++ b/internal/front/platform/listener.go
@@ -67,7 +67,7 @@
 func (f *Front) sweep() {
 	now := f.Loop.Now()
 	for c := range f.clients {
-		if idle, most := c.idle(now); idle >= most {
+		if idle, most := c.idle(now); idle >= most && !c.conn.Unread() {
 			c.end(net.Idle)
 		}
 	}
@@ -88,7 +88,7 @@
 		if !c.served {
 			idle += idleMost
 		}
-		if idle >= spareAfter && idle > over {
+		if idle >= spareAfter && idle > over && !c.conn.Unread() {
 			spare, over = c, idle
 		}
 	}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 
 	"snowjunction/internal/handover"
 )
@@ -19,11 +20,14 @@
 	since    time.Time
 	handler  Handler
 	nc       *nbio.Conn // nil until a dialled connection is up
+	plain    *plain     // in its place, where its other side may close alone
 	up       bool
 	over     bool
 	accepted bool
+	halves   bool // its other side may close its sending side and still be answered
 	in, out  int
 	written  atomic.Int64 // of out, what the kernel has taken
+	coming   atomic.Int64 // pieces read and not looked at
 	cancel   func()       // calls off the dialling
 	detached bool
 	rest     []byte // what came while it was being detached
@@ -34,16 +38,25 @@
 // to it have not left yet. The handler hears nothing more; what had been read already is Rest,
 // once the engine has come to a halt.
 func (c *Conn) Detach() (from handover.Conn, ok bool) {
-	if !c.Up() || c.written.Load() != int64(c.out) {
+	if !c.Up() || c.nc != nil && c.written.Load() != int64(c.out) {
 		return from, false
 	}
-	fd, err := handover.Copy(c.nc.Hash())
+	fd, err := -1, error(nil)
+	if c.plain != nil {
+		fd, err = copyOf(c.plain.raw)
+	} else {
+		fd, err = handover.Copy(c.nc.Hash())
+	}
 	if err != nil {
 		return from, false
 	}
 	c.detached = true
 	c.end(HandedOver)
-	_ = c.nc.Close()
+	if c.plain != nil {
+		c.plain.raw.Close()
+	} else {
+		_ = c.nc.Close()
+	}
 	return handover.Conn{FD: fd, Peer: c.peer, Since: c.since, In: c.in, Out: c.out}, true
 }
 
@@ -56,13 +69,30 @@
 // Up tells whether the connection is established and not ended.
 func (c *Conn) Up() bool { return c.up && !c.over }
 
+// Unread tells that bytes have come which its handler has not been given yet: in the socket, or
+// on their way to the loop.
+func (c *Conn) Unread() bool {
+	if !c.Up() || c.nc == nil { // a plain one is read at once
+		return false
+	}
+	if c.coming.Load() > 0 {
+		return true
+	}
+	n, err := unix.IoctlGetInt(c.nc.Hash(), unix.TIOCINQ)
+	return err == nil && n > 0
+}
+
 // Write sends b and tells whether the socket took it: if not, none of it has
 // left and Closed follows.
 func (c *Conn) Write(b []byte) bool {
 	if !c.Up() {
 		return false
 	}
-	if _, err := c.nc.Write(b); err != nil {
+	if c.plain != nil {
+		if !c.plain.write(b) {
+			return false
+		}
+	} else if _, err := c.nc.Write(b); err != nil {
 		return false
 	}
 	c.out += len(b)
@@ -82,11 +112,18 @@
 	if c.nc != nil {
 		_ = c.nc.Close()
 	}
+	if c.plain != nil {
+		c.plain.raw.Close()
+	}
 }
 
 // attach gives the connection to the engine. All of that happens on the loop's
 // goroutine, so that neither data nor an end can come before its handler.
 func (c *Conn) attach(raw stdnet.Conn) bool {
+	if c.halves {
+		c.attachPlain(raw)
+		return true
+	}
 	// nbio duplicates the descriptor for whatever process is started next to
 	// inherit: a plug-in's host would keep the connection open after its end
 	// here, and the poller would turn for ever on what is no connection any more.
@@ -101,6 +138,7 @@
 		return false
 	}
 	nc.SetSession(c)
+	c.engine.meet()
 	if _, err := c.engine.nb.AddConn(nc); err != nil {
 		return false
 	}
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -67,6 +67,9 @@
 	accepted  int // of these, by listeners
 	listeners []listener
 	accepting sync.WaitGroup
+	reading   sync.WaitGroup // of plain connections
+	plains    map[*plain]bool
+	halves    map[string]bool // kinds whose connections are plain
 	inherited map[string]stdnet.Listener
 	halting   atomic.Bool
 	stopped   chan struct{}
@@ -95,7 +98,7 @@
 	logging.SetLevel(logging.LevelNone)
 	// The engine keeps a table of this size; its default is for two million.
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, cfg.MaxConns+4096)
-	e := &Engine{cfg: cfg, stopped: make(chan struct{}), nb: nbio.NewEngine(nbio.Config{
+	e := &Engine{cfg: cfg, stopped: make(chan struct{}), plains: map[*plain]bool{}, halves: map[string]bool{}, nb: nbio.NewEngine(nbio.Config{
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: writeBuffer,
 		MaxConnReadTimesPerEventLoop: readTimes,
 	})}
@@ -107,7 +110,9 @@
 		}
 		b := append([]byte(nil), data...)
 		e.queue(len(b))
+		c.coming.Add(1)
 		cfg.Post(func() {
+			c.coming.Add(-1)
 			c.data(b)
 			e.unqueue(len(b))
 		})
@@ -123,6 +128,7 @@
 	})
 	e.nb.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
 		if c, ok := nc.Session().(*Conn); ok {
+			e.meet()
 			c.written.Add(int64(n))
 		}
 	})
@@ -132,6 +138,13 @@
 	return e, nil
 }
 
+// meet orders what the loop has done to a connection before what the engine's reader does: nbio
+// passes it between them by the kernel alone.
+func (e *Engine) meet() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+}
+
 // queue makes the engine's reader wait while too much is pending. The loop
 // never waits for the reader, so this ends.
 func (e *Engine) queue(n int) {
@@ -150,6 +163,10 @@
 	e.looked.Signal()
 }
 
+// Halves lets the other sides of a kind's accepted connections end what they send and still be
+// answered: their handlers are HalfClosed. It is called before the kind is listened for.
+func (e *Engine) Halves(kind string) { e.halves[kind] = true }
+
 // Stop closes the listeners; connections are their owners' to close.
 func (e *Engine) Stop() {
 	select {
@@ -248,8 +265,12 @@
 // all that had been read has been looked at.
 func (e *Engine) Halt(done func()) {
 	e.halting.Store(true)
+	for p := range e.plains {
+		p.raw.Close()
+	}
 	go func() {
 		e.nb.Stop()
+		e.reading.Wait()
 		e.cfg.Post(done)
 	}()
 }
@@ -281,7 +302,7 @@
 		e.cfg.Log.Warn("a connection could not be taken over", "kind", kind, "peer", from.Peer, "err", err)
 		return nil
 	}
-	c := &Conn{engine: e, kind: kind, peer: from.Peer, since: from.Since, accepted: accepted, handler: handler, in: from.In, out: from.Out}
+	c := &Conn{engine: e, kind: kind, peer: from.Peer, since: from.Since, accepted: accepted, handler: handler, in: from.In, out: from.Out, halves: e.halves[kind]}
 	c.written.Store(int64(from.Out))
 	e.open++
 	if accepted {
@@ -343,7 +364,7 @@
 }
 
 func (e *Engine) accept(kind string, raw stdnet.Conn, accept func(*Conn) Handler, spare func() bool) {
-	c := &Conn{engine: e, kind: kind, peer: raw.RemoteAddr().String(), since: time.Now(), accepted: true}
+	c := &Conn{engine: e, kind: kind, peer: raw.RemoteAddr().String(), since: time.Now(), accepted: true, halves: e.halves[kind]}
 	e.open++
 	e.accepted++
 	crowded := e.open > e.cfg.MaxConns || float64(e.accepted) > acceptShare*float64(e.cfg.MaxConns)
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -220,3 +220,75 @@
 	assert.NotZero(t, flags&syscall.FD_CLOEXEC)
 	c.Close(Shutdown)
 }
+
+// What has come and not been looked at is known of, in the socket and on its way.
+func TestUnread(t *testing.T) {
+	b := newBench(t, 10)
+	server := &end{}
+	var accepted *Conn
+	addr, err := b.engine.Listen("test", "127.0.0.1:0", func(c *Conn) Handler {
+		accepted = c
+		return server
+	}, never)
+	require.NoError(t, err)
+	c, err := stdnet.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer c.Close()
+	b.until(func() bool { return accepted != nil })
+	assert.False(t, accepted.Unread())
+	_, err = c.Write([]byte("x"))
+	require.NoError(t, err)
+	require.Eventually(t, accepted.Unread, 20*time.Second, time.Millisecond)
+	b.until(func() bool { return server.data == "x" })
+	assert.False(t, accepted.Unread())
+}
+
+// A connection that is detached goes on at another engine, with what had been read.
+func TestDetachAndAdopt(t *testing.T) {
+	b, other := newBench(t, 10), newBench(t, 10)
+	first, second := &end{}, &end{}
+	var accepted *Conn
+	addr, err := b.engine.Listen("test", "127.0.0.1:0", func(c *Conn) Handler {
+		accepted = c
+		return first
+	}, never)
+	require.NoError(t, err)
+	c, err := stdnet.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer c.Close()
+	b.until(func() bool { return accepted != nil })
+	_, err = c.Write([]byte("ab"))
+	require.NoError(t, err)
+	require.Eventually(t, accepted.Unread, 20*time.Second, time.Millisecond)
+	from, ok := accepted.Detach()
+	require.True(t, ok)
+	var fds map[string]int
+	b.engine.Retire(func(m map[string]int) { fds = m })
+	b.until(func() bool { return fds != nil })
+	queued, err := stdnet.Dial("tcp", addr) // which nobody accepts here any more
+	require.NoError(t, err)
+	defer queued.Close()
+	halted := false
+	b.engine.Halt(func() { halted = true })
+	b.until(func() bool { return halted })
+	require.NoError(t, other.engine.Inherit("test", fds["test"]))
+	conn := other.engine.Adopt("test", true, from, second)
+	require.NotNil(t, conn)
+	var late *Conn
+	_, err = other.engine.Listen("test", addr, func(c *Conn) Handler {
+		late = c
+		return &end{}
+	}, never)
+	require.NoError(t, err)
+	other.until(func() bool { return late != nil })
+	_, err = c.Write([]byte("c"))
+	require.NoError(t, err)
+	other.until(func() bool { return strings.HasSuffix(second.data, "c") })
+	assert.Equal(t, "abc", string(accepted.Rest())+second.data)
+	require.True(t, conn.Write([]byte("d")))
+	got := make([]byte, 1)
+	_, err = c.Read(got)
+	require.NoError(t, err)
+	assert.Equal(t, "d", string(got))
+	assert.Contains(t, b.log.String(), "code=handed_over")
+}
