A connection that the engine has closed already is not handed over as somebody else's

Cause: nbio's reader had closed a client's connection and given its descriptor back, and the loop was yet to hear of it. Hand copied calls first, and the copy of one got that number; then the client's "own" descriptor was copied by its number. Ruled out: half-sent requests (Detach compares what was written), two requests on one link (one call a link). At fault: Conn.Detach trusted Up(). It now asks the engine after the copy: one that is not closed then had its own descriptor until now. TestDetachOfWhatIsGone fails without it.

Also: in tight descriptors the listeners' copies are kept for a handover that fails; the elder waits 0.8 s for a word while nobody decides; a SIGTERM during a handover in vain counts its 3.4 s from when it came.

--- a/cmd/snowjunction/handover_test.go
+++ b/cmd/snowjunction/handover_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -22,9 +23,13 @@
 	"snowjunction/internal/standin/load"
 )
 
-// pair is a courier with a second address, and a process to be started beside it.
-func pair(t *testing.T) (old, next *scenario.Courier) {
+// pair is a courier with a second address, and a process to be started beside it. A limit on
+// sockets may be given.
+func pair(t *testing.T, sockets ...int) (old, next *scenario.Courier) {
 	old = prepare(t)
+	if len(sockets) > 0 {
+		old.Limits["sockets"] = sockets[0]
+	}
 	old.Peers = map[string]any{"console": "127.0.0.1:0"}
 	require.NoError(t, old.Start())
 	console(t, old, "old")
@@ -403,3 +408,98 @@
 		assert.Zero(t, n.Copies, "%+v", n)
 	}
 }
+
+// The owner dies at each step, or falls silent: the other process goes on from what it was
+// handed if the lock is here, else as after any restart once the lock is free.
+func TestOwnerDies(t *testing.T) {
+	estate := handover.Estate{Known: []handover.Known{{Destination: 7, At: time.Now(), Text: []byte("no memento")}}, Live: true}
+	var frames []handover.Frame
+	for f := range estate.Frames {
+		frames = append(frames, f)
+	}
+	for _, c := range []struct {
+		what   string
+		frames int
+		deed   bool
+		silent bool
+	}{
+		{"after the hello", 0, false, false}, {"in the estate", 1, false, false}, {"before the lock", 2, false, false},
+		{"once the lock has gone", 2, true, false}, {"silent in the estate", 1, false, true},
+	} {
+		old, next := pair(t)
+		p := old.Play
+		p.Run(`
+			client dial a
+			a send "$ADDm1$STATUSx\r\n"
+			a expect "+OK\r\n"
+			target accept t1
+			t1 expect "...X-Request-ID: m1\r\n"
+			courier wait kill
+			t1 expect "...x"
+			t1 expect EOF
+		`)
+		lock, err := handover.Acquire(old.State())
+		require.NoError(t, err)
+		served := make(chan *handover.Link, 64)
+		door, err := handover.Open(old.State(), func(link *handover.Link, f handover.Frame, err error) {
+			assert.NoError(t, err)
+			for _, f := range frames[:c.frames] {
+				assert.NoError(t, link.Send(f))
+			}
+			if c.deed {
+				_, err := link.Receive(handover.StepWithin)
+				assert.NoError(t, err)
+				assert.NoError(t, link.Send(handover.Frame{Kind: handover.DeedTo, FD: lock.FD()}))
+			}
+			served <- link
+		}, func(err error) { t.Log(err) })
+		require.NoError(t, err)
+		require.NoError(t, next.Launch())
+		link := <-served
+		if c.silent {
+			p.Run(`next wait "waits for the folder's owner"`)
+		}
+		door.Close()
+		lock.Close()
+		link.Close()
+		m, err := next.Await(`msg=started .*listen=(\S+) push=\S* restored=1`)
+		require.NoError(t, err, c.what)
+		assert.Equal(t, c.deed, strings.Contains(next.Log(), "taken over"), c.what)
+		p.Let("client", m[1])
+		p.Run(`
+			target accept t2
+			t2 expect "...X-Request-ID: m1\r\n"
+			t2 expect "...x"
+			t2 send "$last"
+			client dial b
+			b send "*1\r\n$4\r\nPING\r\n"
+			b expect "+PONG\r\n"
+			next wait kill
+		`)
+	}
+}
+
+// With few descriptors each is let go of here as it leaves; where nobody can be asked for the
+// folder, the courier serves as before.
+func TestFewDescriptors(t *testing.T) {
+	old, _ := pair(t, 64)
+	for i := range 12 {
+		old.Play.Run(fmt.Sprintf("client dial c%d", i))
+	}
+	old.Play.Run(`
+		next wait start
+		courier wait "handed over"
+		c0 send "*1\r\n$4\r\nPING\r\n"
+		c0 expect "+PONG\r\n"
+		c11 send "*1\r\n$4\r\nPING\r\n"
+		c11 expect "+PONG\r\n"
+		next wait kill
+		courier wait kill
+	`)
+	door := filepath.Join(old.State(), "handover.sock")
+	require.NoError(t, os.Remove(door))
+	require.NoError(t, os.MkdirAll(filepath.Join(door, "in the way"), 0o700))
+	third := old.Beside("third")
+	require.NoError(t, third.Start())
+	assert.Contains(t, third.Log(), "no handovers")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -418,8 +418,9 @@
 		c.engine.Stop()
 		c.endIfDone()
 	})
-	c.loop.After(decideFor, func() { c.core.Freeze(c.loop.End) })
-	c.loop.After(finishFor, c.loop.End)
+	spent := c.process.spent()
+	c.loop.After(decideFor-spent, func() { c.core.Freeze(c.loop.End) })
+	c.loop.After(finishFor-spent, c.loop.End)
 }
 
 // endIfDone ends a draining courier that owes nothing any more.
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -35,14 +35,16 @@
 	mu      sync.Mutex
 	deliver func(os.Signal)
 	waiting []os.Signal
+	toldAt  time.Time // to end
 }
 
 const (
-	askAgain  = 50 * time.Millisecond // between two looks at who owns the folder
-	tellEvery = 5 * time.Second       // between lines that say why this process waits
-	lingerFor = 10 * time.Second      // after a handover, where nobody ends this process
-	lookForIt = 100 * time.Millisecond
-	reclaims  = 25 // looks at the lock before a courier that gave it away leaves
+	askAgain    = 50 * time.Millisecond // between two looks at who owns the folder
+	tellEvery   = 5 * time.Second       // between lines that say why this process waits
+	lingerFor   = 10 * time.Second      // after a handover, where nobody ends this process
+	lookForIt   = 100 * time.Millisecond
+	elderWithin = 800 * time.Millisecond // for the other process's word, while nobody decides
+	reclaims    = 25                     // looks at the lock before a courier that gave it away leaves
 )
 
 // Run is the courier from its start to its end. An error means that it could not start; it
@@ -120,6 +122,9 @@
 func (p *process) later(s os.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if (s == syscall.SIGTERM || s == syscall.SIGINT) && p.toldAt.IsZero() {
+		p.toldAt = time.Now()
+	}
 	if p.deliver != nil {
 		p.deliver(s)
 	} else {
@@ -127,6 +132,17 @@
 	}
 }
 
+// spent is how much of the time in which this process has to end has gone by already, in a
+// handover that came to nothing.
+func (p *process) spent() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.toldAt.IsZero() {
+		return 0
+	}
+	return time.Since(p.toldAt)
+}
+
 // hear has signals delivered from now on; nil: they wait.
 func (p *process) hear(deliver func(os.Signal)) {
 	p.mu.Lock()
@@ -254,7 +270,7 @@
 			p.lock.Close()
 			p.lock = nil
 			event = handover.Broken
-			if f, err := link.Receive(handover.StepWithin); err == nil && f.Kind == handover.Took {
+			if f, err := link.Receive(elderWithin); err == nil && f.Kind == handover.Took {
 				event = handover.GotTaken
 			}
 		case handover.Leave:
@@ -289,7 +305,7 @@
 		if err = link.Send(f); err != nil {
 			break
 		}
-		if tight && f.FD >= 0 {
+		if tight && (f.Kind == handover.Clients || f.Kind == handover.Calls) {
 			e.Each(func(fd *int) {
 				if *fd == f.FD {
 					_ = unix.Close(*fd)
@@ -300,7 +316,7 @@
 	}
 	if err == nil {
 		var f handover.Frame
-		if f, err = link.Receive(handover.StepWithin); err == nil && f.Kind == handover.ReadyFor {
+		if f, err = link.Receive(elderWithin); err == nil && f.Kind == handover.ReadyFor {
 			return handover.GotReady
 		}
 	}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -50,6 +50,12 @@
 	if err != nil {
 		return from, false
 	}
+	// The engine's reader may have closed it meanwhile, which the loop is yet to hear: then its
+	// number may be another socket's by now, and the copy is of that.
+	if c.nc != nil && c.gone() {
+		_ = unix.Close(fd)
+		return from, false
+	}
 	c.detached = true
 	c.end(HandedOver)
 	if c.plain != nil {
@@ -79,7 +85,14 @@
 		return true
 	}
 	n, err := unix.IoctlGetInt(c.nc.Hash(), unix.TIOCINQ)
-	return err == nil && n > 0
+	return err == nil && n > 0 && !c.gone()
+}
+
+// gone tells that the engine has closed the connection. It marks one as closed before it gives
+// its descriptor back, so that one which is not gone had its own until now.
+func (c *Conn) gone() bool {
+	closed, _ := c.nc.IsClosed()
+	return closed
 }
 
 // Write sends b and tells whether the socket took it: if not, none of it has
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	stdnet "net"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -292,3 +293,35 @@
 	assert.Equal(t, "d", string(got))
 	assert.Contains(t, b.log.String(), "code=handed_over")
 }
+
+// A connection that the engine has closed, and the loop has not heard of, is not handed over: its
+// descriptor's number is another socket's by then.
+func TestDetachOfWhatIsGone(t *testing.T) {
+	b := newBench(t, 10)
+	var accepted *Conn
+	addr, err := b.engine.Listen("test", "127.0.0.1:0", func(c *Conn) Handler {
+		accepted = c
+		return &end{}
+	}, never)
+	require.NoError(t, err)
+	c, err := stdnet.Dial("tcp", addr)
+	require.NoError(t, err)
+	b.until(func() bool { return accepted != nil })
+	number := accepted.nc.Hash()
+	c.Close()
+	require.Eventually(t, accepted.gone, 20*time.Second, time.Millisecond)
+	for taken := -1; taken != number; { // somebody else is given that number
+		r, w, err := os.Pipe()
+		require.NoError(t, err)
+		defer r.Close()
+		defer w.Close()
+		if taken = int(r.Fd()); taken != number {
+			taken = int(w.Fd())
+		}
+		require.LessOrEqual(t, taken, number+64)
+	}
+	assert.True(t, accepted.Up(), "the loop has not heard of its end")
+	_, ok := accepted.Detach()
+	assert.False(t, ok)
+	assert.False(t, accepted.Unread())
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -71,11 +71,18 @@
 	Plugins   map[string]any     // the plug-ins' file; nil: none
 
 	OperatorDirectory map[string]any // the directory's file; nil: its defaults
+	Console           bool           // it has a second address
 }
 
 // Courier is a running courier.
 type Courier struct {
 	Addr, Push string // where its fronts listen
+	Console    string // its second address; "": none
+
+	exe     string
+	env     []string
+	console bool
+	second  chan string
 
 	cmd    *exec.Cmd
 	mu     sync.Mutex
@@ -126,6 +133,9 @@
 	if cfg.OperatorDirectory == nil {
 		cfg.OperatorDirectory = map[string]any{}
 	}
+	if cfg.Console {
+		whole["console"] = "127.0.0.1:0"
+	}
 	config, err := write("config.json", whole)
 	push, err2 := write("push.json", cfg.Push)
 	idle, err3 := write("idle.json", cfg.Idle)
@@ -134,12 +144,20 @@
 	if err := errors.Join(err, err2, err3, err4, err5); err != nil {
 		return nil, err
 	}
+	return launch(exe, append(os.Environ(), "GW_CONFIG="+config, "GW_STATE="+state, "SNOWJUNCTION_PUSH="+push, "SNOWJUNCTION_IDLE="+idle,
+		"SNOWJUNCTION_PLUGINS="+plugins, "SNOWJUNCTION_DIRECTORY="+directory), cfg.Console)
+}
+
+// Beside starts a second process of the same courier, over the same folder.
+func (c *Courier) Beside() (*Courier, error) { return launch(c.exe, c.env, c.console) }
+
+func launch(exe string, env []string, console bool) (*Courier, error) {
 	c := &Courier{
 		cmd: exec.Command(exe, "run", "--log-format=json"), counts: make(chan map[string]any, 16),
 		up: make(chan map[string]any, 1), replaced: make(chan map[string]any, 1), exited: make(chan error, 1),
+		exe: exe, env: env, console: console, second: make(chan string, 1),
 	}
-	c.cmd.Env = append(os.Environ(), "GW_CONFIG="+config, "GW_STATE="+state, "SNOWJUNCTION_PUSH="+push, "SNOWJUNCTION_IDLE="+idle, "SNOWJUNCTION_PLUGINS="+plugins,
-		"SNOWJUNCTION_DIRECTORY="+directory)
+	c.cmd.Env = env
 	out, err := c.cmd.StderrPipe()
 	if err != nil {
 		return nil, err
@@ -152,6 +170,9 @@
 	case line := <-c.up:
 		c.Addr, _ = line["listen"].(string)
 		c.Push, _ = line["push"].(string)
+		if console {
+			c.Console = <-c.second // the next line
+		}
 		return c, nil
 	case err := <-c.exited:
 		return nil, fmt.Errorf("the courier did not start: %v\n%s", err, c.Tail())
@@ -176,7 +197,16 @@
 		}
 		switch line["msg"] {
 		case "started":
-			c.up <- line
+			select {
+			case c.up <- line:
+			default: // it owns its folder again
+			}
+		case "second address":
+			at, _ := line["listen"].(string)
+			select {
+			case c.second <- at:
+			default:
+			}
 		case "plug-ins replaced", "plug-ins not replaced":
 			select {
 			case c.replaced <- line:
@@ -262,6 +292,12 @@
 	return 0, errors.New("no VmRSS")
 }
 
+// Descriptors is how many it holds; 0: it has ended.
+func (c *Courier) Descriptors() int {
+	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.cmd.Process.Pid))
+	return len(list)
+}
+
 // CPU is the time that its threads have run.
 func (c *Courier) CPU() (total time.Duration, err error) {
 	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", c.cmd.Process.Pid))
