--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -249,7 +249,8 @@
 	c.core.Restore(left) // before the loop runs: nothing new comes in front of it
 	if e != nil {
 		c.platform.TakeOver(e.Clients)
-		c.log.Info("taken over", "clients", len(e.Clients), "calls", len(e.Calls), "known", len(e.Known), "keys", len(e.Keys))
+		c.log.Info("taken over", "clients", len(e.Clients), "calls", len(e.Calls), "known", len(e.Known), "keys", len(e.Keys),
+			"ms", time.Since(c.process.since).Milliseconds())
 		c.forgo()
 	}
 	second := ""
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -29,6 +29,7 @@
 	life *describe.Life
 
 	files files
+	since time.Time      // it owns
 	lock  *handover.Lock // nil: the folder cannot be locked here, or is somebody else's
 	last  *core.Core     // of the courier before, for its counts
 
@@ -103,7 +104,7 @@
 		}
 		p.last = c.core
 		if p.give(c.link, c.estate) {
-			estate = c.estate
+			estate, p.since = c.estate, time.Now()
 		} else if c.estate.Close(); !p.linger(c) {
 			return nil
 		}
@@ -236,7 +237,7 @@
 				continue
 			}
 		case handover.Own:
-			p.lock = handover.Received(f.FD)
+			p.lock, p.since = handover.Received(f.FD), time.Now()
 			_ = link.Send(handover.Frame{Kind: handover.Took, FD: -1}) // the lock is here, whatever the elder hears
 			return &got.Estate, nil
 		}
