--- a/cmd/snowjunction/handover_test.go
+++ b/cmd/snowjunction/handover_test.go
@@ -503,3 +503,13 @@
 	require.NoError(t, third.Start())
 	assert.Contains(t, third.Log(), "no handovers")
 }
+
+// A second address that somebody has ends the new process with one line, before the owner has
+// let go of anything.
+func TestSecondAddressTakenInAnUpgrade(t *testing.T) {
+	old, next := pair(t)
+	next.Peers = map[string]any{"console": old.Play.Server("taken")}
+	require.Error(t, next.Start())
+	assert.Regexp(t, `^snowjunction: listen for console: .*in use\n$`, next.Log())
+	assert.NotContains(t, old.Log(), "handing over")
+}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -18,6 +18,7 @@
 	"snowjunction/internal/describe"
 	"snowjunction/internal/front/console"
 	"snowjunction/internal/handover"
+	"snowjunction/internal/net"
 )
 
 // process is what outlasts the couriers of one process: a handover that fails makes it go on
@@ -177,7 +178,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("open the journal: %w", err)
 	}
-	told, said := time.Time{}, ""
+	told, said, free := time.Time{}, "", false
 	for !p.ended() {
 		lock, err := handover.Acquire(dir)
 		if err == nil {
@@ -188,6 +189,12 @@
 			p.log.Warn("nothing tells who owns the folder: two processes must not run over it", "err", err)
 			return nil, nil
 		}
+		if addr := p.files.cfg.Console; addr != "" && !free {
+			if err := net.Free(console.ListenerKind, addr); err != nil {
+				return nil, err // before the owner lets go of anything
+			}
+			free = true
+		}
 		estate, err := p.ask(dir)
 		if err == nil {
 			return estate, nil
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -206,6 +206,15 @@
 	return nil
 }
 
+// Free tells whether an address can be listened on, or why it cannot.
+func Free(kind, addr string) error {
+	l, err := stdnet.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", kind, err)
+	}
+	return l.Close()
+}
+
 // same tells whether a listener at have is what want asks for, which may leave the port open.
 func same(have, want string) bool {
 	host, port, err := stdnet.SplitHostPort(want)
