A message answered +OK is delivered though its connection ends right behind that; bounds

Need, found by TestUpgradesAndKills ("not in time: every message's end"; the process that was told to end logged n.taken=2 n.gone=2): what was fresh when SIGTERM came was taken, answered +OK, and withdrawn at once - lost without a word, on any planned stop, not in upgrades alone. Cause: the answer's flush released the client's connection as the courier drained (or a QUIT behind the message ended it), and the front then told the core from Up() that nobody had heard. flush now says whether the socket took the bytes. Ruled out: the kill before it (its messages were restored, 16 of 16, and sent), the handover (that process handed nothing over). TestAnsweredBeforeItsConnectionEnds fails without it.

Also: an engine that does not end is waited for 1 s in a handover; a process that lingers keeps counts and figures alone, not its core; the tests' common openings are one.

--- a/cmd/snowjunction/handover_test.go
+++ b/cmd/snowjunction/handover_test.go
@@ -41,6 +41,16 @@
 	return old, old.Beside("next")
 }
 
+// m1Out has client a hand m1 in, which goes out to t1 and is not answered.
+const m1Out = `
+	client dial a
+	a send "$ADDm1$STATUSx\r\n"
+	a expect "+OK\r\n"
+	target accept t1
+	t1 expect "...X-Request-ID: m1\r\n"
+	t1 expect "...\r\n\r\nx"
+`
+
 // console names the second address of a courier that has started.
 func console(t *testing.T, c *scenario.Courier, name string) {
 	m, err := c.Await(`msg="second address" .*listen=(\S+)`)
@@ -65,13 +75,7 @@
 func TestHandover(t *testing.T) {
 	old, next := pair(t)
 	p := old.Play
-	p.Run(`
-		client dial a
-		a send "$ADDm1$STATUSx\r\n"
-		a expect "+OK\r\n"
-		target accept t1
-		t1 expect "...X-Request-ID: m1\r\n"
-		t1 expect "...\r\n\r\nx"
+	p.Run(m1Out + `
 		client dial k
 		k send "$KEYo1$ORDERk1\r\n$1\r\na\r\n"
 		k expect "+OK\r\n"
@@ -167,12 +171,7 @@
 func TestNewOneDies(t *testing.T) {
 	old, _ := pair(t)
 	p := old.Play
-	p.Run(`
-		client dial a
-		a send "$ADDm1$STATUSx\r\n"
-		a expect "+OK\r\n"
-		target accept t1
-		t1 expect "...X-Request-ID: m1\r\n"
+	p.Run(m1Out + `
 		next wait start
 		next wait kill
 		courier wait "owns the folder again"
@@ -198,14 +197,7 @@
 func TestAskedInVain(t *testing.T) {
 	old, _ := pair(t)
 	p := old.Play
-	p.Run(`
-		client dial a
-		a send "$ADDm1$STATUSx\r\n"
-		a expect "+OK\r\n"
-		target accept t1
-		t1 expect "...X-Request-ID: m1\r\n"
-		t1 expect "...\r\n\r\nx"
-	`)
+	p.Run(m1Out)
 	for _, last := range []handover.Kind{handover.Hello, handover.Clients, handover.End, handover.DeedTo} {
 		link, err := handover.Dial(old.State())
 		require.NoError(t, err)
@@ -264,13 +256,8 @@
 		courier wait "a handover was refused"
 		courier wait "a handover was refused"
 		courier wait "a handover was refused"
-		client dial a
-		a send "$ADDm1$STATUSx\r\n"
-		a expect "+OK\r\n"
-		target accept t1
-		t1 expect "...X-Request-ID: m1\r\n"
-		t1 expect "...\r\n\r\nx"
 	`)
+	old.Play.Run(m1Out)
 	hello[record.Frame]++
 	raw(record.Seal(hello))
 	old.Play.Run(`
@@ -428,14 +415,8 @@
 	} {
 		old, next := pair(t)
 		p := old.Play
-		p.Run(`
-			client dial a
-			a send "$ADDm1$STATUSx\r\n"
-			a expect "+OK\r\n"
-			target accept t1
-			t1 expect "...X-Request-ID: m1\r\n"
+		p.Run(m1Out + `
 			courier wait kill
-			t1 expect "...x"
 			t1 expect EOF
 		`)
 		lock, err := handover.Acquire(old.State())
--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -433,3 +433,16 @@
 		t send "$ok"
 	`)
 }
+
+// A message that has been answered is delivered, though its connection ends right behind that.
+func TestAnsweredBeforeItsConnectionEnds(t *testing.T) {
+	start(t).Run(`
+		client dial c
+		c send "$ADDm1$STATUSx\r\n*1\r\n$4\r\nQUIT\r\n"
+		c expect "+OK\r\n+OK\r\n"
+		c expect EOF
+		target accept t
+		t expect "...X-Request-ID: m1\r\n"
+		t expect "...\r\n\r\nx"
+	`)
+}
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -143,8 +143,17 @@
 	slices.SortFunc(e.Known, func(a, b handover.Known) int { return cmp.Compare(a.Destination, b.Destination) })
 }
 
+// Counts are what a core has counted since its process began.
+type Counts struct {
+	tallies []tally
+	relayed uint64
+}
+
+// Counted is what has been counted so far.
+func (c *Core) Counted() Counts { return Counts{slices.Clone(c.tallies), c.relayed} }
+
 // Carry goes on with the counts of an earlier core of this process.
-func (c *Core) Carry(old *Core) { c.tallies, c.relayed = old.tallies, old.relayed }
+func (c *Core) Carry(n Counts) { c.tallies, c.relayed = n.tallies, n.relayed }
 
 // TakeOver takes up what another process of this courier knows, before Restore.
 func (c *Core) TakeOver(e *handover.Estate) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -182,8 +182,8 @@
 	}
 	c.join(&coreCfg)
 	coreCfg.Plugins = c.plugins
-	if c.core, err = core.New(coreCfg); err == nil && c.process.last != nil {
-		c.core.Carry(c.process.last)
+	if c.core, err = core.New(coreCfg); err == nil && c.process.counted != nil {
+		c.core.Carry(*c.process.counted)
 	}
 	return left, err
 }
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -23,7 +23,8 @@
 const (
 	quietWithin = 500 * time.Millisecond // for notices and what cannot be handed over, before a handover
 	quietAgain  = 2 * time.Millisecond
-	listMost    = 16 << 20 // bytes of the directory's list that are handed over
+	haltWithin  = time.Second // for the engine to end
+	listMost    = 16 << 20    // bytes of the directory's list that are handed over
 )
 
 // openHandover lets another process ask for the folder. Where there are no such sockets this
@@ -153,7 +154,12 @@
 	}
 	c.platform.Close()
 	c.push.Close()
-	c.engine.Halt(func() {
+	halted := false
+	done := func() {
+		if halted {
+			return
+		}
+		halted = true
 		e.Clients, c.callers = clients(), callers()
 		calls(e)
 		if c.reading { // the next owner has read its files before, perhaps
@@ -161,6 +167,11 @@
 		}
 		c.estate = e
 		c.loop.End()
+	}
+	c.engine.Halt(done)
+	c.loop.After(haltWithin, func() {
+		c.log.Error("the engine does not end: what it has read and not told may be lost")
+		done()
 	})
 }
 
@@ -241,7 +252,7 @@
 // linger keeps a process that has handed over answering at its second address, until it is
 // told to end or has lingered for long. It returns true where the folder has no owner any
 // more: then this process owns it again.
-func (p *process) linger(c *courier) (owns bool) {
+func (p *process) linger(callers []handover.Conn, second int) (owns bool) {
 	loop := core.NewLoop(time.Now)
 	engine, err := net.New(net.Config{Post: loop.Post, Log: p.log, MaxConns: descriptors})
 	if err != nil {
@@ -249,10 +260,10 @@
 		return false
 	}
 	var front *console.Front
-	if c.second >= 0 {
-		if err = engine.Inherit(console.ListenerKind, c.second); err == nil {
+	if second >= 0 {
+		if err = engine.Inherit(console.ListenerKind, second); err == nil {
 			front, err = console.Start(console.Config{
-				Loop: loop, Engine: engine, Listen: c.cfg.Console, Ready: func() bool { return false },
+				Loop: loop, Engine: engine, Listen: p.files.cfg.Console, Ready: func() bool { return false },
 				Figures: func(done func(core.Figures)) { p.figures(loop, done) },
 				Exclude: func(id string, out bool, done func(error)) { p.exclude(loop, id, out, done) },
 			})
@@ -260,10 +271,9 @@
 		if err != nil {
 			p.log.Error("the second address ends with the handover", "err", err)
 		} else {
-			front.TakeOver(c.callers)
+			front.TakeOver(callers)
 		}
 	}
-	c.callers, c.second = nil, -1
 	p.hear(func(s os.Signal) {
 		loop.Post(func() {
 			switch s {
@@ -292,12 +302,13 @@
 	ended := make(chan struct{})
 	engine.Stop()
 	engine.Halt(func() { close(ended) })
+	limit := time.Now().Add(haltWithin)
 	loop.RunUntil(func() bool {
 		select {
 		case <-ended:
 			return true
 		default:
-			return false
+			return time.Now().After(limit)
 		}
 	})
 	if !owns {
@@ -332,7 +343,7 @@
 // figures are this process's counts, which stand, with how things are at the owner. What is
 // open is counted there.
 func (p *process) figures(loop *core.Loop, done func(core.Figures)) {
-	x := p.last.Figures(platformFront)
+	x := p.stood
 	x.Open = 0
 	go func() {
 		text, err := p.owner("telemetry")
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -32,7 +32,9 @@
 	files files
 	since time.Time      // it owns
 	lock  *handover.Lock // nil: the folder cannot be locked here, or is somebody else's
-	last  *core.Core     // of the courier before, for its counts
+	// Of the courier before: what it counted, and how things stood.
+	counted *core.Counts
+	stood   core.Figures
 
 	mu      sync.Mutex
 	deliver func(os.Signal)
@@ -103,19 +105,24 @@
 			p.lock.Close()
 			return nil
 		}
-		p.last = c.core
+		n := c.core.Counted()
+		p.counted, p.stood = &n, c.core.Figures(platformFront)
 		if p.give(c.link, c.estate) {
 			estate, p.since = c.estate, time.Now()
-		} else if c.estate.Close(); !p.linger(c) {
-			return nil
+		} else {
+			c.estate.Close()
+			callers, second := c.callers, c.second
+			c = &courier{second: -1} // what it held is the next owner's; its memory counts with that one's
+			if !p.linger(callers, second) {
+				return nil
+			}
 		}
-		old := c
+		callers, second := c.callers, c.second
 		if c, err = p.prepare(); err != nil {
 			return err
 		}
-		c.callers = old.callers
-		if old.second >= 0 && estate != nil {
-			estate.Listeners = append(estate.Listeners, handover.Listener{Kind: console.ListenerKind, FD: old.second})
+		if c.callers = callers; second >= 0 && estate != nil {
+			estate.Listeners = append(estate.Listeners, handover.Listener{Kind: console.ListenerKind, FD: second})
 		}
 	}
 }
--- a/internal/front/platform/listener.go
+++ b/internal/front/platform/listener.go
@@ -182,11 +182,7 @@
 	a.asked, a.until, a.no = r, c.front.Loop.Now().Add(r.Left), c.front.requests
 	err := c.front.core.TakeIn(r, func(x core.Answer, _ *store.Message) bool {
 		a.text, a.asked = render(x), core.Request{}
-		if !c.conn.Up() {
-			return false
-		}
-		c.flush()
-		return c.conn.Up()
+		return c.conn.Up() && c.flush()
 	})
 	if err != nil {
 		a.text = resp.Error("ERR " + err.Error())
@@ -207,10 +203,11 @@
 	return resp.Error("BUSY")
 }
 
-// flush sends the answers that are known, up to the first that is not.
-func (c *client) flush() {
+// flush sends the answers that are known, up to the first that is not, and tells whether the
+// socket took them. That the connection ends behind them is no reason to think them unheard.
+func (c *client) flush() (sent bool) {
 	if c.taking {
-		return
+		return true
 	}
 	n := 0
 	var out []byte
@@ -218,15 +215,16 @@
 		out = append(out, c.due[n].text...)
 	}
 	c.due = c.due[n:]
-	if len(out) > 0 {
+	if sent = true; len(out) > 0 {
 		c.since = c.front.Loop.Now()
-		c.conn.Write(out)
+		sent = c.conn.Write(out)
 	}
 	if c.quit && len(c.due) == 0 {
 		c.end(net.Finished)
 	} else if c.front.draining {
 		c.release()
 	}
+	return sent
 }
 
 // release ends a connection that is between requests.
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -58,6 +58,20 @@
 	}
 }
 
+// pair is a connection that the engine has accepted for h, its other end and the listener.
+func (b *bench) pair(h Handler) (accepted *Conn, c stdnet.Conn, addr string) {
+	addr, err := b.engine.Listen("test", "127.0.0.1:0", func(c *Conn) Handler {
+		accepted = c
+		return h
+	}, never)
+	require.NoError(b.t, err)
+	c, err = stdnet.Dial("tcp", addr)
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { c.Close() })
+	b.until(func() bool { return accepted != nil })
+	return accepted, c, addr
+}
+
 func never() bool { return false }
 
 type end struct {
@@ -226,18 +240,9 @@
 func TestUnread(t *testing.T) {
 	b := newBench(t, 10)
 	server := &end{}
-	var accepted *Conn
-	addr, err := b.engine.Listen("test", "127.0.0.1:0", func(c *Conn) Handler {
-		accepted = c
-		return server
-	}, never)
-	require.NoError(t, err)
-	c, err := stdnet.Dial("tcp", addr)
-	require.NoError(t, err)
-	defer c.Close()
-	b.until(func() bool { return accepted != nil })
+	accepted, c, _ := b.pair(server)
 	assert.False(t, accepted.Unread())
-	_, err = c.Write([]byte("x"))
+	_, err := c.Write([]byte("x"))
 	require.NoError(t, err)
 	require.Eventually(t, accepted.Unread, 20*time.Second, time.Millisecond)
 	b.until(func() bool { return server.data == "x" })
@@ -248,17 +253,8 @@
 func TestDetachAndAdopt(t *testing.T) {
 	b, other := newBench(t, 10), newBench(t, 10)
 	first, second := &end{}, &end{}
-	var accepted *Conn
-	addr, err := b.engine.Listen("test", "127.0.0.1:0", func(c *Conn) Handler {
-		accepted = c
-		return first
-	}, never)
-	require.NoError(t, err)
-	c, err := stdnet.Dial("tcp", addr)
-	require.NoError(t, err)
-	defer c.Close()
-	b.until(func() bool { return accepted != nil })
-	_, err = c.Write([]byte("ab"))
+	accepted, c, addr := b.pair(first)
+	_, err := c.Write([]byte("ab"))
 	require.NoError(t, err)
 	require.Eventually(t, accepted.Unread, 20*time.Second, time.Millisecond)
 	from, ok := accepted.Detach()
@@ -298,15 +294,7 @@
 // descriptor's number is another socket's by then.
 func TestDetachOfWhatIsGone(t *testing.T) {
 	b := newBench(t, 10)
-	var accepted *Conn
-	addr, err := b.engine.Listen("test", "127.0.0.1:0", func(c *Conn) Handler {
-		accepted = c
-		return &end{}
-	}, never)
-	require.NoError(t, err)
-	c, err := stdnet.Dial("tcp", addr)
-	require.NoError(t, err)
-	b.until(func() bool { return accepted != nil })
+	accepted, c, _ := b.pair(&end{})
 	number := accepted.nc.Hash()
 	c.Close()
 	require.Eventually(t, accepted.gone, 20*time.Second, time.Millisecond)
