An upgrade with both fronts, plug-ins and an idle store is shown by a test

Need: what two processes share beside the platform's front - the push front's listener and HTTP/2 calls, plug-in hosts, the store of sleeping destinations - was walked through on paper alone. TestUpgradeOfBothFronts hands messages in over both fronts while three processes follow one another: every message one end, no copy, none inside a told wait, plug-ins and store taken up each time.

--- a/cmd/snowjunction/handover_test.go
+++ b/cmd/snowjunction/handover_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -378,10 +379,7 @@
 	for _, m := range s.client.Sent {
 		sent[m.ID] = m
 	}
-	s.client.Sent = nil
-	for _, m := range maps.All(sent) {
-		s.client.Sent = append(s.client.Sent, m)
-	}
+	s.client.Sent = slices.Collect(maps.Values(sent))
 	var e load.Ends
 	s.until("every message's end", func() bool {
 		e = s.client.Account(s.seen, s.directory.Notices(), nil)
@@ -494,3 +492,55 @@
 	assert.Regexp(t, `^snowjunction: listen for console: .*in use\n$`, next.Log())
 	assert.NotContains(t, old.Log(), "handing over")
 }
+
+// With both fronts, plug-ins and a store of sleeping destinations: HTTP/2 connections are not
+// handed over, and yet every message has its one end.
+func TestUpgradeOfBothFronts(t *testing.T) {
+	folder := t.TempDir()
+	writePlugin(t, folder, "shaper", map[string]any{"hooks": []string{"shape"}, "touches": map[string]any{"headers": true}},
+		"def shape(call):\n    return {'headers': {'X-Kitchen': 'one'}}\n")
+	s := newStageWith(t, 2, map[string]any{"store": filepath.Join(t.TempDir(), "idle.db")}, func(s *stage) {
+		s.Env = append(s.Env, withPlugins(t, s.Dir(), folder))
+	}, true)
+	var wg sync.WaitGroup
+	const lanes, each = 4, 30
+	for lane := range lanes {
+		wg.Go(func() {
+			for i := range each {
+				m := load.Message{ID: fmt.Sprintf("b-%d-%d", lane, i), Class: "status", Tenant: "town", Destination: uint32(1 + lane%2), Left: 8 * time.Second, Push: lane >= 2}
+				for range 100 {
+					if v, after, _ := s.client.Add(m); v == load.Taken {
+						break
+					} else if v == load.Refused {
+						time.Sleep(after)
+					}
+				}
+			}
+		})
+	}
+	now := s.Courier
+	for i := range 3 {
+		next := now.Beside(fmt.Sprint("process ", i))
+		require.NoError(t, next.Start())
+		assert.Contains(t, next.Log(), "taken over")
+		assert.NotContains(t, next.Log(), "no idle store")
+		require.NoError(t, now.Stop(syscall.SIGTERM))
+		now = next
+	}
+	wg.Wait()
+	sent := map[string]load.Message{}
+	for _, m := range s.client.Sent {
+		sent[m.ID] = m
+	}
+	s.client.Sent = slices.Collect(maps.Values(sent))
+	var e load.Ends
+	s.until("every message's end", func() bool {
+		e = s.client.Account(s.seen, s.directory.Notices(), nil)
+		return e.Open == 0
+	})
+	assert.Equal(t, lanes*each, e.Handed)
+	assert.Zero(t, e.Unheard+e.Doubled+e.Failed+e.Refused, "%+v", e)
+	n := s.counts()
+	assert.Zero(t, n.Copies+n.InWait+n.Drained, "%+v", n)
+	assert.Equal(t, "one", s.farm.LastShaped()[0])
+}
