--- a/cmd/snowjunction/handover_test.go
+++ b/cmd/snowjunction/handover_test.go
@@ -319,6 +319,22 @@
 	assert.Empty(t, files)
 }
 
+// account waits for the end of every message, of which so many were handed in, some again.
+func (s *stage) account(handed int) (e load.Ends) {
+	s.t.Helper()
+	sent := map[string]load.Message{}
+	for _, m := range s.client.Sent {
+		sent[m.ID] = m
+	}
+	s.client.Sent = slices.Collect(maps.Values(sent))
+	s.until("every message's end", func() bool {
+		e = s.client.Account(s.seen, s.directory.Notices(), nil)
+		return e.Open == 0
+	})
+	assert.Equal(s.t, handed, e.Handed)
+	return e
+}
+
 // Processes follow one another under load, by upgrades alone: every message is answered at once,
 // has one end, in order, and none is sent twice.
 func TestUpgradesUnderLoad(t *testing.T) { upgrades(t, false) }
@@ -375,17 +391,7 @@
 		now = next
 	}
 	wg.Wait()
-	sent := map[string]load.Message{}
-	for _, m := range s.client.Sent {
-		sent[m.ID] = m
-	}
-	s.client.Sent = slices.Collect(maps.Values(sent))
-	var e load.Ends
-	s.until("every message's end", func() bool {
-		e = s.client.Account(s.seen, s.directory.Notices(), nil)
-		return e.Open == 0
-	})
-	assert.Equal(t, lanes*each, e.Handed)
+	e := s.account(lanes * each)
 	assert.Zero(t, e.Unheard+e.Doubled+e.Failed, "%+v", e)
 	n := s.counts()
 	assert.Zero(t, n.OutOfOrder+n.InWait+n.Drained, "%+v", n)
@@ -528,17 +534,7 @@
 		now = next
 	}
 	wg.Wait()
-	sent := map[string]load.Message{}
-	for _, m := range s.client.Sent {
-		sent[m.ID] = m
-	}
-	s.client.Sent = slices.Collect(maps.Values(sent))
-	var e load.Ends
-	s.until("every message's end", func() bool {
-		e = s.client.Account(s.seen, s.directory.Notices(), nil)
-		return e.Open == 0
-	})
-	assert.Equal(t, lanes*each, e.Handed)
+	e := s.account(lanes * each)
 	assert.Zero(t, e.Unheard+e.Doubled+e.Failed+e.Refused, "%+v", e)
 	n := s.counts()
 	assert.Zero(t, n.Copies+n.InWait+n.Drained, "%+v", n)
