A test excludes an endpoint while the owner changes and a list says the contrary

The next owner hears a full list with the endpoint Ready and restarted, sends nothing to it, counts it as out of rotation, and serves by it again once the old process is told to include it.

--- a/cmd/snowjunction/handover_test.go
+++ b/cmd/snowjunction/handover_test.go
@@ -540,3 +540,37 @@
 	assert.Zero(t, n.Copies+n.InWait+n.Drained, "%+v", n)
 	assert.Equal(t, "one", s.farm.LastShaped()[0])
 }
+
+// An endpoint that is out while the owner changes stays out, though the list that the next owner
+// hears has it as Ready, restarted, until either process is told to include it.
+func TestExcludedWhileTheOwnerChanges(t *testing.T) {
+	old, next := pair(t)
+	letList(old.Play, `{"generation":9,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"`+old.Targets[0].Addr+
+		`","zone":"a","machineType":"k","cell":7,"lifecycle":"Ready","weight":1,"startedAtMs":77}]}`)
+	old.Play.Run(`
+		discovery accept d1
+		old dial q
+		q send "exclude s-1\n"
+		q expect "done\n"
+		client dial c
+		c send "$ADDm1$STATUSx\r\n"
+		c expect "+OK\r\n"
+		next wait start
+		discovery accept d2
+		d2 expect "...\r\n\r\n"
+		d2 send "HTTP/1.1 200 OK\r\nContent-Length: $size\r\n\r\n$list"
+		d2 expect "GET /discovery/hosts?after=9"
+		c send "$ADDm2$STATUSy\r\n"
+		c expect "+OK\r\n"
+	`)
+	console(t, next, "new")
+	x := telemetry(t, old.Play, "new")
+	assert.Equal(t, []int{0, 2, 1, 1}, []int{int(x.Relayed), x.Open, x.Entries, x.OutOfRotation})
+	old.Play.Run(`
+		old dial q
+		q send "include s-1\n"
+		q expect "done\n"
+		target accept t
+		t expect "POST /inbox HTTP/1.1\r\n"
+	`)
+}
