--- a/internal/handover/steps.go
+++ b/internal/handover/steps.go
@@ -18,8 +18,7 @@
 	GotReady               // the younger one holds the estate
 	GotDeed                // the lock has come
 	GotTaken               // the younger one owns
-	Broken                 // the connection ended, or a frame could not be read or written
-	Late                   // the step took too long
+	Broken                 // the connection ended, a frame could not be read or written, or took too long
 )
 
 // Action is what a side does next.
@@ -53,9 +52,6 @@
 	over
 )
 
-// Owns tells whether this side may still decide, or decide again.
-func (e *Elder) Owns() bool { return e.at < deeded }
-
 // On takes an event.
 func (e *Elder) On(ev Event) Action {
 	at := e.at
--- a/internal/handover/steps_test.go
+++ b/internal/handover/steps_test.go
@@ -10,13 +10,13 @@
 // play is a handover between two processes with a lock between them. Either may die, the
 // connection may break and any wait may end, at every step.
 type play struct {
-	elder             Elder
-	younger           Younger
-	elderUp, youngUp  bool
-	linked            bool
-	lock              string  // who holds it: elder, flight, younger or nobody
-	toElder, toYoung  []Event // what is on its way
-	elderOwns, resent bool
+	elder            Elder
+	younger          Younger
+	elderUp, youngUp bool
+	linked           bool
+	lock             string  // who holds it: elder, flight, younger or nobody
+	toElder, toYoung []Event // what is on its way
+	elderOwns        bool
 }
 
 func newPlay() *play {
@@ -131,10 +131,10 @@
 				}
 			case "elder late":
 				if p.elder.at > asked {
-					p.elderOn(Late)
+					p.elderOn(Broken)
 				}
 			case "younger late":
-				p.youngerOn(Late)
+				p.youngerOn(Broken)
 			}
 			if p.elderOwns && p.lock != "elder" {
 				t.Fatalf("the elder decides, and the lock is with %s", p.lock)
