Two excludes under way at once: what the last good write says stands

Need, from reading the change again: where the first of two calls for one endpoint could not be written and the second could, the first one's undoing left the endpoint serving though the second had its done. Now an endpoint goes back only once nothing more of it is to be written, to what was written last. TestOutByHandTwice has the four ways; its first fails on the code before by that reading. core's and the command's tests of it pass with -race.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,6 +130,7 @@
 	frozen   bool
 	hushed   bool                     // another process of this courier is to decide
 	going    map[uint64]handover.Call // by their messages' numbers: calls that have been taken over
+	wishes   map[string]*wish         // by endpoint: what is to last
 	outs     int                      // changes to what is out by hand that are yet to last
 	paused   bool                     // the first decisions wait for the directory's word
 	book     *dormancy.Book
@@ -183,7 +184,7 @@
 		classes: map[string]int{}, tenants: map[string]int{},
 		routes: newRoutes(len(cfg.Fronts)), picker: learnt.NewPicker(),
 		once: once.New(onceMost), tallies: make([]tally, len(cfg.Settings.Classes)+1),
-		dirs: make([]*directory, len(cfg.Fronts)), out: exclusions.New(cfg.Settings.WarmUp),
+		dirs: make([]*directory, len(cfg.Fronts)), out: exclusions.New(cfg.Settings.WarmUp), wishes: map[string]*wish{},
 	}
 	for front, d := range cfg.Directories {
 		c.dirs[front] = &directory{book: belief.New(d.Belief), judge: distrust.New(d.Trust)}
--- a/internal/core/exclude.go
+++ b/internal/core/exclude.go
@@ -19,6 +19,12 @@
 	errNoPlace = errors.New("nothing can be taken out here")
 )
 
+// wish is what is to become of an endpoint, while that is written.
+type wish struct {
+	pending int
+	lasts   bool // it is out in what has been written
+}
+
 // RecallOut takes what an earlier life has left out by hand, before any list.
 func (c *Core) RecallOut(s *exclusions.Set) {
 	if c.out = s; len(s.Names()) > 0 {
@@ -37,7 +43,7 @@
 
 // Exclude takes an endpoint of a front out by hand, or lets it serve again. It holds from
 // now on; done is called once it lasts, on the loop's goroutine, or with why it does not:
-// then the endpoint is as it was, unless somebody else wants it so.
+// once nothing more is to be written of it, the endpoint is as it was written last.
 func (c *Core) Exclude(front int, name string, out bool, done func(error)) {
 	e, listed := c.routes.tables[front].Get(name)
 	was := c.out.Out(name)
@@ -70,11 +76,22 @@
 	}
 	c.Log.Info("by hand", "endpoint", name, "out", out, "was", was, "destination", e.Destination)
 	c.outs++
+	w := c.wishes[name]
+	if w == nil {
+		w = &wish{lasts: was}
+		c.wishes[name] = w
+	}
+	w.pending++
 	c.Exclusions.Put(c.out.Encode(c.Loop.Now()), func(err error) {
 		c.Loop.Post(func() {
 			c.outs--
-			if err != nil && was != out && c.out.Out(name) == out {
-				_ = change(was)
+			if w.pending--; err == nil {
+				w.lasts = out
+			}
+			if w.pending == 0 {
+				if delete(c.wishes, name); c.out.Out(name) != w.lasts {
+					_ = change(w.lasts)
+				}
 			}
 			done(err)
 		})
--- a/internal/core/exclude_test.go
+++ b/internal/core/exclude_test.go
@@ -16,9 +16,14 @@
 type disk struct {
 	text []byte
 	fail error
+	hold []func(error) // where not nil, who waits
 }
 
 func (d *disk) Put(text []byte, done func(error)) {
+	if d.hold != nil {
+		d.hold = append(d.hold, done)
+		return
+	}
 	if d.fail == nil {
 		d.text = text
 	}
@@ -91,3 +96,26 @@
 	next.step(50 * ms)
 	assert.Empty(t, next.calls)
 }
+
+// Of two calls under way at once, what the last write that held says stands.
+func TestOutByHandTwice(t *testing.T) {
+	full := errors.New("disk full")
+	for _, c := range []struct {
+		first, second error
+		out           bool
+	}{{full, nil, true}, {nil, full, true}, {full, full, false}, {nil, nil, true}} {
+		b := newBench(t, nil)
+		d := &disk{hold: []func(error){}}
+		b.c.Exclusions = d
+		var got []error
+		for range 2 {
+			b.c.Exclude(0, "s-1", true, func(e error) { got = append(got, e) })
+		}
+		d.hold[0](c.first)
+		d.hold[1](c.second)
+		b.step(5 * ms)
+		assert.Equal(t, []error{c.first, c.second}, got)
+		assert.Equal(t, c.out, b.c.out.Out("s-1"))
+		assert.Empty(t, b.c.wishes)
+	}
+}
