A message whose sender was killed twice keeps that its first attempt may have run

That an attempt was out when the process died was kept in memory alone: replay saw sent, sent, came(not run) and took the first for undone. Ruled out: windows of 15 s (no key was sent over more than 12 s), keys handed in elsewhere, the clock. Now a second sent with none come between says that the first may have run. TestKilledTwice fails without it.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -179,6 +179,9 @@
 func (j *Journal) change(m *Message, k kind, at time.Time, n byte, after time.Duration) {
 	switch k {
 	case sent:
+		if m.Out { // the process ended with the one before out, and its heir has written nothing of that
+			j.ran(m)
+		}
 		m.Attempts, m.Out, m.OutSince = m.Attempts+1, true, at
 	case came:
 		if n != 0 {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -155,3 +155,20 @@
 		_ = j.apply(&segment{seqs: map[uint64]bool{}}, b)
 	})
 }
+
+// A process dies with an attempt out; its heir makes another, which proves not to have run,
+// and dies too. What the first may have done is not forgotten by that.
+func TestKilledTwice(t *testing.T) {
+	dir := t.TempDir()
+	j, _ := load(t, dir, 3e6)
+	require.NoError(t, j.Sent(take(t, j, "a", 10), at))
+	j, left := load(t, dir, 3e6)
+	require.Len(t, left, 1)
+	require.NoError(t, j.Sent(left[0], at.Add(time.Second)))
+	require.NoError(t, j.Came(left[0], false))
+	_, left = load(t, dir, 3e6)
+	require.Len(t, left, 1)
+	assert.True(t, left[0].Ran)
+	assert.Equal(t, at, left[0].RanSince, "its window runs from the first")
+	assert.Equal(t, 2, left[0].Attempts)
+}
