What a restart leaves keeps its window and its time while the directory is waited for

Restored messages wait up to 80 ms for the directory's first word. Their deadline and the age of what may have run were counted when they were queued and taken by the module as of the moment it heard: windows and time-outs ended up to 85 ms late, over the 60 ms that are taken off a window. Times are now told as of the moment of hearing.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -128,23 +128,42 @@
 	if f.fresh {
 		c.fresh = append(c.fresh, f)
 	}
-	m, now := f.msg, c.Loop.Now()
+	m := f.msg
 	ev := snowjunction.Request{
 		ID: f.id, Destination: snowjunction.DestinationID(m.Destination), Class: c.classes[m.Class],
-		Tenant: c.tenant(m.Tenant), Key: m.Key, Deadline: m.Deadline.Sub(now), Again: m.Again,
-		Attempts: m.Attempts, Ran: m.Ran,
-	}
-	if m.Ran {
-		if ev.RanFor = now.Sub(m.RanSince); ev.RanFor < 0 { // the clock was set back: it may be any time ago
-			ev.RanFor = f.class.Window
-		}
+		Tenant: c.tenant(m.Tenant), Key: m.Key, Again: m.Again, Attempts: m.Attempts, Ran: m.Ran,
 	}
 	if f.going != nil {
-		ev.OutOn, ev.OutFor = c.goOn(f)
+		ev.OutOn = c.goOn(f)
 	}
 	c.feed(ev)
 }
 
+// timely is the events as the module is told them now. A request may have waited for the
+// directory's word, and the module counts its times from when it hears of them: they are
+// those of this moment, or its window and its deadline would end later than they do.
+func (c *Core) timely(events []snowjunction.Event) []snowjunction.Event {
+	now := c.Loop.Now()
+	for i, e := range events {
+		ev, ok := e.(snowjunction.Request)
+		f := c.flows[ev.ID]
+		if !ok || f == nil {
+			continue
+		}
+		ev.Deadline = f.msg.Deadline.Sub(now)
+		if f.msg.Ran {
+			if ev.RanFor = now.Sub(f.msg.RanSince); ev.RanFor < 0 { // the clock was set back: it may be any time ago
+				ev.RanFor = f.class.Window
+			}
+		}
+		if ev.OutOn != 0 && f.attempt != nil {
+			ev.OutFor = now.Sub(f.attempt.began)
+		}
+		events[i] = ev
+	}
+	return events
+}
+
 func (c *Core) tenant(name string) int {
 	if no, ok := c.tenants[name]; ok {
 		return no
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -238,7 +238,7 @@
 		return
 	}
 	c.handled = c.Loop.Now()
-	events := c.events
+	events := c.timely(c.events)
 	c.events = nil
 	for _, a := range c.courier.Handle(c.handled.Sub(c.start), events) {
 		c.do(a)
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -125,7 +125,7 @@
 			events = append(events, snowjunction.Look{Destination: d})
 		}
 	}
-	for _, a := range c.courier.Handle(c.since(), events) {
+	for _, a := range c.courier.Handle(c.since(), c.timely(events)) {
 		switch a := a.(type) {
 		case snowjunction.Seen:
 			if a.State != nil {
@@ -178,9 +178,8 @@
 func (c *Core) Forgone() map[uint64]handover.Call { return c.going }
 
 // goOn goes on with the attempt of a flow that has been taken over, and tells the module's
-// number of its endpoint and how long ago it left. One that has left the list meanwhile gets
-// nothing new.
-func (c *Core) goOn(f *flow) (snowjunction.EndpointID, time.Duration) {
+// number of its endpoint. One that has left the list meanwhile gets nothing new.
+func (c *Core) goOn(f *flow) snowjunction.EndpointID {
 	x := *f.going
 	f.going = nil
 	front, dest := x.Endpoint.Front, snowjunction.DestinationID(f.msg.Destination)
@@ -208,5 +207,5 @@
 	c.calls++
 	a.limit = c.Loop.After(x.Until.Sub(c.Loop.Now()), func() { c.expire(a, snowjunction.TimedOut) })
 	a.call = t.(Adopting).Adopt(f.msg, x, func(r Result) { c.read(a, r) })
-	return l.id, c.Loop.Now().Sub(x.Began)
+	return l.id
 }
