A message delivered after its time is over is told as failed, not kept as delivered

Ruled out from logs of every read, answer and notice: notices unanswered, clients unanswered, answers cut short behind their first line, returns near a window's end.

A message may be delivered during its time alone: later it is owed its end. The client counts from its sending, so 10 ms are taken off.

--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -39,6 +39,9 @@
 	switch {
 	case r.Outcome == snowjunction.OK && f.ended:
 		c.Counters.Late++
+	case r.Outcome == snowjunction.OK && c.tooLate(f):
+		c.Counters.Overdue++
+		c.end(f, store.Failed, 0)
 	case r.Outcome == snowjunction.OK:
 		c.end(f, store.Delivered, 0)
 	case r.Over && !f.ended:
@@ -67,6 +70,16 @@
 	c.checkIdle()
 }
 
+// handInSlack is how much earlier a message's time may be over for its client than it is here:
+// the client counts from its sending, the courier from its reading.
+const handInSlack = 10 * time.Millisecond
+
+// tooLate tells that a message's time is over, or may be. What is delivered then is not
+// delivered for its client, which is owed its end all the same.
+func (c *Core) tooLate(f *flow) bool {
+	return c.Loop.Now().After(f.msg.Deadline.Add(-handInSlack))
+}
+
 // traceAttempt tells of one attempt at level debug: counted over a fleet, such lines
 // show what each courier's own counters cannot.
 func (c *Core) traceAttempt(a *attempt, ev *snowjunction.AttemptEnded) {
