A watch that falls silent is given up before what it misses counts as told

Found by reading: a watch was given up 23 s from its asking whatever wait it had asked for, 3 s past the longest, while what it misses counts as told 2 s past its wait; a first ask or one opened anew, which waits 1 ms, was left silent for 23 s. Dialling, up to 1 s, and pauses that grow to 4 s in a large fleet came on top. Now it is given up 1.5 s past its own wait, the pause after silence does not grow and is within half of the grace, as is the first after a list that cannot be read, and an answer that drips ends after 10 s.

--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -28,16 +28,21 @@
 	closed     bool
 	reader     *listing.Reader // of the answer that comes
 	news       *groups.List
-	watching   bool // the answer that comes is to a watch
+	watching   bool      // the answer that comes is to a watch
+	begun      time.Time // the answer that comes; zero: it has not begun
 	patience   *patience.Patience
 }
 
+// What a watch misses counts as told 2 s after the wait that it has asked for, whether it was
+// heard or not. A watch that says nothing is given up before that, with time enough to come up
+// anew and ask again within half of the grace.
 const (
 	watchFor   = 20 * time.Second
 	askNow     = time.Millisecond
-	watchSlack = 3 * time.Second // past which a watch without an answer is lost
-	openWithin = time.Second     // past which a connection will not come up
-	listWithin = 2 * time.Second // past which a list asked for at once is lost
+	watchSlack = 1500 * time.Millisecond // past its wait, when a watch without an answer is lost
+	openWithin = time.Second             // past which a connection will not come up
+	listWithin = 2 * time.Second         // past which a list asked for at once is lost, and one that has begun and stays away
+	listWhole  = 10 * time.Second        // past which an answer that drips is lost
 )
 
 // watch asks for what is newer than the list held, on the connection there is
@@ -60,7 +65,7 @@
 // the courier without a list for as long.
 func (d *discovery) await(t time.Duration, code net.Code) {
 	d.limit.Stop()
-	d.limit = d.front.Loop.After(t, func() { d.again(code) })
+	d.limit = d.front.Loop.After(t, func() { d.later(code, d.patience.Silent()) })
 }
 
 func (d *discovery) ask() {
@@ -75,7 +80,7 @@
 		if again := d.front.core.Recheck(d.front.Number); again > 0 {
 			wait = min(wait, again)
 		}
-		d.await(watchFor+watchSlack, net.CallTimeout)
+		d.await(wait+watchSlack, net.CallTimeout)
 		path += "?after=" + strconv.FormatUint(d.generation, 10) +
 			"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	}
@@ -132,7 +137,7 @@
 // expect makes ready for an answer.
 func (d *discovery) expect() {
 	news, limits := groups.NewList(false), d.front.Lists
-	d.news = news
+	d.news, d.begun = news, time.Time{}
 	d.reader = &listing.Reader{MaxSize: limits.Bytes, MaxList: limits.Entries, Entry: func(v *fastjson.Value) error {
 		e, err := d.front.Names.Target(v)
 		if err != nil {
@@ -155,8 +160,12 @@
 		d.refuse(err)
 		return
 	case r == nil:
-		if d.reader.Size() > 0 { // it comes: what is long may take long
-			d.await(listWithin, net.CallTimeout)
+		if d.reader.Size() > 0 { // it comes: what is long may take long, but not for ever
+			now := d.front.Loop.Now()
+			if d.begun.IsZero() {
+				d.begun = now
+			}
+			d.await(min(listWithin, listWhole-now.Sub(d.begun)), net.CallTimeout)
 		}
 		return
 	}
--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -76,6 +76,11 @@
 	return p.draw(d)
 }
 
+// Silent is the pause after a call that was not answered, or a connection that did not come
+// up, in its time. It does not grow: the time itself is a pause, and what an agent has to tell
+// when it speaks again counts as told at once.
+func (p *Patience) Silent() time.Duration { return p.draw(min(p.base, p.soon)) }
+
 // Refused is the pause after an answer that is an error. What it tells to wait, 0 for
 // nothing, is the least, up to Most.
 func (p *Patience) Refused(told time.Duration) time.Duration {
@@ -84,9 +89,10 @@
 	return max(p.draw(d), min(told, Most))
 }
 
-// Unread is the pause after a list that could not be taken.
+// Unread is the pause after a list that could not be taken: short after the first, as what
+// could not be read counts as told.
 func (p *Patience) Unread() time.Duration {
-	d := grown(p.base, p.unread, unreadMost)
+	d := grown(min(p.base, p.soon), p.unread, unreadMost)
 	p.unread++
 	return p.draw(d)
 }
