A notice goes again after 120 ms without an answer, so that silence does not make it late

Found by reading: a notice is overdue 300 ms after its message's time; one on a connection that had fallen silent went again after 500 ms. The platform answers at once. Each silence doubles the wait, up to the 500 ms. TestNoticeOnASilentConnection fails without.

--- a/internal/front/platform/notices.go
+++ b/internal/front/platform/notices.go
@@ -25,14 +25,22 @@
 	pause  *core.Timer
 	closed bool
 	held   bool // no further request begins
+	silent int  // times in a row that no answer came
 }
 
 const (
 	noticeMost  = 100 // in one request
-	noticeLimit = 500 * time.Millisecond
 	noticeAgain = 20 * time.Millisecond
+	// The platform answers at once, and a notice is overdue 300 ms after its message's time: a
+	// connection that has fallen silent must not cost more than half of that. Where it is slow
+	// all the same, each silence has the next answer waited for longer.
+	noticeFirst = 120 * time.Millisecond
+	noticeLimit = 500 * time.Millisecond
 )
 
+// within is how long an answer, or a connection, is waited for.
+func (n *notices) within() time.Duration { return min(noticeFirst<<min(n.silent, 4), noticeLimit) }
+
 func (n *notices) add(m *store.Message) {
 	n.queue = append(n.queue, m)
 	n.next()
@@ -47,7 +55,7 @@
 		n.up = false
 		n.parser = http1.Parser{MaxBody: maxAnswer}
 		n.conn = n.front.Engine.Dial("notices", n.front.Discovery, n)
-		n.limit = n.front.Loop.After(noticeLimit, func() { n.again(net.DialTimeout) })
+		n.limit = n.front.Loop.After(n.within(), func() { n.unanswered(net.DialTimeout) })
 		return
 	}
 	if !n.up {
@@ -62,7 +70,7 @@
 		body = appendNotice(body, m)
 	}
 	n.limit.Stop()
-	n.limit = n.front.Loop.After(noticeLimit, func() { n.again(net.CallTimeout) })
+	n.limit = n.front.Loop.After(n.within(), func() { n.unanswered(net.CallTimeout) })
 	n.conn.Write(http1.Request("POST", "/v1/outcomes", n.front.Discovery, body,
 		"Content-Type", "application/x-ndjson"))
 }
@@ -90,6 +98,12 @@
 	n.again(net.PeerClosed)
 }
 
+// unanswered gives up what nothing has come of in its time.
+func (n *notices) unanswered(code net.Code) {
+	n.silent++
+	n.again(code)
+}
+
 func (n *notices) again(code net.Code) {
 	if n.conn != nil {
 		n.conn.Close(code)
@@ -116,6 +130,7 @@
 		return
 	}
 	n.limit.Stop()
+	n.silent = 0
 	if r.Close {
 		n.conn.Close(net.Finished)
 		n.conn = nil
