An idle connection is looked at before a call goes on it: its end, or bytes unasked for

Found by reading: what had come on an idle connection and not reached the loop was taken for the answer to the next call - a second 200 delivered a message that no endpoint had seen - and a call written to one that its other side had ended counts as reset, so a message that must not be repeated was given up though nothing had run. The socket is looked at first (a peek), on both fronts.

--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -67,9 +67,7 @@
 	}
 	out := http1.Request("POST", front.InboxPath, t.entry.Addr, body, headers...)
 	t.expire()
-	if n := len(t.idle); n > 0 {
-		l := t.idle[n-1]
-		t.idle = t.idle[:n-1]
+	if l := t.fit(); l != nil {
 		l.kept = max(t.front.Loop.Now().Sub(l.used), 1)
 		l.begin(m.ID, out, shape.Whole, done)
 		l.write()
@@ -85,6 +83,21 @@
 	return l
 }
 
+// fit takes the idle connection last used. One that its other side has ended would only break
+// under a request that may then have run; and what has come unasked would be taken for the
+// request's answer.
+func (t *target) fit() *link {
+	for n := len(t.idle); n > 0; n = len(t.idle) {
+		l := t.idle[n-1]
+		t.idle = t.idle[:n-1]
+		if bytes, ended := l.conn.Look(); !bytes && !ended {
+			return l
+		}
+		l.conn.Close(net.Stale)
+	}
+	return nil
+}
+
 // expire ends the connections that have been idle for too long to be used.
 func (t *target) expire() {
 	limit := time.Duration(float64(t.front.Settings.ConnIdle) * reuseWithin)
--- a/internal/front/push/target.go
+++ b/internal/front/push/target.go
@@ -107,6 +107,10 @@
 	var told []h2pool.Link
 	for _, l := range append([]*link(nil), t.links...) {
 		x := l.told(now)
+		if _, ended := l.conn.Look(); ended && l.up && len(l.calls) == 0 { // what is written now may be lost
+			l.end(net.Stale)
+			continue
+		}
 		switch h2pool.Retire(pool, 0, x) {
 		case h2pool.Idle:
 			l.end(net.Idle)
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -1,6 +1,7 @@
 package net
 
 import (
+	"errors"
 	stdnet "net"
 	"sync/atomic"
 	"syscall"
@@ -88,6 +89,26 @@
 	return err == nil && n > 0 && !c.gone()
 }
 
+// Look tells what has come on a connection and its handler has not been given yet, as a request
+// is about to be written to it: bytes, or the other side's end. Where the system does not tell,
+// neither.
+func (c *Conn) Look() (bytes, ended bool) {
+	switch {
+	case !c.Up():
+		return false, true
+	case c.nc == nil: // a plain one is read at once
+		return false, false
+	case c.coming.Load() > 0:
+		return true, false
+	}
+	var b [1]byte
+	n, _, err := unix.Recvfrom(c.nc.Hash(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if c.gone() { // what was looked at may be another's by now
+		return false, true
+	}
+	return n > 0, err == nil && n == 0 || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)
+}
+
 // gone tells that the engine has closed the connection. It marks one as closed before it gives
 // its descriptor back, so that one which is not gone had its own until now.
 func (c *Conn) gone() bool {
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -33,6 +33,7 @@
 	CallTimeout Code = "call_timeout" // the call on it was given up
 	Protocol    Code = "protocol"     // the other side broke its protocol
 	Idle        Code = "idle"         // unused for too long
+	Stale       Code = "stale"        // an idle one that its other side has ended, or sent something on
 	Dropped     Code = "dropped"      // an idle one that the module no longer trusts
 	Drained     Code = "drained"      // its target leaves the target group
 	Moved       Code = "moved"        // the platform is at another address now
