A courier that ends reads and answers what its clients have sent before it closes

Found by reading: at SIGTERM connections between requests were closed although a request lay in their sockets, and the process ended once nothing was held, whoever had a request half read or had been frozen out; clients send until it is gone, and a request closed without an answer is lost. Now a connection is ended only with nothing unread, and the process only with no request unanswered and no notice out, within the 3.4 s as before.

--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -50,9 +50,10 @@
 		slog.Uint64("in", n.In), slog.Uint64("malformed", n.Malformed), slog.Uint64("taken", n.Taken),
 		slog.Uint64("refused", n.Refused), slog.Uint64("hooked", n.Hooked), slog.Uint64("crowded", n.Crowded), slog.Uint64("gone", n.Gone),
 		slog.Uint64("restored", n.Restored), slog.Uint64("sent", n.Sent), slog.Uint64("unsent", n.Unsent),
-		slog.Uint64("late", n.Late), slog.Uint64("overdue", n.Overdue), slog.Uint64("delivered", n.Delivered),
+		slog.Uint64("late", n.Late), slog.Uint64("delivered", n.Delivered),
 		slog.Uint64("withdrawn", n.Withdrawn), slog.Uint64("failed", n.Failed),
 		slog.Uint64("returned", n.Returned), slog.Uint64("told", n.Told), slog.Uint64("noted", n.Noted), slog.Uint64("unread", n.Unread),
+		slog.Uint64("overdue", n.Overdue),
 	}
 	for o, count := range n.Results {
 		attrs = append(attrs, slog.Uint64(outcomes[o], count))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,6 +79,7 @@
 	callers  []handover.Conn // of the second address, in an earlier life of this process
 	handover *handover.Door  // nil: nobody can take over
 	draining bool            // it ends in order
+	still    bool            // and decides no more, with no call out
 	yielding bool            // another process is to go on
 	link     *handover.Link  // to that one
 	estate   *handover.Estate
@@ -420,13 +421,16 @@
 		c.endIfDone()
 	})
 	spent := c.process.spent()
-	c.loop.After(decideFor-spent, func() { c.core.Freeze(c.loop.End) })
+	c.loop.After(decideFor-spent, func() { c.core.Freeze(func() { c.still = true }) })
 	c.loop.After(finishFor-spent, c.loop.End)
 }
 
-// endIfDone ends a draining courier that owes nothing any more.
+// endIfDone ends a draining courier that owes nothing any more, or has stopped deciding and has
+// no call out. Clients send until it is gone: nobody's request is left half read or unanswered,
+// and no notice without its answer.
 func (c *courier) endIfDone() {
-	if c.core.Held() == 0 && c.platform.Quiet() {
+	done := c.core.Held() == 0 || c.still
+	if done && c.platform.Quiet() && !c.platform.Unanswered() && !c.push.Unanswered() {
 		c.loop.End()
 		return
 	}
--- a/internal/front/platform/listener.go
+++ b/internal/front/platform/listener.go
@@ -227,13 +227,23 @@
 	return sent
 }
 
-// release ends a connection that is between requests.
+// release ends a connection that is between requests. One whose next request has come already
+// is read first, and answered.
 func (c *client) release() {
-	if len(c.due) == 0 && c.parser.Idle() {
+	if !c.unanswered() {
 		c.end(net.Shutdown)
 	}
 }
 
+// unanswered tells that a request has come, or begun to come, and has no answer yet.
+func (c *client) unanswered() bool {
+	if len(c.due) > 0 || !c.parser.Idle() {
+		return true
+	}
+	bytes, _ := c.conn.Look()
+	return bytes
+}
+
 func (c *client) end(code net.Code) {
 	c.conn.Close(code)
 	delete(c.front.clients, c)
--- a/internal/front/push/push.go
+++ b/internal/front/push/push.go
@@ -201,6 +201,16 @@
 	}
 }
 
+// Unanswered tells that the request of some client is being read, or waits for its answer.
+func (f *Front) Unanswered() bool {
+	for c := range f.clients {
+		if bytes, _ := c.conn.Look(); bytes || c.h2.Open() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Close ends all connections.
 func (f *Front) Close() {
 	for c := range f.clients {
--- /dev/null
+++ b/internal/front/races_test.go
@@ -0,0 +1,384 @@
+package front_test
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	stdnet "net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"snowjunction"
+	"snowjunction/internal/belief"
+	"snowjunction/internal/core"
+	"snowjunction/internal/distrust"
+	"snowjunction/internal/front/platform"
+	"snowjunction/internal/net"
+	"snowjunction/internal/store"
+)
+
+// site is a core with the platform's front on real connections. Its loop turns only while the
+// test waits for something, and its clock goes only when told: whatever the others send comes
+// between two lines of the test, and between no others.
+type site struct {
+	t         *testing.T
+	now       time.Time
+	loop      *core.Loop
+	core      *core.Core
+	front     *platform.Front
+	discovery *peer
+	target    *peer
+}
+
+// peer is a stand-in on a real address.
+type peer struct {
+	l     stdnet.Listener
+	mu    sync.Mutex
+	conns []*end
+}
+
+// end is the stand-in's end of a connection.
+type end struct {
+	*stdnet.TCPConn
+	p    *peer
+	got  []byte
+	over bool
+}
+
+func newPeer(t *testing.T) *peer {
+	l, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &peer{l: l}
+	t.Cleanup(func() {
+		l.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, e := range p.conns {
+			e.Close()
+		}
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e := &end{TCPConn: c.(*stdnet.TCPConn), p: p}
+			p.mu.Lock()
+			p.conns = append(p.conns, e)
+			p.mu.Unlock()
+			go e.read()
+		}
+	}()
+	return p
+}
+
+func (e *end) read() {
+	b := make([]byte, 4096)
+	for {
+		n, err := e.Read(b)
+		e.p.mu.Lock()
+		e.got = append(e.got, b[:n]...)
+		e.over = err != nil
+		e.p.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// at is the connection of that number, from 0; nil: there is none yet.
+func (p *peer) at(i int) *end {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i >= len(p.conns) {
+		return nil
+	}
+	return p.conns[i]
+}
+
+// took tells whether the connection of that number has been sent some text n times.
+func (p *peer) took(i int, text string, n int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return i < len(p.conns) && bytes.Count(p.conns[i].got, []byte(text)) >= n
+}
+
+func (p *peer) ended(i int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return i < len(p.conns) && p.conns[i].over
+}
+
+// say sends text and returns once it lies in the other side's socket.
+func (e *end) say(t *testing.T, text string) {
+	t.Helper()
+	_, err := e.Write([]byte(text))
+	require.NoError(t, err)
+	arrived(t, e.TCPConn, func(fd int) bool {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+		return err != nil || n == 0
+	})
+}
+
+// finish ends what is sent, and returns once the other side's system knows.
+func (e *end) finish(t *testing.T) {
+	t.Helper()
+	require.NoError(t, e.CloseWrite())
+	arrived(t, e.TCPConn, func(fd int) bool {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err != nil || info.State != 4 // FIN_WAIT1: not acknowledged yet
+	})
+}
+
+func arrived(t *testing.T, c *stdnet.TCPConn, yet func(fd int) bool) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	require.NoError(t, err)
+	for done := false; !done; {
+		require.NoError(t, raw.Control(func(fd uintptr) { done = yet(int(fd)) }))
+	}
+}
+
+func newSite(t *testing.T, known platform.Begin) *site {
+	s := &site{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), discovery: newPeer(t), target: newPeer(t)}
+	s.loop = core.NewLoop(func() time.Time { return s.now })
+	log := slog.New(slog.DiscardHandler)
+	engine, err := net.New(net.Config{Post: s.loop.Post, Log: log, MaxConns: 64})
+	require.NoError(t, err)
+	t.Cleanup(engine.Stop)
+	journal, _, err := store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
+	require.NoError(t, err)
+	t.Cleanup(func() { journal.Close() })
+	settings := snowjunction.Settings{
+		Seed: 1, Fleet: 1, Tick: 5 * time.Millisecond, Slots: 8, MaxHeld: 10, MaxAttempts: 6, RetryAfter: true, MaxRetry: 3 * time.Second,
+		ConnectTimeout: time.Second, ConnIdle: 15 * time.Second, OrderSettle: 100 * time.Millisecond, DrainGrace: time.Second,
+		Kinds: []snowjunction.Kind{{BundleMax: 1}},
+		Classes: []snowjunction.Class{
+			{Name: "order", Effect: snowjunction.Keyed, Window: 5 * time.Second, Aim: time.Second, Deadline: 20 * time.Second, Worth: 1, InOrder: true},
+			{Name: "debit", Effect: snowjunction.Unsafe, Aim: time.Second, Deadline: 20 * time.Second, Worth: 1},
+		},
+	}
+	s.front = platform.New(platform.Config{
+		Loop: s.loop, Engine: engine, Log: log, Listen: "127.0.0.1:0", Discovery: s.discovery.l.Addr().String(), Settings: settings,
+	})
+	s.core, err = core.New(core.Config{
+		Loop: s.loop, Log: log, Journal: journal, Settings: settings, Fronts: []core.Front{s.front},
+		Directories: map[int]core.Directory{0: {Belief: belief.Default(), Trust: distrust.Default()}},
+	})
+	require.NoError(t, err)
+	known.Held, known.Full, known.Generation, known.Watch = true, true, 1, true
+	known.Targets = []core.Entry{{Name: "s-1", Addr: s.target.l.Addr().String(), Destination: 7, Weight: 1, Phase: snowjunction.Ready}}
+	require.NoError(t, s.front.Start(s.core, known))
+	t.Cleanup(s.front.Close)
+	return s
+}
+
+// until turns the loop until what is awaited has come. Only a failure runs into the limit.
+func (s *site) until(what string, come func() bool) {
+	s.t.Helper()
+	limit := time.Now().Add(20 * time.Second)
+	s.loop.RunUntil(func() bool { return come() || time.Now().After(limit) })
+	require.True(s.t, come(), what)
+}
+
+// after lets the clock go on at once; what is due then is done.
+func (s *site) after(d time.Duration) {
+	s.now = s.now.Add(d)
+	s.loop.Turn()
+}
+
+// dial connects a client that has been answered once.
+func (s *site) client() *end {
+	s.t.Helper()
+	c, err := stdnet.Dial("tcp", s.front.Addr())
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { c.Close() })
+	p := &peer{}
+	e := &end{TCPConn: c.(*stdnet.TCPConn), p: p}
+	p.conns = append(p.conns, e)
+	go e.read()
+	e.say(s.t, "*1\r\n$4\r\nPING\r\n")
+	s.until("a client is answered", func() bool { return p.took(0, "+PONG\r\n", 1) })
+	return e
+}
+
+func add(id, class string, left time.Duration) string {
+	out := ""
+	args := []string{"OUT.ADD", "5", id, fmt.Sprintf("c=%s,d=%d,k=%s,dest=7", class, left.Milliseconds(), id), "body"}
+	for _, a := range args {
+		out += fmt.Sprintf("$%d\r\n%s\r\n", len(a), a)
+	}
+	return fmt.Sprintf("*%d\r\n%s", len(args), out)
+}
+
+func answer(status, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+const (
+	nothingNew = `{"generation":1,"reset":false,"instances":[]}`
+	ask        = "GET /discovery/hosts"
+)
+
+// A watch that says nothing is given up before what it misses counts as told, 2 s after its
+// wait, with half of the grace to ask anew: from the first one on, however far its answer has
+// come, and again when the next one is silent too.
+func TestWatchesThatFallSilent(t *testing.T) {
+	for name, said := range map[string]struct {
+		first  bool   // the first ask, which need not wait, is answered
+		begins string // of the answer that falls silent
+		after  time.Duration
+	}{
+		"from the first second":   {after: 1501 * time.Millisecond},
+		"with a head":             {begins: "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n", after: 1501 * time.Millisecond},
+		"in the middle of a list": {begins: "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"generation\":2,\n  \"reset\":true,\"instances\":[{", after: 2001 * time.Millisecond},
+		"while it waits":          {first: true, after: 21501 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, platform.Begin{})
+			asks := 1
+			for n := range 3 {
+				s.until("the list is asked for", func() bool { return s.discovery.took(n, ask, 1) })
+				if asks = 1; said.first && n == 0 {
+					s.discovery.at(n).say(t, answer("200 OK", nothingNew))
+					asks = 2
+				}
+				s.until("and watched", func() bool { return s.discovery.took(n, ask, asks) })
+				if said.begins != "" {
+					s.discovery.at(n).say(t, said.begins)
+					s.settle(n)
+				}
+				s.after(said.after)
+				s.until("a silent one is given up", func() bool { return s.discovery.ended(n) })
+				s.after(500 * time.Millisecond) // half of the grace
+			}
+		})
+	}
+}
+
+// settle has what has been said on discovery's connection read. A notice goes behind it, so to
+// speak: what was posted before the loop's inbox was last empty has been looked at.
+func (s *site) settle(int) {
+	c := s.client() // whose bytes come through the same reader, behind those
+	c.Close()
+}
+
+// An answer that drips is not waited for without end.
+func TestListThatDrips(t *testing.T) {
+	s := newSite(t, platform.Begin{})
+	s.until("the list is asked for", func() bool { return s.discovery.took(0, ask, 1) })
+	s.discovery.at(0).say(t, "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n{")
+	s.settle(0)
+	for range 5 {
+		s.after(1900 * time.Millisecond)
+		require.False(t, s.discovery.ended(0), "while something comes it may be a long list")
+		s.discovery.at(0).say(t, " ")
+		s.settle(0)
+	}
+	s.after(501 * time.Millisecond)
+	s.until("it is given up 10 s from its beginning", func() bool { return s.discovery.ended(0) })
+}
+
+// A notice goes again in time, though the connection it went on has fallen silent.
+func TestNoticeOnASilentConnection(t *testing.T) {
+	s := newSite(t, platform.Begin{})
+	s.until("the list is watched", func() bool { return s.discovery.took(0, ask, 1) })
+	s.front.Ended(&store.Message{ID: "m1", State: store.Failed})
+	const notice = `{"id":"m1","state":"failed"}`
+	s.until("the notice goes", func() bool { return s.discovery.took(1, notice, 1) })
+	s.after(121 * time.Millisecond)
+	s.after(21 * time.Millisecond)
+	s.until("and again, on a new connection", func() bool { return s.discovery.took(2, notice, 1) })
+	s.discovery.at(2).say(t, "HTTP/1.1 204 No Content\r\n\r\n")
+	s.until("until it is answered", s.front.Quiet)
+}
+
+// What comes on an idle connection before its next call is not that call's answer, and one that
+// its other side has ended is not written to: nothing has left, whatever the class.
+func TestIdleConnectionThatIsNoneAnyMore(t *testing.T) {
+	for name, meanwhile := range map[string]func(e *end){
+		"a second answer":       func(e *end) { e.say(t, answer("200 OK", "")) },
+		"part of one":           func(e *end) { e.say(t, "HTTP/1.1 200 O") },
+		"its end":               func(e *end) { e.finish(t) },
+		"an answer and its end": func(e *end) { e.say(t, answer("200 OK", "")); e.finish(t) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, platform.Begin{})
+			target := s.front.Target(core.Entry{Name: "s-1", Addr: s.target.l.Addr().String()})
+			var results []core.Result
+			call := func(id string) core.Call {
+				return target.Call(&store.Message{ID: id}, core.Shape{}, 10*time.Second, always, func(r core.Result) { results = append(results, r) })
+			}
+			call("m1")
+			s.until("the first call comes", func() bool { return s.target.took(0, "m1", 1) })
+			s.target.at(0).say(t, answer("200 OK", ""))
+			s.until("and is answered", func() bool { return len(results) == 1 })
+			meanwhile(s.target.at(0))
+			call("m2")
+			s.until("the second comes on another connection", func() bool { return s.target.took(1, "m2", 1) })
+			assert.False(t, s.target.took(0, "m2", 1))
+			assert.Len(t, results, 1, "and has no answer yet")
+			s.target.at(1).say(t, answer("503 Service Unavailable", ""))
+			s.until("its own is its answer", func() bool { return len(results) == 2 })
+			assert.Equal(t, snowjunction.Full, results[1].Outcome)
+		})
+	}
+}
+
+// Requests that have come when the courier begins to end are answered, whatever has been read
+// of them; only then do their connections end.
+func TestRequestsThatCrossTheEnd(t *testing.T) {
+	whole := add("m1", "debit", time.Second)
+	for name, read := range map[string]int{"not read": 0, "half read": len(whole) / 2, "read but for a byte": len(whole) - 1} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, platform.Begin{})
+			c := s.client()
+			if read > 0 {
+				c.say(t, whole[:read])
+				s.until("a part is read", s.front.Unanswered)
+				s.settle(0)
+			}
+			c.say(t, whole[read:])
+			s.core.Drain()
+			s.front.Drain()
+			assert.True(t, s.front.Unanswered(), "the process waits for that")
+			s.until("it is answered", func() bool { return c.p.took(0, "-BUSY 40", 1) })
+			s.until("and ended", func() bool { return c.p.ended(0) })
+			assert.False(t, s.front.Unanswered())
+		})
+	}
+}
+
+// A delivery that is told when its message's time is over is none: the client is owed its end,
+// and the next of the key waits until that is known.
+func TestDeliveredTooLate(t *testing.T) {
+	s := newSite(t, platform.Begin{})
+	s.until("the list is asked for", func() bool { return s.discovery.took(0, ask, 1) })
+	s.discovery.at(0).say(t, answer("200 OK", nothingNew))
+	c := s.client()
+	c.say(t, add("m1", "order", time.Second))
+	s.until("it is read", func() bool { return s.core.Counters.In == 1 })
+	s.after(5 * time.Millisecond)
+	s.until("taken on", func() bool { return c.p.took(0, "+OK", 1) })
+	s.until("and sent", func() bool { return s.target.took(0, "m1", 1) })
+	c.say(t, add("m2", "order", 20*time.Second))
+	s.until("the next is read", func() bool { return s.core.Counters.In == 2 })
+	s.now = s.now.Add(986 * time.Millisecond) // of 1000, and the client counts from its sending
+	s.target.at(0).say(t, answer("200 OK", ""))
+	s.until("the end is told", func() bool { return s.discovery.took(1, `{"id":"m1","state":"failed"}`, 1) })
+	s.after(5 * time.Millisecond)
+	assert.False(t, s.target.took(0, "m2", 1), "the key waits for that")
+	s.discovery.at(1).say(t, "HTTP/1.1 204 No Content\r\n\r\n")
+	s.until("the end is known", s.front.Quiet)
+	s.after(5 * time.Millisecond)
+	s.after(5 * time.Millisecond)
+	s.until("and the next goes", func() bool { return s.target.took(0, "m2", 1) || s.target.took(1, "m2", 1) })
+	assert.Equal(t, 1, strings.Count(string(s.target.at(0).got), "X-Request-ID: m1\r"))
+}
