What has come on a connection is told by the system's count: no gap while it is read

The look at an idle connection asked the reader's count and then the socket: bytes taken from the socket and not yet counted were in neither, and TestIdleConnectionThatIsNoneAnyMore failed in 1 of 5 plays under -race (second answer taken for the next call's). The kernel's count of received bytes against those given to the handler has no such gap; where a system has none, socket and reader are asked, in the order that leaves none.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -29,6 +29,8 @@
 	in, out  int
 	written  atomic.Int64 // of out, what the kernel has taken
 	coming   atomic.Int64 // pieces read and not looked at
+	base     uint64       // bytes that earlier owners of the socket have read
+	handed   int          // bytes that its handler has been given since
 	cancel   func()       // calls off the dialling
 	detached bool
 	rest     []byte // what came while it was being detached
@@ -79,36 +81,75 @@
 // Unread tells that bytes have come which its handler has not been given yet: in the socket, or
 // on their way to the loop.
 func (c *Conn) Unread() bool {
-	if !c.Up() || c.nc == nil { // a plain one is read at once
-		return false
-	}
-	if c.coming.Load() > 0 {
-		return true
-	}
-	n, err := unix.IoctlGetInt(c.nc.Hash(), unix.TIOCINQ)
-	return err == nil && n > 0 && !c.gone()
+	bytes, _ := c.Look()
+	return bytes
 }
 
-// Look tells what has come on a connection and its handler has not been given yet, as a request
-// is about to be written to it: bytes, or the other side's end. Where the system does not tell,
-// neither.
+// Look tells what has come on a connection that its handler has not been given yet: bytes, or the
+// other side's end. The system's own count of what has come is the one witness that cannot be
+// between two hands, as bytes are that the reader has taken and not counted yet. Where there is
+// no such count the socket and the reader are asked; where these do not tell, nothing has come.
 func (c *Conn) Look() (bytes, ended bool) {
 	switch {
 	case !c.Up():
 		return false, true
 	case c.nc == nil: // a plain one is read at once
 		return false, false
-	case c.coming.Load() > 0:
-		return true, false
 	}
+	received, ended, ok := received(c.nc.Hash())
+	bytes = received-c.base != uint64(c.handed)
+	if !ok {
+		bytes, ended = c.peek()
+	}
+	if c.gone() { // what was looked at may be another's by now
+		return bytes && !ok, true
+	}
+	return bytes, ended
+}
+
+// peek asks the socket and the reader.
+func (c *Conn) peek() (bytes, ended bool) {
 	var b [1]byte
 	n, _, err := unix.Recvfrom(c.nc.Hash(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	if c.gone() { // what was looked at may be another's by now
-		return false, true
+	if c.coming.Load() > 0 {
+		return true, false
 	}
 	return n > 0, err == nil && n == 0 || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)
 }
 
+// received is the system's count of the bytes that have come on a socket, and whether the other
+// side has ended it, which counts for one more; ok is false where the system does not count.
+func received(fd int) (n uint64, ended, ok bool) {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil || info.State == 0 {
+		return 0, false, false
+	}
+	ended = info.State != established
+	if n = info.Bytes_received; ended && n > 0 {
+		n--
+	}
+	return n, ended, true
+}
+
+// established is the state of a connection that neither side has ended, by Linux.
+const established = 1
+
+// count notes what earlier owners of a socket have read from it.
+func (c *Conn) count(fd int) {
+	for {
+		before, ended, ok := received(fd)
+		in, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		after, _, _ := received(fd)
+		if !ok || err != nil || ended {
+			return
+		}
+		if before == after {
+			c.base = before - uint64(in)
+			return
+		}
+	}
+}
+
 // gone tells that the engine has closed the connection. It marks one as closed before it gives
 // its descriptor back, so that one which is not gone had its own until now.
 func (c *Conn) gone() bool {
@@ -172,6 +213,7 @@
 		return false
 	}
 	nc.SetSession(c)
+	c.count(nc.Hash())
 	c.engine.meet()
 	if _, err := c.engine.nb.AddConn(nc); err != nil {
 		return false
@@ -189,6 +231,7 @@
 		return
 	}
 	c.in += len(b)
+	c.handed += len(b)
 	c.handler.Data(b)
 }
 
