--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -121,14 +121,13 @@
 // side has ended it, which counts for one more; ok is false where the system does not count.
 func received(fd int) (n uint64, ended, ok bool) {
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil || info.State == 0 {
+	if err != nil || info.Bytes_received == 0 { // or nothing has come: then the socket tells as well
 		return 0, false, false
 	}
-	ended = info.State != established
-	if n = info.Bytes_received; ended && n > 0 {
-		n--
+	if ended = info.State != established; ended {
+		return info.Bytes_received - 1, true, true
 	}
-	return n, ended, true
+	return info.Bytes_received, false, true
 }
 
 // established is the state of a connection that neither side has ended, by Linux.
