A restart keeps windows and rests of what is over, and counts what it found untried

What a restart found untried, and how much of it was tried or given up so, is counted and logged. Three tests, seen to fail without.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"snowjunction"
@@ -171,21 +172,67 @@
 	return -1
 }
 
+// Remember takes up the keys whose messages an earlier process has ended and that may have run:
+// handed in again, they go within the first one's window. It is called before Restore.
+func (c *Core) Remember(keys []store.Ran) {
+	slices.SortStableFunc(keys, func(a, b store.Ran) int { return a.Since.Compare(b.Since) })
+	for _, k := range keys {
+		if no, known := c.classes[k.Class]; known {
+			m := &store.Message{Destination: k.Destination, IdempotencyKey: k.IdempotencyKey, ID: k.ID}
+			class := &c.Settings.Classes[no]
+			c.left(&flow{msg: m, class: class}, k.Since.Sub(c.start))
+			if c.Loop.Now().Sub(k.Since) < class.Deadline {
+				c.restFor(class, k.Key)
+			}
+		}
+	}
+}
+
+// restFor has a key rest as after an attempt that may run still: an earlier process may have
+// ended just now with one out.
+func (c *Core) restFor(class *snowjunction.Class, key uint64) {
+	if class.InOrder && key != 0 {
+		c.feed(snowjunction.Rests{Key: key, For: c.Settings.OrderSettle})
+	}
+}
+
+// tried counts that a flow which a restart found untried has been tried, or is given up so.
+func (c *Core) tried(f *flow, is bool) {
+	if !f.untried {
+		return
+	}
+	f.untried = false
+	if is {
+		c.Counters.Tried++
+	} else {
+		c.Counters.GivenUp++
+	}
+	if n := &c.Counters; n.Tried+n.GivenUp == n.Untried {
+		c.Log.Info("what the restart found untried is through", "untried", n.Untried, "tried", n.Tried, "given_up", n.GivenUp)
+	}
+}
+
 // Restore takes up what an earlier process left in the journal, in the order
 // of taking: open messages go to the module, ends that nobody may have heard
 // of are told once more.
 func (c *Core) Restore(messages []*store.Message) {
 	for _, m := range messages {
 		no, known := c.classes[m.Class]
+		if known && m.Ran { // whatever became of it, its window goes on
+			c.left(&flow{msg: m, class: &c.Settings.Classes[no]}, m.RanSince.Sub(c.start))
+			if _, goes := c.going[m.Seq]; !goes && !m.Settled {
+				c.restFor(&c.Settings.Classes[no], m.Key)
+			}
+		}
 		switch {
 		case m.Settled:
 		case int(m.Origin) >= len(c.Fronts):
 			c.Log.Error("a message in the journal came by a front that is not there", "id", m.ID)
 		case m.State == store.Open && known:
 			c.Counters.Restored++
-			f := &flow{msg: m, class: &c.Settings.Classes[no]}
-			if m.Ran {
-				c.left(f, m.RanSince.Sub(c.start))
+			f := &flow{msg: m, class: &c.Settings.Classes[no], untried: m.Attempts == 0}
+			if f.untried {
+				c.Counters.Untried++
 			}
 			if call, ok := c.going[m.Seq]; ok && m.Out {
 				f.going = &call
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -19,6 +19,9 @@
 	Crowded   uint64 // of the refused: too many destinations are awake or bind
 	Gone      uint64 // taken on, but the client had gone
 	Restored  uint64 // taken up from the journal at the start
+	Untried   uint64 // of these, without an attempt before
+	Tried     uint64 // of the untried, sent since
+	GivenUp   uint64 // of the untried, ended without being sent
 	Recalled  uint64 // destinations of which an earlier life has left something
 	Sent      uint64 // attempts that left
 	Unsent    uint64 // attempts that did not leave after all
@@ -54,6 +57,7 @@
 		slog.Uint64("withdrawn", n.Withdrawn), slog.Uint64("failed", n.Failed),
 		slog.Uint64("returned", n.Returned), slog.Uint64("told", n.Told), slog.Uint64("noted", n.Noted), slog.Uint64("unread", n.Unread),
 		slog.Uint64("overdue", n.Overdue),
+		slog.Uint64("untried", n.Untried), slog.Uint64("tried", n.Tried), slog.Uint64("given_up", n.GivenUp),
 	}
 	for o, count := range n.Results {
 		attrs = append(attrs, slog.Uint64(outcomes[o], count))
@@ -156,6 +160,7 @@
 	}
 	f.ended = true
 	c.held--
+	c.tried(f, false)
 	if c.ids[f.name()] == f {
 		delete(c.ids, f.name())
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -155,6 +155,7 @@
 	attempt *attempt   // the one that is out
 	fresh   bool       // the module is yet to look at it for the first time
 	ended   bool
+	untried bool           // as a restart found it, and still
 	going   *handover.Call // another process of this courier has made its attempt
 }
 
--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -71,3 +71,83 @@
 		})
 	}
 }
+
+// A message may have run and is over; the courier is killed, and its client hands it in again
+// under another id. The window is still that of the first.
+func TestWindowOutlastsTheProcess(t *testing.T) {
+	for name, at := range map[string]struct {
+		settled bool
+		after   time.Duration // of the first sending
+		sent    bool
+	}{
+		"window over":                   {settled: true, after: 4945 * ms},
+		"window over, end not yet told": {after: 4945 * ms},
+		"window goes on":                {settled: true, after: 3 * time.Second, sent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.settle = at.settled
+			b.add("m1", "order", 5)
+			b.step(5 * ms)
+			require.Len(t, b.calls, 1)
+			sent := b.now
+			b.step(2 * time.Second) // its time is over
+			require.Len(t, b.ended, 1)
+			next := newBenchWith(&bench{t: t, now: sent.Add(at.after), settle: true, dir: b.dir}, nil)
+			next.c.Remember(next.journal.Ran())
+			next.c.Restore(next.heirs)
+			err := next.c.TakeIn(Request{ID: "m2", Class: "order", Key: 6, IdempotencyKey: "m1", Destination: 7, Left: 10 * time.Second},
+				func(Answer, *store.Message) bool { return true })
+			require.NoError(t, err)
+			next.step(5 * ms)
+			next.step(5 * ms)
+			assert.Equal(t, at.sent, len(next.calls) == 1)
+		})
+	}
+}
+
+// How many of those that a restart finds untried are tried, and how many are given up so, is
+// counted.
+func TestUntriedAreCounted(t *testing.T) {
+	b := newBench(t, nil)
+	message := func(id string, left time.Duration, attempts int) *store.Message {
+		m := &store.Message{ID: id, Class: "status", Destination: 7, Deadline: b.now.Add(left), Attempts: attempts}
+		require.NoError(t, b.journal.Take(m))
+		return m
+	}
+	b.c.Restore([]*store.Message{message("goes", time.Second, 0), message("too late", -time.Second, 0), message("was tried", time.Second, 1)})
+	b.step(5 * ms)
+	b.step(5 * ms)
+	n := b.c.Counters
+	assert.Equal(t, [4]uint64{3, 2, 1, 1}, [4]uint64{n.Restored, n.Untried, n.Tried, n.GivenUp})
+}
+
+// A process dies with an attempt out, and its heir gives that message up: what comes next of the
+// key waits all the same until the attempt cannot be running any more.
+func TestKeyRestsAfterAKill(t *testing.T) {
+	b := newBench(t, func(s *snowjunction.Settings) {
+		s.OrderSettle = 700 * ms
+		s.Classes[0].Effect = snowjunction.Unsafe
+	})
+	var left []*store.Message
+	for _, id := range []string{"out", "next"} {
+		m := &store.Message{ID: id, Class: "order", Key: 5, Destination: 7, Deadline: b.now.Add(5 * time.Second)}
+		require.NoError(t, b.journal.Take(m))
+		left = append(left, m)
+	}
+	require.NoError(t, b.journal.Sent(left[0], b.now))
+	next := newBenchWith(&bench{t: t, now: b.now.Add(10 * ms), settle: true, dir: b.dir}, func(s *snowjunction.Settings) {
+		s.OrderSettle = 700 * ms
+		s.Classes[0].Effect = snowjunction.Unsafe
+	})
+	next.c.Remember(next.journal.Ran())
+	next.c.Restore(next.heirs)
+	next.step(5 * ms)
+	next.step(700 * ms)
+	require.Len(t, next.ended, 1)
+	assert.Equal(t, "out", next.ended[0].ID)
+	assert.Empty(t, next.calls)
+	next.step(settleSlack)
+	next.step(10 * ms)
+	assert.Len(t, next.calls, 1)
+}
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -97,6 +97,7 @@
 	}
 	c.left(f, c.since())
 	c.Counters.Sent++
+	c.tried(f, true)
 	later := func() bool {
 		if !may() {
 			return false
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -241,6 +241,7 @@
 		c.core.Recall(c.recalled)
 	}
 	c.recalled = nil
+	c.core.Remember(c.journal.Ran())
 	if err := c.platform.Start(c.core, c.begin); err != nil {
 		return err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -45,6 +45,7 @@
 	live     map[uint64]*entry
 	liveSize int64
 	retain   time.Duration
+	ranKeys  []Ran    // of messages that were over, as read
 	retained []uint64 // settled messages whose end can still be asked for, oldest first
 	written  Written
 }
@@ -73,6 +74,19 @@
 	Goes func(seq uint64) bool
 }
 
+// Ran is an idempotency key whose message is over and may have run.
+type Ran struct {
+	Destination    uint32
+	IdempotencyKey string
+	ID, Class      string
+	Key            uint64
+	Since          time.Time // the first attempt that may have run left
+}
+
+// Ran are those that were read as the journal was loaded, in the order of their ends. A client
+// may hand such a message in again, and its window is that of the first.
+func (j *Journal) Ran() []Ran { return j.ranKeys }
+
 // retainMost bounds how many settled messages are kept.
 const retainMost = 2048
 
@@ -169,8 +183,17 @@
 		return nil // its message was dropped with an older segment
 	}
 	j.change(e.msg, k, at, n, after)
-	if e.msg.Settled && !j.keeps(e.msg) {
-		j.forget(seq)
+	if m := e.msg; m.Settled {
+		since := m.RanSince
+		if !m.Ran {
+			since = m.OutSince
+		}
+		if (m.Ran || m.Out) && m.IdempotencyKey != "" {
+			j.ranKeys = append(j.ranKeys, Ran{m.Destination, m.IdempotencyKey, m.ID, m.Class, m.Key, since})
+		}
+		if !j.keeps(m) {
+			j.forget(seq)
+		}
 	}
 	return nil
 }
