A silent watch is not given up within 4.5 s: many that ask one directory wait in its queue

What such a watch misses counts as told 6 s after the silence began, so 4.5 s leave time to ask anew; and silence of a directory that has turned calls away lengthens pauses as those refusals do.

--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -33,13 +33,15 @@
 	patience   *patience.Patience
 }
 
-// What a watch misses counts as told 2 s after the wait that it has asked for, whether it was
-// heard or not. A watch that says nothing is given up before that, with time enough to come up
-// anew and ask again within half of the grace.
+// What a watch misses counts as told 6 s after it fell silent and 2 s after the wait that it has
+// asked for, whichever is later, heard or not. A watch that says nothing is given up before that,
+// with time enough to come up anew and ask again within half of the grace; not much before, or a
+// directory that many ask would be asked again by all of them while they stand in its queue.
 const (
 	watchFor   = 20 * time.Second
 	askNow     = time.Millisecond
 	watchSlack = 1500 * time.Millisecond // past its wait, when a watch without an answer is lost
+	watchLeast = 4500 * time.Millisecond // before which none is
 	openWithin = time.Second             // past which a connection will not come up
 	listWithin = 2 * time.Second         // past which a list asked for at once is lost, and one that has begun and stays away
 	listWhole  = 10 * time.Second        // past which an answer that drips is lost
@@ -80,7 +82,7 @@
 		if again := d.front.core.Recheck(d.front.Number); again > 0 {
 			wait = min(wait, again)
 		}
-		d.await(wait+watchSlack, net.CallTimeout)
+		d.await(max(wait+watchSlack, watchLeast), net.CallTimeout)
 		path += "?after=" + strconv.FormatUint(d.generation, 10) +
 			"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	}
--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -78,8 +78,14 @@
 
 // Silent is the pause after a call that was not answered, or a connection that did not come
 // up, in its time. It does not grow: the time itself is a pause, and what an agent has to tell
-// when it speaks again counts as told at once.
-func (p *Patience) Silent() time.Duration { return p.draw(min(p.base, p.soon)) }
+// when it speaks again counts as told at once. One that has turned calls away of late is asked by
+// too many, and not sooner for its silence.
+func (p *Patience) Silent() time.Duration {
+	if p.refused > 0 {
+		return p.draw(grown(p.base, p.refused, Most))
+	}
+	return p.draw(min(p.base, p.soon))
+}
 
 // Refused is the pause after an answer that is an error. What it tells to wait, 0 for
 // nothing, is the least, up to Most.
