--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -146,7 +146,7 @@
 	}
 }
 
-func newSite(t *testing.T, known platform.Begin) *site {
+func newSite(t *testing.T) *site {
 	s := &site{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), discovery: newPeer(t), target: newPeer(t)}
 	s.loop = core.NewLoop(func() time.Time { return s.now })
 	log := slog.New(slog.DiscardHandler)
@@ -173,7 +173,8 @@
 		Directories: map[int]core.Directory{0: {Belief: belief.Default(), Trust: distrust.Default()}},
 	})
 	require.NoError(t, err)
-	known.Held, known.Full, known.Generation, known.Watch = true, true, 1, true
+	known := platform.Begin{Watch: true}
+	known.Held, known.Full, known.Generation = true, true, 1
 	known.Targets = []core.Entry{{Name: "s-1", Addr: s.target.l.Addr().String(), Destination: 7, Weight: 1, Phase: snowjunction.Ready}}
 	require.NoError(t, s.front.Start(s.core, known))
 	t.Cleanup(s.front.Close)
@@ -194,7 +195,7 @@
 	s.loop.Turn()
 }
 
-// dial connects a client that has been answered once.
+// client connects a client that has been answered once.
 func (s *site) client() *end {
 	s.t.Helper()
 	c, err := stdnet.Dial("tcp", s.front.Addr())
@@ -242,7 +243,7 @@
 		"while it waits":          {first: true, after: 21501 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newSite(t, platform.Begin{})
+			s := newSite(t)
 			asks := 1
 			for n := range 3 {
 				s.until("the list is asked for", func() bool { return s.discovery.took(n, ask, 1) })
@@ -253,7 +254,7 @@
 				s.until("and watched", func() bool { return s.discovery.took(n, ask, asks) })
 				if said.begins != "" {
 					s.discovery.at(n).say(t, said.begins)
-					s.settle(n)
+					s.settle()
 				}
 				s.after(said.after)
 				s.until("a silent one is given up", func() bool { return s.discovery.ended(n) })
@@ -263,24 +264,23 @@
 	}
 }
 
-// settle has what has been said on discovery's connection read. A notice goes behind it, so to
-// speak: what was posted before the loop's inbox was last empty has been looked at.
-func (s *site) settle(int) {
+// settle has all that has been said so far read: one reader takes what has come in its order.
+func (s *site) settle() {
 	c := s.client() // whose bytes come through the same reader, behind those
 	c.Close()
 }
 
 // An answer that drips is not waited for without end.
 func TestListThatDrips(t *testing.T) {
-	s := newSite(t, platform.Begin{})
+	s := newSite(t)
 	s.until("the list is asked for", func() bool { return s.discovery.took(0, ask, 1) })
 	s.discovery.at(0).say(t, "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n{")
-	s.settle(0)
+	s.settle()
 	for range 5 {
 		s.after(1900 * time.Millisecond)
 		require.False(t, s.discovery.ended(0), "while something comes it may be a long list")
 		s.discovery.at(0).say(t, " ")
-		s.settle(0)
+		s.settle()
 	}
 	s.after(501 * time.Millisecond)
 	s.until("it is given up 10 s from its beginning", func() bool { return s.discovery.ended(0) })
@@ -288,7 +288,7 @@
 
 // A notice goes again in time, though the connection it went on has fallen silent.
 func TestNoticeOnASilentConnection(t *testing.T) {
-	s := newSite(t, platform.Begin{})
+	s := newSite(t)
 	s.until("the list is watched", func() bool { return s.discovery.took(0, ask, 1) })
 	s.front.Ended(&store.Message{ID: "m1", State: store.Failed})
 	const notice = `{"id":"m1","state":"failed"}`
@@ -310,7 +310,7 @@
 		"an answer and its end": func(e *end) { e.say(t, answer("200 OK", "")); e.finish(t) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newSite(t, platform.Begin{})
+			s := newSite(t)
 			target := s.front.Target(core.Entry{Name: "s-1", Addr: s.target.l.Addr().String()})
 			var results []core.Result
 			call := func(id string) core.Call {
@@ -338,12 +338,12 @@
 	whole := add("m1", "debit", time.Second)
 	for name, read := range map[string]int{"not read": 0, "half read": len(whole) / 2, "read but for a byte": len(whole) - 1} {
 		t.Run(name, func(t *testing.T) {
-			s := newSite(t, platform.Begin{})
+			s := newSite(t)
 			c := s.client()
 			if read > 0 {
 				c.say(t, whole[:read])
 				s.until("a part is read", s.front.Unanswered)
-				s.settle(0)
+				s.settle()
 			}
 			c.say(t, whole[read:])
 			s.core.Drain()
@@ -359,7 +359,7 @@
 // A delivery that is told when its message's time is over is none: the client is owed its end,
 // and the next of the key waits until that is known.
 func TestDeliveredTooLate(t *testing.T) {
-	s := newSite(t, platform.Begin{})
+	s := newSite(t)
 	s.until("the list is asked for", func() bool { return s.discovery.took(0, ask, 1) })
 	s.discovery.at(0).say(t, answer("200 OK", nothingNew))
 	c := s.client()
