What discovery has to tell is heard within 6 s and half of the grace, whatever failed

A change counts as told 6 s after discovery had it and could be reached. Read first, then shown on real connections: pauses of up to 4 s (patience.go: Most; 5 s after a list that cannot be taken), then a connection of 1 s and an answer of 2 s; an answer that drips 10 s (discovery.go: listWhole); a watch that falls silent 21.5 s (watchFor, watchSlack). An entry that drains in an answer which never ended was forgotten. Lists that came with a 200 and could not be taken counted as served before they were read, so their pauses never grew. Ruled out: connections that do not come up, alone and in a row, kept the bound before.

What discovery had when a step began would have come by it, so each step's time-out and pause are cut: the rest of the step, the pause and an attempt that succeeds late are within the bound. A watch waits 2.5 s and is given up 3.25 s after its asking, grace 1 s. Retry-After is kept up to three quarters of the room and spread; what is told in a list that never ends is heeded; only a list that has been taken counts as served.

Checks changed: times in TestWatchesThatFallSilent and TestListThatDrips are the new, shorter ones. "A told pause is kept" asked for exactly that pause, which has all who are told alike come back together; TestToldWaits asks for the least, the most and a spread. Scenarios of whole processes run with a grace of 60 s, so that a stand-in which answers no watch is not asked anew in the middle of a test.

--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -29,23 +29,12 @@
 	reader     *listing.Reader // of the answer that comes
 	news       *groups.List
 	watching   bool      // the answer that comes is to a watch
-	begun      time.Time // the answer that comes; zero: it has not begun
+	since      time.Time // the last step began: what the directory had to tell before is held
 	patience   *patience.Patience
 }
 
-// What a watch misses counts as told 6 s after it fell silent and 2 s after the wait that it has
-// asked for, whichever is later, heard or not. A watch that says nothing is given up before that,
-// with time enough to come up anew and ask again within half of the grace; not much before, or a
-// directory that many ask would be asked again by all of them while they stand in its queue.
-const (
-	watchFor   = 20 * time.Second
-	askNow     = time.Millisecond
-	watchSlack = 1500 * time.Millisecond // past its wait, when a watch without an answer is lost
-	watchLeast = 4500 * time.Millisecond // before which none is
-	openWithin = time.Second             // past which a connection will not come up
-	listWithin = 2 * time.Second         // past which a list asked for at once is lost, and one that has begun and stays away
-	listWhole  = 10 * time.Second        // past which an answer that drips is lost
-)
+// askNow is the wait of a watch that is to be answered at once.
+const askNow = time.Millisecond
 
 // watch asks for what is newer than the list held, on the connection there is
 // or a new one.
@@ -56,7 +45,8 @@
 	if d.conn == nil {
 		d.parser = http1.Parser{MaxBody: maxAnswer, Sink: d.piece}
 		d.conn = d.front.Engine.Dial("discovery", d.front.Discovery, d)
-		d.await(openWithin, net.DialTimeout)
+		d.since = d.front.Loop.Now()
+		d.await(patience.Connect, net.DialTimeout)
 		return
 	}
 	d.ask()
@@ -67,22 +57,29 @@
 // the courier without a list for as long.
 func (d *discovery) await(t time.Duration, code net.Code) {
 	d.limit.Stop()
-	d.limit = d.front.Loop.After(t, func() { d.later(code, d.patience.Silent()) })
+	d.limit = d.front.Loop.After(t, func() {
+		d.heed()
+		d.later(code, d.patience.Silent(d.ago()))
+	})
 }
 
+// ago is how long ago the last step began.
+func (d *discovery) ago() time.Duration { return d.front.Loop.Now().Sub(d.since) }
+
 func (d *discovery) ask() {
 	d.expect()
 	path := "/discovery/hosts"
-	d.await(listWithin, net.CallTimeout)
+	d.since = d.front.Loop.Now()
+	d.await(patience.Answer, net.CallTimeout)
 	if d.watching = d.known; d.known {
-		wait := watchFor
+		wait := d.patience.Wait()
 		if _, _, live := d.front.core.Word(d.front.Number); !live {
 			wait = askNow // an agent that is up says so, though nothing may be new
 		}
 		if again := d.front.core.Recheck(d.front.Number); again > 0 {
 			wait = min(wait, again)
 		}
-		d.await(max(wait+watchSlack, watchLeast), net.CallTimeout)
+		d.await(d.patience.Whole(), net.CallTimeout)
 		path += "?after=" + strconv.FormatUint(d.generation, 10) +
 			"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	}
@@ -95,11 +92,17 @@
 // Closed begins anew.
 func (d *discovery) Closed(net.Code) {
 	d.conn = nil
-	d.again(net.PeerClosed)
+	d.heed()
+	d.later(net.PeerClosed, d.patience.Lost(d.ago()))
 }
 
-// again gives the connection up and watches anew a moment later.
-func (d *discovery) again(code net.Code) { d.later(code, d.patience.Lost()) }
+// heed takes from an answer that will not come whole what it has said of endpoints that drain or
+// go: what has been written is told.
+func (d *discovery) heed() {
+	if d.news != nil && len(d.news.Leaving) > 0 {
+		d.front.core.Heed(d.front.Number, d.news)
+	}
+}
 
 // later gives the connection up and watches anew after a pause.
 func (d *discovery) later(code net.Code, pause time.Duration) {
@@ -107,6 +110,7 @@
 		d.conn.Close(code)
 		d.conn = nil
 	}
+	d.news = nil
 	d.limit.Stop()
 	d.limit = d.front.Loop.After(pause, d.watch)
 }
@@ -139,7 +143,7 @@
 // expect makes ready for an answer.
 func (d *discovery) expect() {
 	news, limits := groups.NewList(false), d.front.Lists
-	d.news, d.begun = news, time.Time{}
+	d.news = news
 	d.reader = &listing.Reader{MaxSize: limits.Bytes, MaxList: limits.Entries, Entry: func(v *fastjson.Value) error {
 		e, err := d.front.Names.Target(v)
 		if err != nil {
@@ -163,11 +167,7 @@
 		return
 	case r == nil:
 		if d.reader.Size() > 0 { // it comes: what is long may take long, but not for ever
-			now := d.front.Loop.Now()
-			if d.begun.IsZero() {
-				d.begun = now
-			}
-			d.await(min(listWithin, listWhole-now.Sub(d.begun)), net.CallTimeout)
+			d.await(min(patience.Answer, d.patience.Whole()-d.ago()), net.CallTimeout)
 		}
 		return
 	}
@@ -176,12 +176,11 @@
 		d.conn = nil
 	}
 	if r.Status != 200 {
-		pause := d.patience.Refused(after(r))
+		pause := d.patience.Refused(after(r), d.ago())
 		d.front.Log.Warn("discovery answers with an error", "status", r.Status, "pause_ms", pause.Milliseconds())
 		d.later(net.Finished, pause)
 		return
 	}
-	d.patience.Served()
 	d.front.Log.Debug("discovery answers", "generation", d.reader.Generation, "full", d.reader.Full, "entries", d.reader.Entries)
 	if err := d.reader.End(); err != nil {
 		d.refuse(err)
@@ -201,6 +200,8 @@
 		d.refuse(err)
 		return
 	}
+	d.patience.Served()
+	d.news = nil
 	d.generation, d.known, d.held, d.agent = d.reader.Generation, true, true, d.front.Discovery
 	d.front.core.Spoken(d.front.Number)
 	if d.watching && d.front.core.Recheck(d.front.Number) > 0 {
@@ -217,7 +218,7 @@
 	d.front.Log.Warn("discovery's list cannot be read", "err", err, "entries", d.reader.Entries, "bytes", d.reader.Size())
 	d.front.core.Refused(d.front.Number, d.news, err)
 	d.known = false
-	d.later(net.Protocol, d.patience.Unread())
+	d.later(net.Protocol, d.patience.Unread(d.ago()))
 }
 
 func (d *discovery) close() {
--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	stdnet "net"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,13 +38,18 @@
 	front     *platform.Front
 	discovery *peer
 	target    *peer
+	ends      []string // codes of the connections to discovery that have ended
+	posted    atomic.Int64
 }
 
 // peer is a stand-in on a real address.
 type peer struct {
-	l     stdnet.Listener
-	mu    sync.Mutex
-	conns []*end
+	l      stdnet.Listener
+	mu     sync.Mutex
+	conns  []*end
+	parked chan struct{} // nobody accepts from now on
+	resume chan struct{}
+	filler stdnet.Conn // takes the room of the queue meanwhile
 }
 
 // end is the stand-in's end of a connection.
@@ -54,7 +63,7 @@
 func newPeer(t *testing.T) *peer {
 	l, err := stdnet.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := &peer{l: l}
+	p := &peer{l: l, parked: make(chan struct{}), resume: make(chan struct{})}
 	t.Cleanup(func() {
 		l.Close()
 		p.mu.Lock()
@@ -66,6 +75,11 @@
 	go func() {
 		for {
 			c, err := l.Accept()
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				p.parked <- struct{}{}
+				<-p.resume
+				continue
+			}
 			if err != nil {
 				return
 			}
@@ -146,11 +160,35 @@
 	}
 }
 
-func newSite(t *testing.T) *site {
+// ends is a log that notes with which code connections to discovery ended.
+type ends struct {
+	slog.Handler
+	codes *[]string
+}
+
+func (e ends) Enabled(context.Context, slog.Level) bool { return true }
+
+func (e ends) Handle(_ context.Context, r slog.Record) error {
+	of := map[string]string{}
+	r.Attrs(func(a slog.Attr) bool {
+		of[a.Key] = a.Value.String()
+		return true
+	})
+	if r.Message == "connection ended" && of["kind"] == "discovery" {
+		*e.codes = append(*e.codes, of["code"])
+	}
+	return nil
+}
+
+// newSite is a courier alone, unless its settings are changed.
+func newSite(t *testing.T, change ...func(*snowjunction.Settings)) *site {
 	s := &site{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), discovery: newPeer(t), target: newPeer(t)}
 	s.loop = core.NewLoop(func() time.Time { return s.now })
-	log := slog.New(slog.DiscardHandler)
-	engine, err := net.New(net.Config{Post: s.loop.Post, Log: log, MaxConns: 64})
+	log := slog.New(ends{slog.DiscardHandler, &s.ends})
+	engine, err := net.New(net.Config{Log: log, MaxConns: 64, Post: func(f func()) {
+		s.posted.Add(1)
+		s.loop.Post(f)
+	}})
 	require.NoError(t, err)
 	t.Cleanup(engine.Stop)
 	journal, _, err := store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
@@ -165,6 +203,9 @@
 			{Name: "debit", Effect: snowjunction.Unsafe, Aim: time.Second, Deadline: 20 * time.Second, Worth: 1},
 		},
 	}
+	for _, c := range change {
+		c(&settings)
+	}
 	s.front = platform.New(platform.Config{
 		Loop: s.loop, Engine: engine, Log: log, Listen: "127.0.0.1:0", Discovery: s.discovery.l.Addr().String(), Settings: settings,
 	})
@@ -228,19 +269,20 @@
 	ask        = "GET /discovery/hosts"
 )
 
-// A watch that says nothing is given up before what it misses counts as told, 2 s after its
-// wait, with half of the grace to ask anew: from the first one on, however far its answer has
-// come, and again when the next one is silent too.
+// A watch that says nothing is given up so soon that a connection that comes up late and an
+// answer that comes late still bring what it misses before 6 s and half of the grace are over:
+// from the first one on, however far its answer has come, and again when the next one is silent
+// too.
 func TestWatchesThatFallSilent(t *testing.T) {
 	for name, said := range map[string]struct {
 		first  bool   // the first ask, which need not wait, is answered
 		begins string // of the answer that falls silent
 		after  time.Duration
 	}{
-		"from the first second":   {after: 4501 * time.Millisecond},
-		"with a head":             {begins: "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n", after: 4501 * time.Millisecond},
+		"from the first second":   {after: 3251 * time.Millisecond},
+		"with a head":             {begins: "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n", after: 3251 * time.Millisecond},
 		"in the middle of a list": {begins: "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"generation\":2,\n  \"reset\":true,\"instances\":[{", after: 2001 * time.Millisecond},
-		"while it waits":          {first: true, after: 21501 * time.Millisecond},
+		"while it waits":          {first: true, after: 3251 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
@@ -258,7 +300,7 @@
 				}
 				s.after(said.after)
 				s.until("a silent one is given up", func() bool { return s.discovery.ended(n) })
-				s.after(500 * time.Millisecond) // half of the grace
+				s.after(250 * time.Millisecond)
 			}
 		})
 	}
@@ -276,14 +318,14 @@
 	s.until("the list is asked for", func() bool { return s.discovery.took(0, ask, 1) })
 	s.discovery.at(0).say(t, "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n{")
 	s.settle()
-	for range 5 {
-		s.after(1900 * time.Millisecond)
+	for range 3 {
+		s.after(1050 * time.Millisecond)
 		require.False(t, s.discovery.ended(0), "while something comes it may be a long list")
 		s.discovery.at(0).say(t, " ")
 		s.settle()
 	}
-	s.after(501 * time.Millisecond)
-	s.until("it is given up 10 s from its beginning", func() bool { return s.discovery.ended(0) })
+	s.after(101 * time.Millisecond)
+	s.until("it is given up 3.25 s from its asking", func() bool { return s.discovery.ended(0) })
 }
 
 // A notice goes again in time, though the connection it went on has fallen silent.
--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -1,5 +1,5 @@
 // Package patience decides how long a courier waits before it asks its directory
-// again. It knows no clock and no socket.
+// again, and how long each of its steps may take. It knows no clock and no socket.
 //
 // One courier that asks again after 50 ms costs a directory nothing. Eighty that are
 // turned away together and each come back after 50 ms are over a thousand calls a
@@ -7,6 +7,12 @@
 // couriers together ask about as often as two did, double while the directory turns
 // the asker away, and are drawn from a range, so that those who were turned away
 // together do not come back together.
+//
+// All of that ends where news would be heard too late: a change counts as told 6 s after
+// the directory had it and could be reached, whatever failed before. What it had, and could
+// tell, when the last step began (a connection, an ask) would have come by that step, so
+// what is missing became news after that. The step may fail late, a pause follows, and one
+// attempt that succeeds in just its time: all three together stay within Bound.
 package patience
 
 import (
@@ -15,13 +21,26 @@
 )
 
 const (
+	// told is when a change counts as told after the directory had it and could be reached
+	// (the standing test's page).
+	told = 6 * time.Second
+	// Connect is how long a connection may take to come up.
+	Connect = time.Second
+	// Answer is how long an answer may take whose asker need not wait, and how long one that
+	// has begun may pause.
+	Answer = 2 * time.Second
+	// attempt is the longest one that succeeds.
+	attempt = Connect + Answer
+	// spread is kept for the pause after an ask that was silent to its end.
+	spread = 250 * time.Millisecond
+	// slack is how late the answer to a watch may be.
+	slack = 750 * time.Millisecond
+	// waitMost bounds what a watch asks to wait.
+	waitMost = 20 * time.Second
 	// pause is that of a courier of a fleet of two, or alone.
 	pause = 50 * time.Millisecond
-	// Most bounds each pause: what the directory has to tell is to be heard within
-	// seconds, whatever the fleet's size.
+	// Most bounds each pause, where Bound does not bound it further.
 	Most = 4 * time.Second
-	// unreadMost bounds those between lists that cannot be taken.
-	unreadMost = 5 * time.Second
 	// few couriers need not spread their first asks.
 	few = 4
 	// firstMost bounds first asks where nothing else is told: half of a second's grace.
@@ -33,6 +52,7 @@
 	rng     *rand.Rand
 	base    time.Duration
 	soon    time.Duration // bounds what may be late without a reason of the directory's
+	margin  time.Duration // of the grace, used for the bound
 	refused int           // calls in a row that were answered with an error
 	lost    int           // connections in a row that broke or did not come up
 	unread  int           // lists in a row that could not be taken
@@ -53,11 +73,23 @@
 // come in half of it.
 func (p *Patience) Within(grace time.Duration) *Patience {
 	if grace > 0 {
-		p.soon = grace / 2
+		p.soon, p.margin = grace/2, grace/2
 	}
 	return p
 }
 
+// Bound is how long after the directory has news and can be reached they are heard at the
+// latest: half of the grace is left.
+func (p *Patience) Bound() time.Duration { return told + p.margin }
+
+// Whole is how long an ask may take until its answer is whole, what it may wait included.
+func (p *Patience) Whole() time.Duration {
+	return min(p.Bound()-attempt-spread, waitMost+slack)
+}
+
+// Wait is how long a watch asks the directory to wait for news.
+func (p *Patience) Wait() time.Duration { return p.Whole() - slack }
+
 // First is when a courier that starts with a list asks first: couriers of a large fleet that
 // start together would fill the directory's queue at once, and many of them wait in vain.
 // A few ask at once.
@@ -69,48 +101,61 @@
 }
 
 // Lost is the pause after a connection that broke or did not come up: short after the
-// first, as the agent may be there, and longer after each that follows.
-func (p *Patience) Lost() time.Duration {
+// first, as the agent may be there, and longer after each that follows. Here and below, ago
+// is how long ago the step began that failed.
+func (p *Patience) Lost(ago time.Duration) time.Duration {
 	d := grown(min(p.base, p.soon), p.lost, p.base)
 	p.lost++
-	return p.draw(d)
+	return p.draw(d, ago)
 }
 
 // Silent is the pause after a call that was not answered, or a connection that did not come
 // up, in its time. It does not grow: the time itself is a pause, and what an agent has to tell
 // when it speaks again counts as told at once. One that has turned calls away of late is asked by
 // too many, and not sooner for its silence.
-func (p *Patience) Silent() time.Duration {
+func (p *Patience) Silent(ago time.Duration) time.Duration {
 	if p.refused > 0 {
-		return p.draw(grown(p.base, p.refused, Most))
+		return p.draw(grown(p.base, p.refused, Most), ago)
 	}
-	return p.draw(min(p.base, p.soon))
+	return p.draw(min(p.base, p.soon), ago)
 }
 
 // Refused is the pause after an answer that is an error. What it tells to wait, 0 for
-// nothing, is the least, up to Most.
-func (p *Patience) Refused(told time.Duration) time.Duration {
-	d := grown(p.base, p.refused, Most)
+// nothing, is the least, up to three quarters of what the bound leaves: those who are told
+// alike do not come back together.
+func (p *Patience) Refused(wait, ago time.Duration) time.Duration {
+	room := p.room(ago)
+	d := min(max(grown(p.base, p.refused, Most), wait+wait/2), room)
 	p.refused++
-	return max(p.draw(d), min(told, Most))
+	return p.between(max(d/2, min(wait, d*3/4)), d)
 }
 
 // Unread is the pause after a list that could not be taken: short after the first, as what
 // could not be read counts as told.
-func (p *Patience) Unread() time.Duration {
-	d := grown(min(p.base, p.soon), p.unread, unreadMost)
+func (p *Patience) Unread(ago time.Duration) time.Duration {
+	d := grown(min(p.base, p.soon), p.unread, Most)
 	p.unread++
-	return p.draw(d)
+	return p.draw(d, ago)
 }
 
 // Served tells that a list has been taken: the next pause is the first again.
 func (p *Patience) Served() { p.refused, p.unread, p.lost = 0, 0, 0 }
 
+// room is how long a pause the bound leaves after a step that began so long ago.
+func (p *Patience) room(ago time.Duration) time.Duration {
+	return max(min(p.Bound()-attempt-ago, Most), 0)
+}
+
 func grown(d time.Duration, times int, most time.Duration) time.Duration {
 	return min(d<<min(times, 16), most)
 }
 
-// draw is a pause between half of d and d.
-func (p *Patience) draw(d time.Duration) time.Duration {
-	return d/2 + time.Duration(p.rng.Int64N(int64(d/2)+1))
+// draw is a pause between half of d and d, or of the room that is left.
+func (p *Patience) draw(d, ago time.Duration) time.Duration {
+	d = min(d, p.room(ago))
+	return p.between(d/2, d)
+}
+
+func (p *Patience) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(p.rng.Int64N(int64(most-least)+1))
 }
--- a/internal/patience/patience_test.go
+++ b/internal/patience/patience_test.go
@@ -1,10 +1,12 @@
 package patience
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
 )
 
 // asks is how often couriers ask in a minute, all turned away from the start on, each
@@ -12,7 +14,7 @@
 func asks(fleet int, took time.Duration) (n int) {
 	for i := range fleet {
 		p := New(fleet, uint64(i))
-		for at := time.Duration(0); at < time.Minute; at += took + p.Refused(0) {
+		for at := time.Duration(0); at < time.Minute; at += took + p.Refused(0, took) {
 			n++
 		}
 	}
@@ -33,7 +35,7 @@
 func TestPausesSpread(t *testing.T) {
 	seen, least, most := map[time.Duration]bool{}, Most, time.Duration(0)
 	for i := range 80 {
-		d := New(80, uint64(i)).Refused(0)
+		d := New(80, uint64(i)).Refused(0, 0)
 		seen[d], least, most = true, min(least, d), max(most, d)
 	}
 	assert.Greater(t, len(seen), 70)
@@ -43,22 +45,190 @@
 }
 
 func TestPausesGrowAndEnd(t *testing.T) {
-	p := New(2, 1)
+	p := New(2, 1).Within(2 * time.Second)
 	for i := range 40 {
 		most := min(pause<<min(i, 16), Most)
-		d := p.Refused(0)
+		d := p.Refused(0, 0)
 		assert.GreaterOrEqual(t, d, most/2)
 		assert.LessOrEqual(t, d, most)
 	}
 	p.Served()
-	assert.LessOrEqual(t, p.Refused(0), pause)
-	assert.Equal(t, 2*time.Second, p.Refused(2*time.Second), "a told pause is kept")
-	assert.Equal(t, Most, p.Refused(time.Hour), "but not for ever")
+	assert.LessOrEqual(t, p.Refused(0, 0), pause)
 	for range 40 {
-		assert.LessOrEqual(t, p.Lost(), pause, "a broken connection does not add up")
-		assert.LessOrEqual(t, p.Unread(), unreadMost)
+		assert.LessOrEqual(t, p.Lost(0), pause, "a broken connection does not add up")
+		assert.LessOrEqual(t, p.Unread(0), Most)
+	}
+	assert.GreaterOrEqual(t, p.Unread(0), Most/2, "lists that cannot be taken do")
+}
+
+// What an answer tells to wait is kept, and spread, while the bound has room for it.
+func TestToldWaits(t *testing.T) {
+	const grace = time.Second
+	room := New(300, 0).Within(grace).Bound() - attempt
+	for _, fleet := range []int{1, 300, 3000} {
+		for wait, bounds := range map[time.Duration][2]time.Duration{
+			time.Second:     {time.Second, room},
+			2 * time.Second: {2 * time.Second, room},
+			time.Hour:       {room * 3 / 4, room},
+		} {
+			least, most := time.Hour, time.Duration(0)
+			for seed := range uint64(300) {
+				d := New(fleet, seed).Within(grace).Refused(wait, 0)
+				least, most = min(least, d), max(most, d)
+			}
+			assert.GreaterOrEqual(t, least, bounds[0], "fleet %d, %v", fleet, wait)
+			assert.LessOrEqual(t, most, bounds[1], "fleet %d, %v", fleet, wait)
+			assert.Greater(t, most-least, 400*time.Millisecond, "not all at once")
+		}
+	}
+}
+
+// In a large fleet each kind of pause is that of the fleet in the end, and the first ones after
+// what is no refusal are within half of the grace.
+func TestPausesGrowInALargeFleet(t *testing.T) {
+	const grace = time.Second
+	for name, again := range map[string]func(*Patience) time.Duration{
+		"broken connections":         func(p *Patience) time.Duration { return p.Lost(0) },
+		"lists that cannot be taken": func(p *Patience) time.Duration { return p.Unread(0) },
+	} {
+		p := New(300, 7).Within(grace)
+		room := p.Bound() - attempt
+		for range 2 {
+			most := grace / 2
+			for range 8 {
+				d := again(p)
+				assert.GreaterOrEqual(t, d, most/2, name)
+				assert.LessOrEqual(t, d, most, name)
+				most = min(2*most, room)
+			}
+			assert.Equal(t, room, most, name)
+			p.Served()
+		}
+	}
+	p := New(300, 7).Within(grace)
+	for range 8 {
+		assert.LessOrEqual(t, p.Silent(Connect), grace/2, "silence is a pause of its own")
+		p.Refused(0, 0)
+		d := p.Silent(Connect)
+		assert.GreaterOrEqual(t, d, time.Second, "but who is turned away is not asked sooner for it")
+		assert.LessOrEqual(t, d, p.Bound()-attempt-Connect)
+		p.Served()
+	}
+}
+
+// outage plays one courier's calls, whatever they meet, until the directory has news and can be
+// reached, and returns how long after that they are heard. A step that begins then or later
+// succeeds, in its time; one that began before may still fail as late as it can.
+func outage(t *rapid.T, p *Patience) time.Duration {
+	upTo := func(name string, most time.Duration) time.Duration {
+		return rapid.OneOf(rapid.Just(time.Duration(0)), rapid.Just(most), rapid.Map(rapid.Int64Range(0, int64(most)),
+			func(n int64) time.Duration { return time.Duration(n) })).Draw(t, name)
+	}
+	steps := rapid.IntRange(0, 20).Draw(t, "steps before")
+	now, reach := time.Duration(0), time.Hour
+	begin := func() time.Duration {
+		if steps--; steps < 0 && reach == time.Hour { // most often just as a step has begun
+			reach = now + 1 + upTo("into the step", p.Whole())
+		}
+		return now
+	}
+	for connected := false; ; {
+		begun := begin()
+		if !connected {
+			up := begun >= reach || rapid.Bool().Draw(t, "up")
+			switch took := upTo("connect", Connect); {
+			case up:
+				now += took
+			case rapid.Bool().Draw(t, "refused at the port"):
+				now += took
+				now += p.Lost(now - begun)
+				continue
+			default:
+				now += Connect
+				now += p.Silent(now - begun)
+				continue
+			}
+			connected, begun = true, begin()
+		}
+		if begun >= reach {
+			return now + upTo("answer", Answer) - reach
+		}
+		took := upTo("whole", p.Whole())
+		switch rapid.SampledFrom([]string{"served", "error", "broken", "unreadable", "silent", "drips"}).Draw(t, "meets") {
+		case "served":
+			now = min(now+took, reach)
+			p.Served()
+			continue
+		case "error":
+			now += took
+			now += p.Refused(upTo("wait", time.Hour), took)
+		case "broken":
+			now += took
+			now += p.Lost(took)
+		case "unreadable":
+			now += took
+			now += p.Unread(took)
+		case "silent":
+			took = min(Answer, p.Whole())
+			now += took
+			now += p.Silent(took)
+		case "drips":
+			now += p.Whole()
+			now += p.Silent(p.Whole())
+		}
+		connected = false
+	}
+}
+
+// Whatever failed before, in whatever order: news are heard within 6 s and half of the grace.
+func TestHeardInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := rapid.OneOf(rapid.IntRange(1, 8), rapid.IntRange(1, 3000)).Draw(t, "fleet")
+		grace := time.Duration(rapid.IntRange(0, 3000).Draw(t, "grace")) * time.Millisecond
+		p := New(fleet, rapid.Uint64().Draw(t, "seed")).Within(grace)
+		if late := outage(t, p); late > 6*time.Second+grace/2 {
+			t.Fatalf("heard %v after the directory could be reached", late)
+		}
+	})
+}
+
+// 300 couriers that meet the same outage from the same moment on are no flood: after some
+// seconds an outage that answers hears 240 in any second at most, and one that does not as many
+// as there are couriers.
+func TestOutageOfALargeFleet(t *testing.T) {
+	const fleet, answered = 300, 240
+	for name, kind := range map[string]struct {
+		again func(*Patience) time.Duration
+		most  int
+	}{
+		"refused":       {func(p *Patience) time.Duration { return p.Refused(0, 0) }, answered},
+		"told to wait":  {func(p *Patience) time.Duration { return p.Refused(30*time.Second, 0) }, answered},
+		"broken":        {func(p *Patience) time.Duration { return p.Lost(0) }, answered},
+		"unreadable":    {func(p *Patience) time.Duration { return p.Unread(0) }, answered},
+		"silent":        {func(p *Patience) time.Duration { return p.Whole() + p.Silent(p.Whole()) }, fleet},
+		"not connected": {func(p *Patience) time.Duration { return Connect + p.Silent(Connect) }, fleet},
+		"late errors":   {func(p *Patience) time.Duration { return Answer + p.Refused(0, Answer) }, answered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var asks []time.Duration
+			for i := range fleet {
+				p := New(fleet, uint64(i)).Within(time.Second)
+				for at := p.First(); at < 2*time.Minute; at += kind.again(p) {
+					asks = append(asks, at)
+				}
+			}
+			slices.Sort(asks)
+			top := 0
+			for i, at := range asks {
+				end, _ := slices.BinarySearch(asks, at+time.Second)
+				if at >= 10*time.Second {
+					top = max(top, end-i)
+				}
+			}
+			t.Logf("%d calls at most in a second, %d in the mean", top, len(asks)/120)
+			assert.LessOrEqual(t, top, kind.most)
+		})
 	}
-	assert.Greater(t, p.Unread(), unreadMost/3)
 }
 
 // A connection that broke is made anew within half of the grace, whatever the fleet; only
@@ -67,12 +237,12 @@
 	for within, half := range map[time.Duration]time.Duration{0: firstMost, 400 * time.Millisecond: 200 * time.Millisecond, 3 * time.Second: 1500 * time.Millisecond} {
 		p := New(300, 7).Within(within)
 		for range 3 {
-			assert.LessOrEqual(t, max(p.First(), p.Lost()), half)
-			assert.GreaterOrEqual(t, p.Lost(), half/2)
+			assert.LessOrEqual(t, max(p.First(), p.Lost(0)), half)
+			assert.GreaterOrEqual(t, p.Lost(0), half/2)
 			for range 10 {
-				p.Lost()
+				p.Lost(0)
 			}
-			assert.GreaterOrEqual(t, p.Lost(), Most/2)
+			assert.GreaterOrEqual(t, p.Lost(0), Most/2)
 			p.Served()
 		}
 	}
@@ -81,10 +251,10 @@
 // Settings without a fleet size, or with one that cannot be, are those of a lone courier.
 func TestFleetOfNone(t *testing.T) {
 	for _, fleet := range []int{-3, 0, 1, 2} {
-		assert.LessOrEqual(t, New(fleet, 1).Lost(), pause)
+		assert.LessOrEqual(t, New(fleet, 1).Lost(0), pause)
 	}
-	assert.LessOrEqual(t, New(1<<40, 1).Lost(), Most)
-	assert.Positive(t, New(1<<40, 1).Lost())
+	assert.LessOrEqual(t, New(1<<40, 1).Lost(0), Most)
+	assert.Positive(t, New(1<<40, 1).Lost(0))
 }
 
 // Couriers that start together ask one after another; a few ask at once.
--- a/internal/scenario/courier.go
+++ b/internal/scenario/courier.go
@@ -58,6 +58,9 @@
 		Play: p, Settings: rig.Settings(), Targets: targets, dir: t.TempDir(),
 		Limits: map[string]any{"memory_mb": 192, "sockets": 1024, "disk_mb": 3},
 	}
+	// Of a stand-in that says nothing nobody asks again within a test: what waits for news does
+	// so for as long as the grace lets it.
+	c.Settings["contract"].(map[string]any)["stop-sending-within-ms"] = 60000
 	c.state = filepath.Join(c.dir, "state")
 	require.NoError(t, os.Mkdir(c.state, 0o700))
 	p.On("courier", c.step)
