An attempt is recorded when its bytes leave, not when its connection is dialled

Cause: `depart` (internal/core/send.go) wrote the attempt's record and noted its idempotency key before `Target.Call`, which may dial for up to a second. Killed while dialling, the next process took the attempt for one that may have run: an order that must not be repeated was told as failed, and a window of 1 s had begun 0.9 s before the first byte. The record's moment is also from before the disk's write, so a slow disk took from the window once more.

Change: `may` is asked for every attempt right before its first byte (also on a connection that is up, where `Call` returns nil if it says no), and writes the record there; `Stands` is asked before and after. The outcome's record tells when the first byte left, in the time it had unused: older journals have none there and are read as before. An attempt that never left is counted with its outcome, as before. Both fronts look at the connection again after the record.

Left: within one process the module counts from its decision still (courier.go is not touched here): safe, and early by the dialling.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,7 +36,7 @@
 	Room(bytes int) bool
 	Take(m *store.Message) error
 	Sent(m *store.Message, at time.Time) error
-	Came(m *store.Message, mayHaveRun bool) error
+	Came(m *store.Message, mayHaveRun bool, left time.Time) error
 	Ended(m *store.Message, s store.State, after time.Duration, at time.Time) error
 	Settle(m *store.Message) error
 	Written() store.Written
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -28,19 +28,22 @@
 	ended   []*store.Message
 	settle  bool // ends are settled at once
 	calls   []*testCall
-	left    int // targets that have left their groups
-	made    []Entry
-	sleep   *dormancy.Config
-	beyond  Beyond
-	learnt  Learnt
-	dirs    map[int]Directory
-	plugins Plugins
-	dir     string                // of the journal
-	heirs   []*store.Message      // what an earlier process has left in it
-	goes    func(seq uint64) bool // which attempts go on
+	// Connections take a while to come up: calls leave once they are opened.
+	dialling bool
+	left     int // targets that have left their groups
+	made     []Entry
+	sleep    *dormancy.Config
+	beyond   Beyond
+	learnt   Learnt
+	dirs     map[int]Directory
+	plugins  Plugins
+	dir      string                // of the journal
+	heirs    []*store.Message      // what an earlier process has left in it
+	goes     func(seq uint64) bool // which attempts go on
 }
 
 type testCall struct {
+	b      *bench
 	m      *store.Message
 	shape  Shape
 	done   func(Result)
@@ -51,6 +54,14 @@
 	addr   string
 }
 
+// opened has a call's connection come up: it leaves, if it may.
+func (x *testCall) opened() bool {
+	if x.left = x.may(); x.left {
+		assert.True(x.b.t, x.m.Out, "an attempt is recorded before it leaves")
+	}
+	return x.left
+}
+
 func (x *testCall) Left() bool { return x.left }
 func (x *testCall) GiveUp()    { x.gaveUp = true }
 
@@ -62,8 +73,10 @@
 }
 
 func (x testTarget) Call(m *store.Message, shape Shape, _ time.Duration, may func() bool, done func(Result)) Call {
-	assert.True(x.b.t, m.Out, "an attempt is recorded before it leaves")
-	call := &testCall{m: m, shape: shape, may: may, done: done, left: true, addr: x.addr}
+	call := &testCall{b: x.b, m: m, shape: shape, may: may, done: done, addr: x.addr}
+	if !x.b.dialling && !call.opened() {
+		return nil
+	}
 	x.b.calls = append(x.b.calls, call)
 	return call
 }
@@ -383,7 +396,7 @@
 func (b *bench) ran(id string, ago time.Duration) *store.Message {
 	m := b.taken(id, "order")
 	require.NoError(b.t, b.journal.Sent(m, b.now.Add(-ago)))
-	require.NoError(b.t, b.journal.Came(m, true))
+	require.NoError(b.t, b.journal.Came(m, true, time.Time{}))
 	return m
 }
 
@@ -485,7 +498,7 @@
 			m := b.taken("m1", class)
 			steps := map[string]func() error{
 				"taken": func() error { return nil }, "sent": func() error { return b.journal.Sent(m, b.now) },
-				"ran": func() error { return b.journal.Came(m, true) }, "never": func() error { return b.journal.Came(m, false) },
+				"ran": func() error { return b.journal.Came(m, true, time.Time{}) }, "never": func() error { return b.journal.Came(m, false, time.Time{}) },
 				"ended":   func() error { return b.journal.Ended(m, store.Delivered, 0, b.now) },
 				"settled": func() error { return b.journal.Settle(m) },
 			}
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -37,11 +37,3 @@
 	}
 	return x
 }
-
-// wrote counts an attempt whose bytes leave.
-func (c *Core) wrote(a *attempt) {
-	if !a.written {
-		a.written = true
-		c.relayed++
-	}
-}
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -78,9 +78,7 @@
 			continue
 		case !a.call.Left():
 			a.call.GiveUp()
-			if err := c.Journal.Came(f.msg, false); err != nil {
-				c.Log.Error("journal", "err", err)
-			}
+			c.came(a, false)
 			continue
 		case !can || a.reading || l == nil:
 			continue // the journal says that it may have run
@@ -201,7 +199,7 @@
 		t.Leave()
 	}
 	a := &attempt{
-		flow: f, endpoint: l.id, no: f.msg.Attempts - 1, began: x.Began, timeout: x.Until.Sub(x.Began), written: true,
+		flow: f, endpoint: l.id, no: f.msg.Attempts - 1, began: x.Began, timeout: x.Until.Sub(x.Began), recorded: true, left: f.msg.OutSince,
 	}
 	f.attempt = a
 	c.calls++
--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -151,3 +151,84 @@
 	next.step(10 * ms)
 	assert.Len(t, next.calls, 1)
 }
+
+// killed is a bench that finds what b has left, so much later.
+func (b *bench) killed(after time.Duration, change func(*snowjunction.Settings)) *bench {
+	next := newBenchWith(&bench{t: b.t, now: b.now.Add(after), settle: true, dir: b.dir}, change)
+	next.c.Remember(next.journal.Ran())
+	next.c.Restore(next.heirs)
+	next.step(5 * ms)
+	next.step(5 * ms)
+	return next
+}
+
+// A connection takes most of a window to come up. Until it is up the attempt has not run,
+// whatever its class; then its window is counted from its bytes, over a kill and in a row of
+// repeats.
+func TestKilledWhileDialling(t *testing.T) {
+	for name, at := range map[string]struct {
+		effect snowjunction.Effect
+		opened bool
+		after  time.Duration // of the opening, or of what would have been it
+		sent   bool
+	}{
+		"dialling":                           {effect: snowjunction.Unsafe, after: 600 * ms, sent: true},
+		"dialling, past the window":          {effect: snowjunction.Keyed, after: 5 * time.Second, sent: true},
+		"it left":                            {effect: snowjunction.Unsafe, opened: true, after: 600 * ms},
+		"it left, inside the window":         {effect: snowjunction.Keyed, opened: true, after: 900 * ms, sent: true},
+		"it left, close to the window's end": {effect: snowjunction.Keyed, opened: true, after: 930 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			change := func(s *snowjunction.Settings) { s.Classes[0].Window, s.Classes[0].Effect = time.Second, at.effect }
+			b := newBench(t, change)
+			b.dialling = true
+			require.NoError(t, b.c.TakeIn(Request{ID: "m1", Class: "order", IdempotencyKey: "k1", Destination: 7, Left: 20 * time.Second},
+				func(Answer, *store.Message) bool { return true }))
+			b.step(5 * ms)
+			require.Len(t, b.calls, 1)
+			b.step(900 * ms)
+			if at.opened {
+				require.True(t, b.calls[0].opened())
+			}
+			next := b.killed(at.after, change)
+			assert.Equal(t, at.sent, len(next.calls) == 1)
+			assert.Equal(t, !at.sent, len(next.ended) == 1)
+		})
+	}
+}
+
+// An attempt that could not connect counts as made over a kill, and not as run.
+func TestUnsentCountsOverAKill(t *testing.T) {
+	b := newBench(t, func(s *snowjunction.Settings) { s.MaxAttempts = 2 })
+	b.dialling = true
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.step(time.Second) // it never connects
+	require.True(t, b.calls[0].gaveUp)
+	_, left, err := store.Load(store.Options{Dir: b.dir, Bytes: 3e6, Log: b.c.Log})
+	require.NoError(t, err)
+	require.Len(t, left, 1)
+	assert.Equal(t, 1, left[0].Attempts)
+	assert.False(t, left[0].Ran)
+}
+
+// The disk takes long over the record of an attempt that then may have run: its window is
+// counted from its bytes, also by the next process.
+func TestSlowRecordBeforeTheFirstByte(t *testing.T) {
+	change := func(s *snowjunction.Settings) { s.Classes[0].Window = time.Second }
+	b := newBench(t, change)
+	b.c.Journal = &slowDisk{Journal: b.journal, b: b, take: 400 * ms}
+	b.dialling = true
+	b.add("m1", "order", 5)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	require.True(t, b.calls[0].opened())
+	left := b.now // once the record is written
+	b.calls[0].done(Result{Outcome: snowjunction.Error})
+	_, found, err := store.Load(store.Options{Dir: b.dir, Bytes: 3e6, Log: b.c.Log})
+	require.NoError(t, err)
+	require.Len(t, found, 1)
+	assert.True(t, found[0].Ran)
+	assert.Zero(t, found[0].RanSince.Sub(left).Truncate(ms))
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -39,6 +39,7 @@
 	switch {
 	case r.Outcome == snowjunction.OK && f.ended:
 		c.Counters.Late++
+		c.came(a, true)
 	case r.Outcome == snowjunction.OK && c.tooLate(f):
 		c.Counters.Overdue++
 		c.end(f, store.Failed, 0)
@@ -46,10 +47,8 @@
 		c.end(f, store.Delivered, 0)
 	case r.Over && !f.ended:
 		c.end(f, store.Withdrawn, 0)
-	case !f.ended:
-		if err := c.Journal.Came(f.msg, mayHaveRun(r.Outcome)); err != nil {
-			c.Log.Error("journal", "err", err)
-		}
+	default:
+		c.came(a, mayHaveRun(r.Outcome))
 	}
 	if !mayHaveRun(r.Outcome) && !f.msg.Ran {
 		c.once.Never(f.once(), f.msg.ID)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -16,9 +16,9 @@
 // Target is an endpoint that can be called.
 type Target interface {
 	// Call makes one attempt. done is called once with its result, unless it
-	// is given up, and never within Call itself. Where its bytes cannot leave at
-	// once, may is asked at the moment when they can: if it says no, none leaves
-	// and the result is Moot.
+	// is given up, and never within Call itself. May is asked at the moment when
+	// its first byte can leave: if it says no, none leaves and the result is Moot.
+	// Where that is within Call, nil may be returned in place of the result.
 	Call(m *store.Message, shape Shape, timeout time.Duration, may func() bool, done func(Result)) Call
 	// CloseIdle ends idle connections.
 	CloseIdle()
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -16,8 +16,9 @@
 	limit    *Timer // to give the attempt up
 	connect  *Timer // to give it up if no byte of it could leave
 	call     Call   // nil while it waits for its key's turn or a plug-in
-	written  bool   // its bytes have left, or leave
-	reading  bool   // its answer has come and plug-ins are asked about it
+	recorded bool
+	left     time.Time // its first byte left then, or a little later; zero: none has
+	reading  bool      // its answer has come and plug-ins are asked about it
 }
 
 // parkMost is how old a decision to send may be when its key's turn comes. The
@@ -69,7 +70,7 @@
 	}
 }
 
-// depart records an attempt, then lets its bytes go.
+// depart lets an attempt go, as soon as its bytes can.
 func (c *Core) depart(a *attempt, shape Shape) {
 	f := a.flow
 	to := c.target(f, a.endpoint)
@@ -80,53 +81,72 @@
 	shape.Whole = c.Plugins != nil && c.Plugins.Reads(f.msg)
 	waited := c.Loop.Now().Sub(a.began)
 	left := a.timeout - waited
-	may := func() bool { return c.courier.Stands(c.Loop.Now().Sub(c.start), f.id) }
-	if left <= 0 || waited > parkMost || !may() {
+	if left <= 0 || waited > parkMost || !c.stands(f) {
 		c.unsent(a)
 		return
 	}
-	if err := c.Journal.Sent(f.msg, c.Loop.Now()); err != nil {
-		// Unrecorded it could be sent again after a restart.
-		c.Log.Error("not sent", "id", f.msg.ID, "err", err)
+	if a.call = to.Call(f.msg, shape, left, func() bool { return c.goes(a) }, func(r Result) { c.read(a, r) }); a.call == nil {
 		c.unsent(a)
 		return
 	}
-	if !may() { // the journal took its time
-		c.unsent(a)
-		return
+	a.connect = c.Loop.After(c.Settings.ConnectTimeout, func() {
+		if !a.call.Left() {
+			c.expire(a, snowjunction.ConnectFailed)
+		}
+	})
+}
+
+func (c *Core) stands(f *flow) bool { return c.courier.Stands(c.since(), f.id) }
+
+// goes tells whether an attempt's first byte may leave now, and records the attempt if so. An
+// attempt whose connection is coming up has no record: if the process ends, it has not run, and
+// the window of one that has begins with its bytes.
+func (c *Core) goes(a *attempt) bool {
+	f := a.flow
+	if f.attempt != a || !c.stands(f) {
+		return false
 	}
-	c.left(f, c.since())
-	c.Counters.Sent++
-	c.tried(f, true)
-	later := func() bool {
-		if !may() {
+	if !a.recorded {
+		if f.msg.Attempts != a.no { // its record has failed
+			return false
+		}
+		if err := c.Journal.Sent(f.msg, c.Loop.Now()); err != nil {
+			// Unrecorded it could be sent again after a restart.
+			c.Log.Error("not sent", "id", f.msg.ID, "err", err)
 			return false
 		}
-		if a.call != nil {
-			c.wrote(a)
+		if a.recorded = true; !c.stands(f) { // the journal took its time
+			return false
 		}
-		return true
 	}
-	if a.call = to.Call(f.msg, shape, left, later, func(r Result) { c.read(a, r) }); a.call.Left() {
-		c.wrote(a)
+	if a.left.IsZero() {
+		c.Counters.Sent++
+		c.tried(f, true)
+		c.relayed++
 	}
-	a.connect = c.Loop.After(c.Settings.ConnectTimeout, func() {
-		if !a.call.Left() {
-			c.expire(a, snowjunction.ConnectFailed)
-		}
-	})
+	a.left = c.Loop.Now()
+	c.left(f, c.since())
+	return true
 }
 
-// unsent reports an attempt that never left. It counts for the module as one
-// made; the journal's count follows.
+// unsent reports an attempt that never left.
 func (c *Core) unsent(a *attempt) {
 	c.Counters.Unsent++
-	if a.flow.msg.Attempts == a.no {
-		if err := c.Journal.Sent(a.flow.msg, c.Loop.Now()); err != nil {
+	c.relay(a, Result{Outcome: snowjunction.Moot})
+}
+
+// came records an attempt's outcome. One that never left has no record yet: it counts for the
+// module as one made, and the journal's count follows.
+func (c *Core) came(a *attempt, mayHaveRun bool) {
+	m := a.flow.msg
+	if m.Attempts == a.no {
+		if err := c.Journal.Sent(m, c.Loop.Now()); err != nil {
 			c.Log.Error("journal", "err", err)
 		}
 	}
-	c.relay(a, Result{Outcome: snowjunction.Moot})
+	if err := c.Journal.Came(m, mayHaveRun, a.left); err != nil {
+		c.Log.Error("journal", "err", err)
+	}
 }
 
 // expire gives an attempt up after its time. One whose bytes never left proves
--- a/internal/front/late_test.go
+++ b/internal/front/late_test.go
@@ -106,6 +106,20 @@
 		assert.Equal(t, snowjunction.Moot, call("late", func() bool { return false }).Outcome, name)
 		assert.Equal(t, snowjunction.OK, call("next", always).Outcome, name)
 		assert.Equal(t, "next", <-ids, "%s: nothing of the first has come", name)
+		asked := false // a connection that is up takes nothing either without asking
+		var moot *core.Result
+		x := target.Call(&store.Message{ID: "stale"}, core.Shape{}, 10*time.Second, func() bool {
+			asked = true
+			return false
+		}, func(r core.Result) { moot = &r })
+		assert.True(t, asked, name)
+		if x != nil {
+			loop.RunUntil(func() bool { return moot != nil })
+			assert.Equal(t, snowjunction.Moot, moot.Outcome, name)
+			assert.False(t, x.Left(), name)
+		}
+		assert.Equal(t, snowjunction.OK, call("last", always).Outcome, name)
+		assert.Equal(t, "last", <-ids, "%s: nothing of the stale one has come", name)
 		assert.Equal(t, int32(1), conns.Load(), name)
 	}
 }
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -28,7 +28,7 @@
 	parser http1.Parser
 	out    []byte      // the request, until it leaves
 	id     string      // of its message
-	may    func() bool // whether the first request may still leave
+	may    func() bool // whether the first request may leave
 	done   func(core.Result)
 	sent   bool        // the request may have left
 	whole  bool        // the answer is to come whole, if it does soon
@@ -68,10 +68,16 @@
 	out := http1.Request("POST", front.InboxPath, t.entry.Addr, body, headers...)
 	t.expire()
 	if l := t.fit(); l != nil {
-		l.kept = max(t.front.Loop.Now().Sub(l.used), 1)
-		l.begin(m.ID, out, shape.Whole, done)
-		l.write()
-		return l
+		t.idle = append(t.idle, l)
+		if !may() {
+			return nil
+		}
+		if l = t.fit(); l != nil { // the attempt's record may have taken a while
+			l.kept = max(t.front.Loop.Now().Sub(l.used), 1)
+			l.begin(m.ID, out, shape.Whole, done)
+			l.write()
+			return l
+		}
 	}
 	if t.front.Engine.Full() {
 		t.front.spareTarget()
--- a/internal/front/push/target.go
+++ b/internal/front/push/target.go
@@ -107,8 +107,10 @@
 	var told []h2pool.Link
 	for _, l := range append([]*link(nil), t.links...) {
 		x := l.told(now)
-		if _, ended := l.conn.Look(); ended && l.up && len(l.calls) == 0 { // what is written now may be lost
-			l.end(net.Stale)
+		if l.up && l.ended() { // what is written now may be lost
+			if l.leave(); len(l.calls) == 0 {
+				l.conn.Close(net.Stale)
+			}
 			continue
 		}
 		switch h2pool.Retire(pool, 0, x) {
@@ -129,6 +131,12 @@
 	return l
 }
 
+// ended tells that the other side has ended the connection, whether or not that has been heard.
+func (l *link) ended() bool {
+	_, ended := l.conn.Look()
+	return ended
+}
+
 // told is what the pool is told of a link, its times before now.
 func (l *link) told(now time.Time) h2pool.Link {
 	x := h2pool.Link{
@@ -209,7 +217,7 @@
 		}
 		var id uint32
 		err := errStale
-		if x.may() {
+		if x.may() && !l.ended() { // the attempt's record may have taken a while
 			id, err = l.h2.Request(x.fields, x.body)
 		}
 		if err != nil { // it takes no further stream, or x has waited too long: not sent
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -208,6 +208,9 @@
 		m.Attempts, m.Out, m.OutSince = m.Attempts+1, true, at
 	case came:
 		if n != 0 {
+			if !at.IsZero() {
+				m.OutSince = at
+			}
 			j.ran(m)
 		}
 		m.Out = false
@@ -264,13 +267,14 @@
 // Sent writes that an attempt is about to leave.
 func (j *Journal) Sent(m *Message, at time.Time) error { return j.note(m, sent, at, 0, 0) }
 
-// Came writes the outcome of the attempt that was out.
-func (j *Journal) Came(m *Message, mayHaveRun bool) error {
+// Came writes the outcome of the attempt that was out, and when its first byte left, if it did:
+// the disk may have taken a while after the moment that Sent was told.
+func (j *Journal) Came(m *Message, mayHaveRun bool, left time.Time) error {
 	n := byte(0)
 	if mayHaveRun {
 		n = 1
 	}
-	return j.note(m, came, time.Time{}, n, 0)
+	return j.note(m, came, left, n, 0)
 }
 
 // Ended writes a message's end.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -37,12 +37,12 @@
 	require.Empty(t, left)
 	first, second, third := take(t, j, "a", 10), take(t, j, "b", 20), take(t, j, "c", 0)
 	require.NoError(t, j.Sent(first, at))
-	require.NoError(t, j.Came(first, false))
+	require.NoError(t, j.Came(first, false, time.Time{}))
 	require.NoError(t, j.Sent(first, at.Add(time.Second)))
 	require.NoError(t, j.Sent(second, at))
-	require.NoError(t, j.Came(second, true))
+	require.NoError(t, j.Came(second, true, time.Time{}))
 	require.NoError(t, j.Sent(second, at.Add(time.Second)))
-	require.NoError(t, j.Came(second, true))
+	require.NoError(t, j.Came(second, true, time.Time{}))
 	require.NoError(t, j.Ended(second, Returned, 300*time.Millisecond, at))
 	require.NoError(t, j.Ended(third, Delivered, 0, at))
 	require.NoError(t, j.Settle(third))
@@ -102,7 +102,7 @@
 		live = append(live, take(t, j, fmt.Sprint("m", i), 600))
 		if i%3 == 0 {
 			require.NoError(t, j.Sent(live[len(live)/2], at))
-			require.NoError(t, j.Came(live[len(live)/2], i%2 == 0))
+			require.NoError(t, j.Came(live[len(live)/2], i%2 == 0, time.Time{}))
 		}
 		require.LessOrEqual(t, onDisk(t, dir), int64(most), "after %d", i)
 	}
@@ -165,7 +165,7 @@
 	j, left := load(t, dir, 3e6)
 	require.Len(t, left, 1)
 	require.NoError(t, j.Sent(left[0], at.Add(time.Second)))
-	require.NoError(t, j.Came(left[0], false))
+	require.NoError(t, j.Came(left[0], false, time.Time{}))
 	_, left = load(t, dir, 3e6)
 	require.Len(t, left, 1)
 	assert.True(t, left[0].Ran)
