--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -172,22 +172,60 @@
 	return -1
 }
 
-// Remember takes up the keys whose messages an earlier process has ended and that may have run:
-// handed in again, they go within the first one's window. It is called before Restore.
-func (c *Core) Remember(keys []store.Ran) {
-	slices.SortStableFunc(keys, func(a, b store.Ran) int { return a.Since.Compare(b.Since) })
-	for _, k := range keys {
-		if no, known := c.classes[k.Class]; known {
-			m := &store.Message{Destination: k.Destination, IdempotencyKey: k.IdempotencyKey, ID: k.ID}
-			class := &c.Settings.Classes[no]
-			c.left(&flow{msg: m, class: class}, k.Since.Sub(c.start))
-			if c.Loop.Now().Sub(k.Since) < class.Deadline {
-				c.restFor(class, k.Key)
-			}
+// Until tells until when a settled message of which an attempt may have run binds others: its
+// idempotency key while its window lasts, as its client reckons it, and the next of its key
+// while the attempt may be running. For store.Options.
+func Until(s snowjunction.Settings) func(m *store.Message) time.Time {
+	classes := map[string]snowjunction.Class{}
+	for _, cl := range s.Classes {
+		classes[cl.Name] = cl
+	}
+	return func(m *store.Message) (until time.Time) {
+		class, since := classes[m.Class], m.RanSince
+		if !m.Ran {
+			since = m.OutSince
+		}
+		if class.Effect == snowjunction.Keyed && m.IdempotencyKey != "" {
+			until = since.Add(class.Window + windowSlack)
 		}
+		if rests := m.OutSince.Add(class.Deadline); class.InOrder && m.Key != 0 && !over(m) && rests.After(until) {
+			until = rests
+		}
+		return until
 	}
 }
 
+// over tells that a settled message's attempts surely are: its only one was answered.
+func over(m *store.Message) bool { return m.State == store.Delivered && m.Attempts == 1 }
+
+// Remember takes up the settled messages of an earlier process that may have run: handed in
+// again, they go within the first one's window, and their keys rest where an attempt may be
+// running still. It is called before Restore.
+func (c *Core) Remember(messages []*store.Message) {
+	slices.SortStableFunc(messages, func(a, b *store.Message) int { return a.RanSince.Compare(b.RanSince) })
+	for _, m := range messages {
+		no, known := c.classes[m.Class]
+		if !known {
+			continue
+		}
+		class := &c.Settings.Classes[no]
+		c.ranBefore(&flow{msg: m, class: class})
+		if !over(m) && c.Loop.Now().Sub(m.OutSince) < class.Deadline {
+			c.restFor(class, m.Key)
+		}
+	}
+}
+
+// ranBefore has it remembered that an earlier process's message may have run. Where its clock
+// was ahead of this one's it may be any time ago, and its client may come for as long as ever.
+func (c *Core) ranBefore(f *flow) {
+	at, window := f.msg.RanSince.Sub(c.start), f.class.Window
+	if now := c.since(); at > now {
+		at, window = now-window, 2*window
+	}
+	c.left(f, at, window)
+}
+
 // restFor has a key rest as after an attempt that may run still: an earlier process may have
 // ended just now with one out.
 func (c *Core) restFor(class *snowjunction.Class, key uint64) {
@@ -219,7 +257,10 @@
 	for _, m := range messages {
 		no, known := c.classes[m.Class]
 		if known && m.Ran { // whatever became of it, its window goes on
-			c.left(&flow{msg: m, class: &c.Settings.Classes[no]}, m.RanSince.Sub(c.start))
+			c.ranBefore(&flow{msg: m, class: &c.Settings.Classes[no]})
+			if now := c.Loop.Now(); m.RanSince.After(now) { // by the time it is heard of this would be some of its window
+				m.RanSince = now.Add(-c.Settings.Classes[no].Window)
+			}
 			if _, goes := c.going[m.Seq]; !goes && !m.Settled {
 				c.restFor(&c.Settings.Classes[no], m.Key)
 			}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -106,9 +106,6 @@
 	if b.dir == "" {
 		b.dir = t.TempDir()
 	}
-	b.journal, b.heirs, err = store.Load(store.Options{Dir: b.dir, Bytes: 3e6, Log: log, Goes: b.goes})
-	require.NoError(t, err)
-	t.Cleanup(func() { b.journal.Close() })
 	s := snowjunction.Settings{
 		Seed: 1, Fleet: 1, Tick: 5 * ms, Slots: 8, MaxHeld: 10, MaxAttempts: 6, RetryAfter: true, MaxRetry: 3 * time.Second,
 		ConnectTimeout: time.Second, OrderSettle: 100 * ms, Kinds: []snowjunction.Kind{{BundleMax: 1}},
@@ -120,6 +117,9 @@
 	if change != nil {
 		change(&s)
 	}
+	b.journal, b.heirs, err = store.Load(store.Options{Dir: b.dir, Bytes: 3e6, Log: log, Goes: b.goes, Until: Until(s)})
+	require.NoError(t, err)
+	t.Cleanup(func() { b.journal.Close() })
 	b.c, err = New(Config{
 		Loop: NewLoop(func() time.Time { return b.now }), Log: log, Journal: b.journal, Settings: s, Fronts: []Front{b, b}, Dormancy: b.sleep, Beyond: b.beyond, Plugins: b.plugins,
 		Learnt: b.learnt, Directories: b.dirs,
--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,13 +78,16 @@
 // under another id. The window is still that of the first.
 func TestWindowOutlastsTheProcess(t *testing.T) {
 	for name, at := range map[string]struct {
-		settled bool
-		after   time.Duration // of the first sending
-		sent    bool
+		settled   bool
+		compacted bool          // the journal, before each of two kills
+		after     time.Duration // of the first sending
+		sent      bool
 	}{
-		"window over":                   {settled: true, after: 4945 * ms},
-		"window over, end not yet told": {after: 4945 * ms},
-		"window goes on":                {settled: true, after: 3 * time.Second, sent: true},
+		"window over, journal compacted":    {settled: true, compacted: true, after: 4945 * ms},
+		"window goes on, journal compacted": {settled: true, compacted: true, after: 3 * time.Second, sent: true},
+		"window over":                       {settled: true, after: 4945 * ms},
+		"window over, end not yet told":     {after: 4945 * ms},
+		"window goes on":                    {settled: true, after: 3 * time.Second, sent: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, nil)
@@ -93,9 +98,12 @@
 			sent := b.now
 			b.step(2 * time.Second) // its time is over
 			require.Len(t, b.ended, 1)
-			next := newBenchWith(&bench{t: t, now: sent.Add(at.after), settle: true, dir: b.dir}, nil)
-			next.c.Remember(next.journal.Ran())
-			next.c.Restore(next.heirs)
+			if at.compacted {
+				b.compact()
+				b = b.killed(100*ms, nil)
+				b.compact()
+			}
+			next := b.killed(sent.Add(at.after-10*ms).Sub(b.now), nil)
 			err := next.c.TakeIn(Request{ID: "m2", Class: "order", Key: 6, IdempotencyKey: "m1", Destination: 7, Left: 10 * time.Second},
 				func(Answer, *store.Message) bool { return true })
 			require.NoError(t, err)
@@ -232,3 +240,123 @@
 	assert.True(t, found[0].Ran)
 	assert.Zero(t, found[0].RanSince.Sub(left).Truncate(ms))
 }
+
+// compact has every record that is in the journal now copied or dropped.
+func (b *bench) compact() {
+	segments := func() []string {
+		names, err := filepath.Glob(filepath.Join(b.dir, "journal-*"))
+		require.NoError(b.t, err)
+		return names
+	}
+	for newest := slices.Max(segments()); slices.Min(segments()) <= newest; {
+		m := &store.Message{ID: "filler", Class: "status", Body: make([]byte, MaxBody)}
+		require.NoError(b.t, b.journal.Take(m))
+		require.NoError(b.t, b.journal.Ended(m, store.Withdrawn, 0, b.now))
+		require.NoError(b.t, b.journal.Settle(m))
+	}
+}
+
+// A message is over with its attempt given up; the journal is compacted and the process
+// killed. The next of its key rests still, though it has no idempotency key.
+func TestRestOutlastsCompaction(t *testing.T) {
+	for name, compacts := range map[string]int{"killed": 0, "compacted and killed": 1, "and once more": 2} {
+		t.Run(name, func(t *testing.T) {
+			change := func(s *snowjunction.Settings) {
+				s.OrderSettle = 700 * ms
+				s.Classes[0].Effect = snowjunction.Unsafe
+			}
+			b := newBench(t, change)
+			for _, id := range []string{"first", "next"} {
+				require.NoError(t, b.c.TakeIn(Request{ID: id, Class: "order", Key: 5, Destination: 7, Left: map[string]time.Duration{
+					"first": time.Second, "next": 10 * time.Second,
+				}[id]}, func(Answer, *store.Message) bool { return true }))
+			}
+			b.step(5 * ms)
+			require.Len(t, b.calls, 1)
+			b.step(time.Second)
+			b.step(5 * ms)
+			require.Len(t, b.ended, 1)
+			require.True(t, b.calls[0].gaveUp)
+			for range compacts {
+				b.compact()
+				b = b.killed(ms, change)
+			}
+			b = b.killed(ms, change)
+			b.step(700 * ms)
+			assert.Empty(t, b.calls)
+			b.step(settleSlack)
+			b.step(10 * ms)
+			require.Len(t, b.calls, 1)
+			assert.Equal(t, "next", b.calls[0].m.ID)
+		})
+	}
+}
+
+// What was delivered at its only attempt surely is over: its key need not rest after a kill.
+func TestDeliveredLeavesNoRest(t *testing.T) {
+	change := func(s *snowjunction.Settings) { s.OrderSettle = 700 * ms }
+	b := newBench(t, change)
+	b.add("m1", "order", 5)
+	b.add("m2", "order", 5)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.c.Freeze(func() {})
+	b.calls[0].done(Result{Outcome: snowjunction.OK})
+	b = b.killed(ms, change)
+	require.Len(t, b.calls, 1)
+	assert.Equal(t, "m2", b.calls[0].m.ID)
+}
+
+// The clock is set back over a restart. What may have run of a settled message is then any time
+// ago: handed in again it does not go, neither at once nor when the clock has come so far again.
+func TestClockSetBackWithAKeyRemembered(t *testing.T) {
+	for _, later := range []time.Duration{0, 2900 * ms, 3100 * ms, 4900 * ms} {
+		b := newBench(t, nil)
+		b.add("m1", "order", 0)
+		b.step(5 * ms)
+		require.Len(t, b.calls, 1)
+		b.calls[0].done(Result{Outcome: snowjunction.OK})
+		b = b.killed(-3*time.Second, nil)
+		b.step(later)
+		require.NoError(t, b.c.TakeIn(Request{ID: "m2", Class: "order", IdempotencyKey: "m1", Destination: 7, Left: 10 * time.Second},
+			func(Answer, *store.Message) bool { return true }))
+		b.step(5 * ms)
+		b.step(5 * ms)
+		assert.Empty(t, b.calls, "%v later", later)
+	}
+}
+
+// A message's end is told with its attempt out; then that proves not to have run. After a kill
+// the message goes as one that never left.
+func TestNotRunAfterItsEnd(t *testing.T) {
+	for outcome, sent := range map[snowjunction.Outcome]bool{snowjunction.Full: true, snowjunction.Error: false} {
+		b := newBench(t, nil)
+		require.NoError(t, b.c.TakeIn(Request{ID: "m1", Class: "order", Key: 9, IdempotencyKey: "k", Destination: 7, Left: time.Second},
+			func(Answer, *store.Message) bool { return true }))
+		b.step(5 * ms)
+		require.Len(t, b.calls, 1)
+		b.c.do(snowjunction.Fail{Request: b.c.ids[name{0, "m1"}].id})
+		require.Len(t, b.ended, 1)
+		b.calls[0].done(Result{Outcome: outcome})
+		b = b.killed(4900*ms, nil)
+		require.NoError(t, b.c.TakeIn(Request{ID: "m2", Class: "order", Key: 9, IdempotencyKey: "k", Destination: 7, Left: time.Second},
+			func(Answer, *store.Message) bool { return true }))
+		b.step(200 * ms)
+		b.step(10 * ms)
+		assert.Equal(t, sent, len(b.calls) == 1, outcome)
+	}
+}
+
+// The clock is set back over a restart by a little more than that took. What may have run does
+// not go when the clock has passed its attempt, as the first decisions wait for the directory.
+func TestClockSetBackIntoThePause(t *testing.T) {
+	b := newBench(t, nil)
+	m := b.ran("m1", -50*ms)
+	b.c.Pause(80 * ms)
+	b.c.Restore([]*store.Message{m})
+	b.step(81 * ms)
+	b.step(10 * ms)
+	assert.Empty(t, b.calls)
+	require.Len(t, b.ended, 1)
+	assert.Equal(t, store.Failed, b.ended[0].State)
+}
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -125,7 +125,7 @@
 		c.relayed++
 	}
 	a.left = c.Loop.Now()
-	c.left(f, c.since())
+	c.left(f, c.since(), f.class.Window)
 	return true
 }
 
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -93,9 +93,9 @@
 }
 
 // left has it remembered that an attempt of a flow may run from then on.
-func (c *Core) left(f *flow, at time.Duration) {
+func (c *Core) left(f *flow, at, window time.Duration) {
 	if f.class.Effect == snowjunction.Keyed && f.msg.IdempotencyKey != "" {
-		c.once.Left(f.once(), f.msg.ID, at, f.class.Window+2*windowSlack) // as its client reckons it
+		c.once.Left(f.once(), f.msg.ID, at, window+2*windowSlack) // as its client reckons it
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -148,7 +148,8 @@
 	}
 	c.journal, left, err = store.Load(store.Options{
 		Dir: cfg.State, Bytes: cfg.Bytes() - c.dir.Room() - exclusions.Room(), Retain: pushCfg.Retain, Log: c.log,
-		Goes: func(seq uint64) bool { return goes[seq] },
+		Until: core.Until(cfg.Settings),
+		Goes:  func(seq uint64) bool { return goes[seq] },
 	})
 	if err != nil {
 		return nil, err
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -5,6 +5,10 @@
 // they take too much room the oldest goes, after what is still live in it has
 // been copied to the newest. Only a prefix of the row is ever removed, so no
 // record outlives one that takes it back.
+//
+// A settled message is remembered, without its body, for as long as what may have run of it
+// binds others: those of its idempotency key, and the next of its key. It is copied as any
+// other, and gives way where the room is needed.
 package store
 
 import (
@@ -28,10 +32,12 @@
 const (
 	useOf     = 0.92 // of it, for what rounding and the folder itself may take
 	segmentOf = 1.0 / 16
-	compactAt = 0.75 // of the use: from here on the oldest segment goes
-	liveMost  = 0.55 // of the use: more is not taken on, so that compaction gains
-	block     = 512  // files count in these
-	progress  = 256  // bytes to reserve for what becomes of a message
+	compactAt = 0.75    // of the use: from here on the oldest segment goes
+	liveMost  = 0.55    // of the use: more is not taken on, so that compaction gains
+	block     = 512     // files count in these
+	progress  = 256     // bytes to reserve for what becomes of a message
+	pastMost  = 8192    // settled messages that are remembered
+	pastOf    = 1.0 / 8 // of the use, beyond liveMost: with these the remembered give way
 )
 
 // Journal is the store. It is not safe for concurrent use.
@@ -45,8 +51,11 @@
 	live     map[uint64]*entry
 	liveSize int64
 	retain   time.Duration
-	ranKeys  []Ran    // of messages that were over, as read
-	retained []uint64 // settled messages whose end can still be asked for, oldest first
+	until    func(*Message) time.Time
+	retained []uint64  // settled messages whose end can still be asked for, oldest first
+	past     []uint64  // settled messages that are remembered, oldest first
+	pastSize int64     // of their records; liveSize is without it
+	at       time.Time // of the last record that tells it
 	written  Written
 }
 
@@ -60,6 +69,7 @@
 	msg  *Message
 	seg  *segment
 	size int64
+	past bool
 }
 
 // Options set a journal's bounds.
@@ -69,24 +79,26 @@
 	Retain time.Duration // how long a settled message's end is kept, if Keep says so
 	Log    *slog.Logger
 
+	// Until tells until when a settled message is to be remembered of which an attempt may have
+	// run, and may be running if Out says so. nil: none is.
+	Until func(m *Message) time.Time
+
 	// Goes tells of a message, by its number, that the attempt which is out goes on in this
 	// process; nil: none does.
 	Goes func(seq uint64) bool
 }
 
-// Ran is an idempotency key whose message is over and may have run.
-type Ran struct {
-	Destination    uint32
-	IdempotencyKey string
-	ID, Class      string
-	Key            uint64
-	Since          time.Time // the first attempt that may have run left
+// Ran are the settled messages that are remembered, or kept, of which an attempt may have run.
+// A client may hand one in again under another id, and its window is that of the first.
+func (j *Journal) Ran() (out []*Message) {
+	for _, seq := range slices.Concat(j.past, j.retained) {
+		if e := j.live[seq]; e != nil && (e.msg.Ran || e.msg.Out) {
+			out = append(out, e.msg)
+		}
+	}
+	return out
 }
 
-// Ran are those that were read as the journal was loaded, in the order of their ends. A client
-// may hand such a message in again, and its window is that of the first.
-func (j *Journal) Ran() []Ran { return j.ranKeys }
-
 // retainMost bounds how many settled messages are kept.
 const retainMost = 2048
 
@@ -100,7 +112,7 @@
 // one, and the retained, in order of taking.
 func Load(o Options) (*Journal, []*Message, error) {
 	j := &Journal{
-		dir: o.Dir, log: o.Log, most: int64(float64(o.Bytes) * useOf), retain: o.Retain,
+		dir: o.Dir, log: o.Log, most: int64(float64(o.Bytes) * useOf), retain: o.Retain, until: o.Until,
 		live: map[uint64]*entry{}, next: 1,
 	}
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
@@ -132,15 +144,19 @@
 		out = append(out, e.msg)
 	}
 	slices.SortFunc(out, func(a, b *Message) int { return int(int64(a.Seq) - int64(b.Seq)) })
+	owed := out[:0]
 	for _, m := range out {
+		if m.Settled && !j.keeps(m) {
+			j.pass(m.Seq)
+		} else if owed = append(owed, m); m.Settled {
+			j.retained = append(j.retained, m.Seq)
+		}
 		if m.Out && (o.Goes == nil || !o.Goes(m.Seq)) { // the process ended with it out: it may have run
 			j.ran(m)
 		}
-		if m.Settled {
-			j.retained = append(j.retained, m.Seq)
-		}
 	}
-	return j, out, nil
+	j.shed()
+	return j, owed, nil
 }
 
 // replay reads one segment up to its end or the first damaged record: a write
@@ -184,14 +200,7 @@
 	}
 	j.change(e.msg, k, at, n, after)
 	if m := e.msg; m.Settled {
-		since := m.RanSince
-		if !m.Ran {
-			since = m.OutSince
-		}
-		if (m.Ran || m.Out) && m.IdempotencyKey != "" {
-			j.ranKeys = append(j.ranKeys, Ran{m.Destination, m.IdempotencyKey, m.ID, m.Class, m.Key, since})
-		}
-		if !j.keeps(m) {
+		if m.Body = nil; !m.Ran && !m.Out && !j.keeps(m) {
 			j.forget(seq)
 		}
 	}
@@ -200,6 +209,9 @@
 
 // change is what a record does to its message, when written and when read.
 func (j *Journal) change(m *Message, k kind, at time.Time, n byte, after time.Duration) {
+	if !at.IsZero() {
+		j.at = at
+	}
 	switch k {
 	case sent:
 		if m.Out { // the process ended with the one before out, and its heir has written nothing of that
@@ -231,16 +243,61 @@
 func (j *Journal) keeps(m *Message) bool { return m.Origin != 0 && j.retain > 0 }
 
 func (j *Journal) keep(m *Message, s *segment, size int64) {
-	j.live[m.Seq] = &entry{m, s, size}
+	j.live[m.Seq] = &entry{msg: m, seg: s, size: size}
 	s.seqs[m.Seq] = true
-	j.liveSize += size + progress
+	j.count(j.live[m.Seq], 1)
 }
 
 func (j *Journal) forget(seq uint64) {
 	if e := j.live[seq]; e != nil {
 		delete(j.live, seq)
 		delete(e.seg.seqs, seq)
-		j.liveSize -= e.size + progress
+		j.count(e, -1)
+	}
+}
+
+// count adds an entry's size to what its kind takes, or takes it off.
+func (j *Journal) count(e *entry, sign int64) {
+	if e.past {
+		j.pastSize += sign * e.size
+	} else {
+		j.liveSize += sign * (e.size + progress)
+	}
+}
+
+// pass has a settled message remembered, if it is to be, or forgotten.
+func (j *Journal) pass(seq uint64) {
+	e := j.live[seq]
+	if e == nil || e.past {
+		return
+	}
+	if !j.binds(e.msg) {
+		j.forget(seq)
+		return
+	}
+	j.count(e, -1)
+	e.msg.Body = nil
+	e.past, e.size = true, int64(len(encode(e.msg)))
+	j.count(e, 1)
+	j.past = append(j.past, seq)
+}
+
+// binds tells whether what may have run of a settled message still binds others.
+func (j *Journal) binds(m *Message) bool {
+	return j.until != nil && (m.Ran || m.Out) && j.until(m).After(j.at)
+}
+
+// shed forgets remembered messages from the oldest on: what binds nobody any more, and what
+// there is no room for.
+func (j *Journal) shed() {
+	for len(j.past) > 0 {
+		e := j.live[j.past[0]]
+		fits := len(j.past) <= pastMost && float64(j.liveSize+j.pastSize) <= float64(j.most)*(liveMost+pastOf)
+		if e != nil && fits && j.binds(e.msg) {
+			return
+		}
+		j.forget(j.past[0])
+		j.past = j.past[1:]
 	}
 }
 
@@ -261,6 +318,7 @@
 	}
 	j.next++
 	j.keep(m, j.newest(), int64(len(b)))
+	j.shed()
 	return nil
 }
 
@@ -292,8 +350,9 @@
 		j.retained = append(j.retained, m.Seq)
 		j.expire(m.EndedAt)
 	default:
-		j.forget(m.Seq)
+		j.pass(m.Seq)
 	}
+	j.shed()
 	return err
 }
 
@@ -304,7 +363,7 @@
 		if e != nil && len(j.retained) <= retainMost && now.Sub(e.msg.EndedAt) < j.retain {
 			return
 		}
-		j.forget(j.retained[0])
+		j.pass(j.retained[0])
 		j.retained = j.retained[1:]
 	}
 }
@@ -387,13 +446,18 @@
 	oldest := j.segments[0]
 	for _, seq := range slices.Sorted(maps.Keys(oldest.seqs)) {
 		e := j.live[seq]
+		if e.past && !j.binds(e.msg) {
+			j.forget(seq)
+			continue
+		}
 		b := encode(e.msg)
 		if err := j.append(b); err != nil {
 			return err
 		}
 		delete(oldest.seqs, seq)
-		j.liveSize += int64(len(b)) - e.size
+		j.count(e, -1)
 		e.seg, e.size = j.newest(), int64(len(b))
+		j.count(e, 1)
 		e.seg.seqs[seq] = true
 	}
 	if err := os.Remove(j.path(oldest.no)); err != nil {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -148,11 +149,18 @@
 
 func FuzzOpen(f *testing.F) {
 	f.Add(encode(&Message{Seq: 1, ID: "a", Class: "b", Body: []byte("c")}))
+	f.Add(encode(&Message{Seq: 1, ID: "a", IdempotencyKey: "k", Ran: true, RanSince: at, State: Failed, Settled: true})) // as it is remembered
 	f.Fuzz(func(t *testing.T, b []byte) {
 		j := &Journal{live: map[uint64]*entry{}, log: slog.New(slog.DiscardHandler)}
 		j.replay(&segment{seqs: map[uint64]bool{}}, b)
 		// What a checksum cannot tell: a payload that is nonsense all through.
 		_ = j.apply(&segment{seqs: map[uint64]bool{}}, b)
+		j.until = func(m *Message) time.Time { return m.RanSince.Add(5 * time.Second) }
+		for _, seq := range slices.Sorted(maps.Keys(j.live)) {
+			j.pass(seq)
+		}
+		j.shed()
+		require.LessOrEqual(t, j.pastSize, int64(0), "there is no room")
 	})
 }
 
@@ -172,3 +180,144 @@
 	assert.Equal(t, at, left[0].RanSince, "its window runs from the first")
 	assert.Equal(t, 2, left[0].Attempts)
 }
+
+// remembering loads a journal that remembers what may have run for 5 s.
+func remembering(t *testing.T, dir string, bytes int64) *Journal {
+	t.Helper()
+	j, left, err := Load(Options{
+		Dir: dir, Bytes: bytes, Log: slog.New(slog.DiscardHandler),
+		Until: func(m *Message) time.Time {
+			if m.Ran {
+				return m.RanSince.Add(5 * time.Second)
+			}
+			return m.OutSince.Add(5 * time.Second)
+		},
+	})
+	require.NoError(t, err)
+	require.Empty(t, left, "nothing is owed")
+	t.Cleanup(func() { j.Close() })
+	return j
+}
+
+// compacted has every record that is in the journal now copied or dropped, by messages that
+// come and end at that moment.
+func compacted(t *testing.T, j *Journal, now time.Time) {
+	t.Helper()
+	for newest := j.newest().no; j.segments[0].no <= newest; {
+		m := &Message{ID: "filler", Class: "order", Body: make([]byte, 3000)}
+		require.NoError(t, j.Take(m))
+		require.NoError(t, j.Ended(m, Withdrawn, 0, now))
+		require.NoError(t, j.Settle(m))
+	}
+}
+
+// What may have run of a settled message is remembered over compactions and kills, in each
+// order, until it binds nobody any more.
+func TestRememberedOverCompactions(t *testing.T) {
+	for name, end := range map[string]struct {
+		state State
+		came  []bool // whether it may have run
+		after bool   // the outcome comes after the end
+		kept  bool
+	}{
+		"delivered":                        {state: Delivered, kept: true},
+		"failed":                           {state: Failed, came: []bool{true}, kept: true},
+		"out at its end":                   {state: Failed, kept: true},
+		"out at its end, and did not run":  {state: Failed, came: []bool{false}, after: true},
+		"out at its end, and may have run": {state: Failed, came: []bool{true}, after: true, kept: true},
+		"it did not run":                   {state: Returned, came: []bool{false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const room = 200_000
+			dir := t.TempDir()
+			j := remembering(t, dir, room)
+			m := take(t, j, "a", 1000)
+			require.NoError(t, j.Sent(m, at))
+			came := func() {
+				for _, ran := range end.came {
+					require.NoError(t, j.Came(m, ran, at.Add(100*time.Millisecond)))
+				}
+			}
+			if !end.after {
+				came()
+			}
+			require.NoError(t, j.Ended(m, end.state, 0, at.Add(time.Second)))
+			require.NoError(t, j.Settle(m))
+			if end.after {
+				came()
+			}
+			since := at
+			if len(end.came) > 0 {
+				since = at.Add(100 * time.Millisecond)
+			}
+			for _, step := range []string{"kill", "compact", "compact", "kill", "compact", "kill", "kill", "compact", "compact", "kill"} {
+				if step == "compact" {
+					compacted(t, j, at.Add(2*time.Second))
+				} else {
+					j = remembering(t, dir, room) // the one before was never closed, as after SIGKILL
+				}
+				if !end.kept {
+					assert.Empty(t, j.Ran(), step)
+					continue
+				}
+				require.Len(t, j.Ran(), 1, step)
+				got := j.Ran()[0]
+				assert.Equal(t, []any{"a", "k", uint64(5), uint32(7), "order", end.state, 1},
+					[]any{got.ID, got.IdempotencyKey, got.Key, got.Destination, got.Class, got.State, got.Attempts}, step)
+				assert.Empty(t, got.Body)
+				if got.Ran {
+					assert.Equal(t, since, got.RanSince, step)
+				}
+			}
+			if end.kept {
+				require.True(t, j.Ran()[0].Ran)
+			}
+			compacted(t, j, at.Add(6*time.Second))
+			j = remembering(t, dir, room)
+			assert.Empty(t, j.Ran(), "its time is over")
+			assert.Zero(t, j.pastSize)
+		})
+	}
+}
+
+// What is remembered stays within the folder's bytes, gives way to what is taken on, the
+// oldest first, and leaves as much room for that as there was.
+func TestRememberedGivesWay(t *testing.T) {
+	const room = 200_000
+	dir := t.TempDir()
+	j := remembering(t, dir, room)
+	for i := range 3000 {
+		m := take(t, j, fmt.Sprint("ran", i), 30)
+		require.NoError(t, j.Sent(m, at))
+		require.NoError(t, j.Ended(m, Delivered, 0, at))
+		require.NoError(t, j.Settle(m))
+		require.LessOrEqual(t, onDisk(t, dir), int64(room), "after %d", i)
+	}
+	many := j.Ran()
+	require.Greater(t, len(many), 500)
+	assert.Equal(t, "ran2999", many[len(many)-1].ID)
+	assert.Equal(t, fmt.Sprint("ran", 3000-len(many)), many[0].ID, "the last ones")
+	j = remembering(t, dir, room)
+	assert.GreaterOrEqual(t, len(j.Ran()), len(many))
+	held := 0
+	for ; j.Room(1000); held++ {
+		take(t, j, fmt.Sprint("held", held), 900)
+		require.LessOrEqual(t, onDisk(t, dir), int64(room), "with %d held", held)
+	}
+	empty, plain := remembering(t, t.TempDir(), room), 0
+	for ; empty.Room(1000); plain++ {
+		take(t, empty, fmt.Sprint("held", plain), 900)
+	}
+	assert.Equal(t, plain, held, "as many are taken on as without")
+	assert.Less(t, len(j.Ran()), len(many))
+	assert.Greater(t, len(j.Ran()), 100, "and a part is remembered still")
+	var live, past int64
+	for _, e := range j.live {
+		if e.past {
+			past += e.size
+		} else {
+			live += e.size + progress
+		}
+	}
+	assert.Equal(t, []int64{live, past}, []int64{j.liveSize, j.pastSize})
+}
