What is held under a second id goes within the window of the first

Cause: that an idempotency key may have run was asked once, as a message was handed in (`TakeIn`). A client that has not heard hands its message in again while the first is held and has not left: the second was taken for new, waited for the first (their key is in order), and was sent once that was over, past the window, or told as harmless to hand in again.

Change: the core knows what is held by idempotency key. An attempt leaves only within the window of what may have run, or is out, under any id of it; past that its message is told as failed. `Restore` binds by what `Remember` has found. The outcome of a 410 is recorded.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -104,6 +104,9 @@
 			return
 		}
 	}
+	if at, ran := c.once.Since(f.once(), c.since()); ran && f.keyed() {
+		f.msg.Ran, f.msg.RanSince = true, c.start.Add(at) // under another id: its window goes on
+	}
 	f.fresh = true
 	c.hand(f)
 }
@@ -113,6 +116,9 @@
 	c.Counters.serial++
 	f.id = snowjunction.RequestID(c.Counters.serial)
 	c.flows[f.id], c.ids[f.name()] = f, f
+	if f.keyed() {
+		c.keys[f.once()] = append(c.keys[f.once()], f)
+	}
 	c.held++
 	if g := c.hold(f); g.waiting {
 		g.parked = append(g.parked, f)
@@ -224,6 +230,9 @@
 		at, window = now-window, 2*window
 	}
 	c.left(f, at, window)
+	if f.keyed() && f.msg.State != store.Open && c.before[f.once()] == nil {
+		c.before[f.once()] = f.msg
+	}
 }
 
 // restFor has a key rest as after an attempt that may run still: an earlier process may have
@@ -272,6 +281,9 @@
 		case m.State == store.Open && known:
 			c.Counters.Restored++
 			f := &flow{msg: m, class: &c.Settings.Classes[no], untried: m.Attempts == 0}
+			if first := c.before[f.once()]; first != nil && f.keyed() && !m.Ran {
+				c.ranUnderAnother(f, first.RanSince)
+			}
 			if f.untried {
 				c.Counters.Untried++
 			}
@@ -292,6 +304,7 @@
 			}
 		}
 	}
+	clear(c.before)
 }
 
 // admitFresh takes on what the module has seen and kept.
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -72,6 +72,9 @@
 	if f == nil || f.ended {
 		return
 	}
+	if s == store.Returned && !c.inWindow(f) { // not harmless, as the module thinks it is
+		s, after = store.Failed, 0
+	}
 	if f.answer == nil {
 		c.end(f, s, after)
 		return
@@ -172,6 +175,7 @@
 	if f.ended && f.attempt == nil && c.flows[f.id] == f {
 		delete(c.flows, f.id)
 		c.release(f)
+		c.bind(f)
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -39,6 +39,7 @@
 	Came(m *store.Message, mayHaveRun bool, left time.Time) error
 	Ended(m *store.Message, s store.State, after time.Duration, at time.Time) error
 	Settle(m *store.Message) error
+	Copy(m *store.Message) error
 	Written() store.Written
 }
 
@@ -140,7 +141,9 @@
 	learning *Timer // until something learnt may be written
 	resting  *Timer // until destinations may go to sleep
 	once     *once.Book
-	relayed  uint64 // attempts whose bytes have left, or leave
+	keys     map[once.Key][]*flow        // held, or with an attempt out, by idempotency key
+	before   map[once.Key]*store.Message // of an earlier process that are over, and may have run; until Restore
+	relayed  uint64                      // attempts whose bytes have left, or leave
 	out      *exclusions.Set
 	tallies  []tally // by class, and one for what is of none
 	idle     func()  // called once frozen and no call is out
@@ -184,7 +187,7 @@
 		asking: map[uint64][]*flow{}, owing: map[uint64][]*flow{}, unknown: map[uint64]int{},
 		classes: map[string]int{}, tenants: map[string]int{},
 		routes: newRoutes(len(cfg.Fronts)), picker: learnt.NewPicker(),
-		once: once.New(onceMost), tallies: make([]tally, len(cfg.Settings.Classes)+1),
+		once: once.New(onceMost), keys: map[once.Key][]*flow{}, before: map[once.Key]*store.Message{}, tallies: make([]tally, len(cfg.Settings.Classes)+1),
 		dirs: make([]*directory, len(cfg.Fronts)), out: exclusions.New(cfg.Settings.WarmUp), wishes: map[string]*wish{},
 	}
 	for front, d := range cfg.Directories {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -30,7 +30,8 @@
 	calls   []*testCall
 	// Connections take a while to come up: calls leave once they are opened.
 	dialling bool
-	left     int // targets that have left their groups
+	bare     bool // nothing is listed to begin with
+	left     int  // targets that have left their groups
 	made     []Entry
 	sleep    *dormancy.Config
 	beyond   Beyond
@@ -125,7 +126,9 @@
 		Learnt: b.learnt, Directories: b.dirs,
 	})
 	require.NoError(t, err)
-	b.list(snowjunction.Ready, true)
+	if !b.bare {
+		b.list(snowjunction.Ready, true)
+	}
 	return b
 }
 
--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"snowjunction"
+	"snowjunction/internal/once"
 	"snowjunction/internal/store"
 )
 
@@ -249,13 +250,18 @@
 		return names
 	}
 	for newest := slices.Max(segments()); slices.Min(segments()) <= newest; {
-		m := &store.Message{ID: "filler", Class: "status", Body: make([]byte, MaxBody)}
-		require.NoError(b.t, b.journal.Take(m))
-		require.NoError(b.t, b.journal.Ended(m, store.Withdrawn, 0, b.now))
-		require.NoError(b.t, b.journal.Settle(m))
+		b.filler()
 	}
 }
 
+// filler is a message that comes and ends now.
+func (b *bench) filler() {
+	m := &store.Message{ID: "filler", Class: "status", Body: make([]byte, MaxBody)}
+	require.NoError(b.t, b.journal.Take(m))
+	require.NoError(b.t, b.journal.Ended(m, store.Withdrawn, 0, b.now))
+	require.NoError(b.t, b.journal.Settle(m))
+}
+
 // A message is over with its attempt given up; the journal is compacted and the process
 // killed. The next of its key rests still, though it has no idempotency key.
 func TestRestOutlastsCompaction(t *testing.T) {
@@ -335,7 +341,7 @@
 			func(Answer, *store.Message) bool { return true }))
 		b.step(5 * ms)
 		require.Len(t, b.calls, 1)
-		b.c.do(snowjunction.Fail{Request: b.c.ids[name{0, "m1"}].id})
+		b.c.do(snowjunction.Fail{Request: b.c.ids[name0("m1")].id})
 		require.Len(t, b.ended, 1)
 		b.calls[0].done(Result{Outcome: outcome})
 		b = b.killed(4900*ms, nil)
@@ -360,3 +366,116 @@
 	require.Len(t, b.ended, 1)
 	assert.Equal(t, store.Failed, b.ended[0].State)
 }
+
+// A client that has not heard hands its message in again under another id before the first has
+// left. What the second sends goes within the window of the first, whatever becomes of that one
+// and however often the process is killed; past it, it is told as failed.
+func TestSameKeyBothHeld(t *testing.T) {
+	for name, way := range map[string]struct {
+		first  snowjunction.Outcome // of all attempts under the first id
+		killed string               // "out": with the first attempt out; "ended": so, and its end told; "over": once the first is over; "late": and forgotten
+		sent   bool                 // the second is sent past what would be the window
+	}{
+		"may have run":                    {first: snowjunction.Reset},
+		"delivered":                       {first: snowjunction.OK},
+		"never ran":                       {first: snowjunction.Full, sent: true},
+		"killed with it out":              {first: snowjunction.Reset, killed: "out"},
+		"killed with it out at its end":   {first: snowjunction.Reset, killed: "ended"},
+		"killed long after":               {first: snowjunction.Reset, killed: "late"},
+		"killed after it may have run":    {first: snowjunction.Reset, killed: "over"},
+		"killed after it was delivered":   {first: snowjunction.OK, killed: "over"},
+		"killed after it proved to be no": {first: snowjunction.Full, killed: "over", sent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			change := func(s *snowjunction.Settings) {
+				s.Classes[0].Window, s.Classes[0].Deadline, s.MaxAttempts = time.Second, 1500*ms, 1
+			}
+			b := newBench(t, change)
+			for _, id := range []string{"m1", "m2"} {
+				require.NoError(t, b.c.TakeIn(Request{ID: id, Class: "order", Key: 5, IdempotencyKey: "k", Destination: 7, Left: 10 * time.Second},
+					func(Answer, *store.Message) bool { return true }))
+			}
+			b.step(5 * ms)
+			require.Len(t, b.calls, 1)
+			b.step(100 * ms)
+			switch way.killed {
+			case "out":
+			case "ended":
+				b.c.do(snowjunction.Fail{Request: b.c.ids[name0("m1")].id})
+			default:
+				b.list(snowjunction.Draining, false) // the second waits for an endpoint
+				b.calls[0].done(Result{Outcome: way.first})
+				b.step(5 * ms)
+				b.calls = nil
+			}
+			if way.killed == "late" {
+				b.step(2 * time.Second)
+				b.filler()
+				require.Empty(t, b.journal.Ran())
+			}
+			if way.killed != "" {
+				b.list(snowjunction.Draining, false)
+				b = newBenchWith(&bench{t: t, now: b.now.Add(600 * ms), settle: true, dir: b.dir, bare: true}, change)
+				b.c.Remember(b.journal.Ran())
+				b.c.Restore(b.heirs)
+			}
+			b.step(1200 * ms)
+			b.list(snowjunction.Ready, true)
+			b.step(200 * ms)
+			b.step(10 * ms)
+			assert.Equal(t, way.sent, len(b.calls) == 1)
+			if !way.sent {
+				require.NotEmpty(t, b.ended)
+				last := b.ended[len(b.ended)-1]
+				assert.Equal(t, "m2", last.ID)
+				assert.Equal(t, store.Failed, last.State)
+			}
+		})
+	}
+}
+
+// An endpoint says that nobody wants a message any more: it has not run, for the next process too.
+func TestNotWantedHasNotRun(t *testing.T) {
+	b := newBench(t, nil)
+	b.add("m1", "order", 5)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.calls[0].done(Result{Outcome: snowjunction.Moot, Over: true})
+	require.Len(t, b.ended, 1)
+	b = b.killed(ms, nil)
+	assert.Empty(t, b.journal.Ran())
+}
+
+// name0 is an id of the first front's.
+func name0(id string) name { return name{0, id} }
+
+// An attempt is out for longer than the window of its key, its message is over, and the same
+// message is held under another id: that is told as failed, at its turn or when it is given up.
+func TestSameKeyAsOneThatIsOut(t *testing.T) {
+	for _, givenUp := range []bool{false, true} {
+		b := newBench(t, func(s *snowjunction.Settings) { s.Classes[0].Window = time.Second })
+		for i, id := range []string{"m1", "m2"} {
+			require.NoError(t, b.c.TakeIn(Request{ID: id, Class: "order", IdempotencyKey: "k", Destination: 7, Left: 10 * time.Second},
+				func(Answer, *store.Message) bool { return true }))
+			if i == 0 {
+				b.step(5 * ms)
+				b.list(snowjunction.Draining, false)
+				b.c.once.Never(once.Key{Destination: 7, Text: "k"}, id) // the second has come before it left
+			}
+		}
+		require.Len(t, b.calls, 1)
+		b.c.do(snowjunction.Fail{Request: b.c.ids[name0("m1")].id})
+		b.step(900 * ms)
+		require.Len(t, b.ended, 1)
+		b.now = b.now.Add(100 * ms) // its time-out is not heard of yet
+		if givenUp {
+			b.c.do(snowjunction.Refuse{Request: b.c.ids[name0("m2")].id})
+		} else {
+			b.c.send(snowjunction.Send{Request: b.c.ids[name0("m2")].id, Endpoint: 1, Timeout: time.Second})
+		}
+		require.Len(t, b.ended, 2)
+		assert.Equal(t, "m2", b.ended[1].ID)
+		assert.Equal(t, store.Failed, b.ended[1].State)
+		assert.Len(t, b.calls, 1)
+	}
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -36,6 +36,7 @@
 	f.attempt = nil
 	c.calls--
 	c.Counters.result(r.Outcome)
+	ran := mayHaveRun(r.Outcome)
 	switch {
 	case r.Outcome == snowjunction.OK && f.ended:
 		c.Counters.Late++
@@ -46,11 +47,15 @@
 	case r.Outcome == snowjunction.OK:
 		c.end(f, store.Delivered, 0)
 	case r.Over && !f.ended:
+		c.came(a, ran)
 		c.end(f, store.Withdrawn, 0)
 	default:
-		c.came(a, mayHaveRun(r.Outcome))
+		c.came(a, ran)
+		if r.Outcome == snowjunction.Moot && !f.ended && !c.inWindow(f) { // nor does it go any more
+			c.end(f, store.Failed, 0)
+		}
 	}
-	if !mayHaveRun(r.Outcome) && !f.msg.Ran {
+	if !ran && !f.msg.Ran {
 		c.once.Never(f.once(), f.msg.ID)
 	}
 	c.evidence(a, r)
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"snowjunction"
@@ -80,9 +81,6 @@
 		Destination: r.Destination, Class: r.Class, Tenant: r.Tenant,
 		Deadline: c.Loop.Now().Add(r.Left), Again: r.Again, Body: r.Body,
 	}}
-	if at, ran := c.once.Since(f.once(), c.since()); ran && class.Effect == snowjunction.Keyed {
-		f.msg.Ran, f.msg.RanSince = true, c.start.Add(at) // under another id: its window goes on
-	}
 	c.admit(f)
 	return nil
 }
@@ -94,11 +92,64 @@
 
 // left has it remembered that an attempt of a flow may run from then on.
 func (c *Core) left(f *flow, at, window time.Duration) {
-	if f.class.Effect == snowjunction.Keyed && f.msg.IdempotencyKey != "" {
+	if f.keyed() {
 		c.once.Left(f.once(), f.msg.ID, at, window+2*windowSlack) // as its client reckons it
 	}
 }
 
+// keyed tells whether a flow's window is counted by its idempotency key.
+func (f *flow) keyed() bool {
+	return f.class.Effect == snowjunction.Keyed && f.msg.IdempotencyKey != ""
+}
+
+// ranSince is when the first attempt left that may have run, or is out; the zero time: none.
+func ranSince(m *store.Message) time.Time {
+	if !m.Ran && m.Out {
+		return m.OutSince
+	}
+	return m.RanSince
+}
+
+// inWindow tells whether a flow may go for all that is held here under its idempotency key: what
+// another id of it may have done meanwhile the module does not know.
+func (c *Core) inWindow(f *flow) bool {
+	if !f.keyed() {
+		return true
+	}
+	for _, o := range c.keys[f.once()] {
+		since := ranSince(o.msg)
+		if (o != f || o.msg.Ran) && !since.IsZero() && c.Loop.Now().Sub(since) >= f.class.Window-2*c.Settings.Tick {
+			return false
+		}
+	}
+	return true
+}
+
+// bind takes a flow that is over off its idempotency key. What else is held of that goes within
+// the window of what may have run, also in the next process.
+func (c *Core) bind(f *flow) {
+	if !f.keyed() {
+		return
+	}
+	others := slices.DeleteFunc(c.keys[f.once()], func(o *flow) bool { return o == f })
+	if c.keys[f.once()] = others; len(others) == 0 {
+		delete(c.keys, f.once())
+	}
+	since := ranSince(f.msg)
+	for _, o := range others {
+		if !o.ended && !o.msg.Ran && !since.IsZero() {
+			c.ranUnderAnother(o, since)
+		}
+	}
+}
+
+func (c *Core) ranUnderAnother(f *flow, since time.Time) {
+	f.msg.Ran, f.msg.RanSince = true, since
+	if err := c.Journal.Copy(f.msg); err != nil {
+		c.Log.Error("journal", "err", err)
+	}
+}
+
 func (c *Core) check(r Request) (*snowjunction.Class, error) {
 	bad := func(format string, args ...any) (*snowjunction.Class, error) {
 		return nil, fmt.Errorf("%w: %s", ErrRequest, fmt.Sprintf(format, args...))
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -322,6 +322,29 @@
 	return nil
 }
 
+// Copy writes a message anew: it has changed by what was found out of another.
+func (j *Journal) Copy(m *Message) error {
+	e := j.live[m.Seq]
+	if e == nil {
+		return nil
+	}
+	b := encode(m)
+	if err := j.write(b); err != nil {
+		return err
+	}
+	j.moved(e, int64(len(b)))
+	return nil
+}
+
+// moved notes that an entry's record is the last one.
+func (j *Journal) moved(e *entry, size int64) {
+	delete(e.seg.seqs, e.msg.Seq)
+	j.count(e, -1)
+	e.seg, e.size = j.newest(), size
+	j.count(e, 1)
+	e.seg.seqs[e.msg.Seq] = true
+}
+
 // Sent writes that an attempt is about to leave.
 func (j *Journal) Sent(m *Message, at time.Time) error { return j.note(m, sent, at, 0, 0) }
 
@@ -454,11 +477,7 @@
 		if err := j.append(b); err != nil {
 			return err
 		}
-		delete(oldest.seqs, seq)
-		j.count(e, -1)
-		e.seg, e.size = j.newest(), int64(len(b))
-		j.count(e, 1)
-		e.seg.seqs[seq] = true
+		j.moved(e, int64(len(b)))
 	}
 	if err := os.Remove(j.path(oldest.no)); err != nil {
 		return err
