--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"snowjunction"
+	"snowjunction/internal/once"
 	"snowjunction/internal/store"
 )
 
@@ -76,13 +79,16 @@
 // under another id. The window is still that of the first.
 func TestWindowOutlastsTheProcess(t *testing.T) {
 	for name, at := range map[string]struct {
-		settled bool
-		after   time.Duration // of the first sending
-		sent    bool
+		settled   bool
+		compacted bool          // the journal, before each of two kills
+		after     time.Duration // of the first sending
+		sent      bool
 	}{
-		"window over":                   {settled: true, after: 4945 * ms},
-		"window over, end not yet told": {after: 4945 * ms},
-		"window goes on":                {settled: true, after: 3 * time.Second, sent: true},
+		"window over, journal compacted":    {settled: true, compacted: true, after: 4945 * ms},
+		"window goes on, journal compacted": {settled: true, compacted: true, after: 3 * time.Second, sent: true},
+		"window over":                       {settled: true, after: 4945 * ms},
+		"window over, end not yet told":     {after: 4945 * ms},
+		"window goes on":                    {settled: true, after: 3 * time.Second, sent: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, nil)
@@ -93,9 +99,12 @@
 			sent := b.now
 			b.step(2 * time.Second) // its time is over
 			require.Len(t, b.ended, 1)
-			next := newBenchWith(&bench{t: t, now: sent.Add(at.after), settle: true, dir: b.dir}, nil)
-			next.c.Remember(next.journal.Ran())
-			next.c.Restore(next.heirs)
+			if at.compacted {
+				b.compact()
+				b = b.killed(100*ms, nil)
+				b.compact()
+			}
+			next := b.killed(sent.Add(at.after-10*ms).Sub(b.now), nil)
 			err := next.c.TakeIn(Request{ID: "m2", Class: "order", Key: 6, IdempotencyKey: "m1", Destination: 7, Left: 10 * time.Second},
 				func(Answer, *store.Message) bool { return true })
 			require.NoError(t, err)
@@ -151,3 +160,322 @@
 	next.step(10 * ms)
 	assert.Len(t, next.calls, 1)
 }
+
+// killed is a bench that finds what b has left, so much later.
+func (b *bench) killed(after time.Duration, change func(*snowjunction.Settings)) *bench {
+	next := newBenchWith(&bench{t: b.t, now: b.now.Add(after), settle: true, dir: b.dir}, change)
+	next.c.Remember(next.journal.Ran())
+	next.c.Restore(next.heirs)
+	next.step(5 * ms)
+	next.step(5 * ms)
+	return next
+}
+
+// A connection takes most of a window to come up. Until it is up the attempt has not run,
+// whatever its class; then its window is counted from its bytes, over a kill and in a row of
+// repeats.
+func TestKilledWhileDialling(t *testing.T) {
+	for name, at := range map[string]struct {
+		effect snowjunction.Effect
+		opened bool
+		after  time.Duration // of the opening, or of what would have been it
+		sent   bool
+	}{
+		"dialling":                           {effect: snowjunction.Unsafe, after: 600 * ms, sent: true},
+		"dialling, past the window":          {effect: snowjunction.Keyed, after: 5 * time.Second, sent: true},
+		"it left":                            {effect: snowjunction.Unsafe, opened: true, after: 600 * ms},
+		"it left, inside the window":         {effect: snowjunction.Keyed, opened: true, after: 900 * ms, sent: true},
+		"it left, close to the window's end": {effect: snowjunction.Keyed, opened: true, after: 930 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			change := func(s *snowjunction.Settings) { s.Classes[0].Window, s.Classes[0].Effect = time.Second, at.effect }
+			b := newBench(t, change)
+			b.dialling = true
+			require.NoError(t, b.c.TakeIn(Request{ID: "m1", Class: "order", IdempotencyKey: "k1", Destination: 7, Left: 20 * time.Second},
+				func(Answer, *store.Message) bool { return true }))
+			b.step(5 * ms)
+			require.Len(t, b.calls, 1)
+			b.step(900 * ms)
+			if at.opened {
+				require.True(t, b.calls[0].opened())
+			}
+			next := b.killed(at.after, change)
+			assert.Equal(t, at.sent, len(next.calls) == 1)
+			assert.Equal(t, !at.sent, len(next.ended) == 1)
+		})
+	}
+}
+
+// An attempt that could not connect counts as made over a kill, and not as run.
+func TestUnsentCountsOverAKill(t *testing.T) {
+	b := newBench(t, func(s *snowjunction.Settings) { s.MaxAttempts = 2 })
+	b.dialling = true
+	b.add("m1", "status", 0)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.step(time.Second) // it never connects
+	require.True(t, b.calls[0].gaveUp)
+	_, left, err := store.Load(store.Options{Dir: b.dir, Bytes: 3e6, Log: b.c.Log})
+	require.NoError(t, err)
+	require.Len(t, left, 1)
+	assert.Equal(t, 1, left[0].Attempts)
+	assert.False(t, left[0].Ran)
+}
+
+// The disk takes long over the record of an attempt that then may have run: its window is
+// counted from its bytes, also by the next process.
+func TestSlowRecordBeforeTheFirstByte(t *testing.T) {
+	change := func(s *snowjunction.Settings) { s.Classes[0].Window = time.Second }
+	b := newBench(t, change)
+	b.c.Journal = &slowDisk{Journal: b.journal, b: b, take: 400 * ms}
+	b.dialling = true
+	b.add("m1", "order", 5)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	require.True(t, b.calls[0].opened())
+	left := b.now // once the record is written
+	b.calls[0].done(Result{Outcome: snowjunction.Error})
+	_, found, err := store.Load(store.Options{Dir: b.dir, Bytes: 3e6, Log: b.c.Log})
+	require.NoError(t, err)
+	require.Len(t, found, 1)
+	assert.True(t, found[0].Ran)
+	assert.Zero(t, found[0].RanSince.Sub(left).Truncate(ms))
+}
+
+// compact has every record that is in the journal now copied or dropped.
+func (b *bench) compact() {
+	segments := func() []string {
+		names, err := filepath.Glob(filepath.Join(b.dir, "journal-*"))
+		require.NoError(b.t, err)
+		return names
+	}
+	for newest := slices.Max(segments()); slices.Min(segments()) <= newest; {
+		b.filler()
+	}
+}
+
+// filler is a message that comes and ends now.
+func (b *bench) filler() {
+	m := &store.Message{ID: "filler", Class: "status", Body: make([]byte, MaxBody)}
+	require.NoError(b.t, b.journal.Take(m))
+	require.NoError(b.t, b.journal.Ended(m, store.Withdrawn, 0, b.now))
+	require.NoError(b.t, b.journal.Settle(m))
+}
+
+// A message is over with its attempt given up; the journal is compacted and the process
+// killed. The next of its key rests still, though it has no idempotency key.
+func TestRestOutlastsCompaction(t *testing.T) {
+	for name, compacts := range map[string]int{"killed": 0, "compacted and killed": 1, "and once more": 2} {
+		t.Run(name, func(t *testing.T) {
+			change := func(s *snowjunction.Settings) {
+				s.OrderSettle = 700 * ms
+				s.Classes[0].Effect = snowjunction.Unsafe
+			}
+			b := newBench(t, change)
+			for _, id := range []string{"first", "next"} {
+				require.NoError(t, b.c.TakeIn(Request{ID: id, Class: "order", Key: 5, Destination: 7, Left: map[string]time.Duration{
+					"first": time.Second, "next": 10 * time.Second,
+				}[id]}, func(Answer, *store.Message) bool { return true }))
+			}
+			b.step(5 * ms)
+			require.Len(t, b.calls, 1)
+			b.step(time.Second)
+			b.step(5 * ms)
+			require.Len(t, b.ended, 1)
+			require.True(t, b.calls[0].gaveUp)
+			for range compacts {
+				b.compact()
+				b = b.killed(ms, change)
+			}
+			b = b.killed(ms, change)
+			b.step(700 * ms)
+			assert.Empty(t, b.calls)
+			b.step(settleSlack)
+			b.step(10 * ms)
+			require.Len(t, b.calls, 1)
+			assert.Equal(t, "next", b.calls[0].m.ID)
+		})
+	}
+}
+
+// What was delivered at its only attempt surely is over: its key need not rest after a kill.
+func TestDeliveredLeavesNoRest(t *testing.T) {
+	change := func(s *snowjunction.Settings) { s.OrderSettle = 700 * ms }
+	b := newBench(t, change)
+	b.add("m1", "order", 5)
+	b.add("m2", "order", 5)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.c.Freeze(func() {})
+	b.calls[0].done(Result{Outcome: snowjunction.OK})
+	b = b.killed(ms, change)
+	require.Len(t, b.calls, 1)
+	assert.Equal(t, "m2", b.calls[0].m.ID)
+}
+
+// The clock is set back over a restart. What may have run of a settled message is then any time
+// ago: handed in again it does not go, neither at once nor when the clock has come so far again.
+func TestClockSetBackWithAKeyRemembered(t *testing.T) {
+	for _, later := range []time.Duration{0, 2900 * ms, 3100 * ms, 4900 * ms} {
+		b := newBench(t, nil)
+		b.add("m1", "order", 0)
+		b.step(5 * ms)
+		require.Len(t, b.calls, 1)
+		b.calls[0].done(Result{Outcome: snowjunction.OK})
+		b = b.killed(-3*time.Second, nil)
+		b.step(later)
+		require.NoError(t, b.c.TakeIn(Request{ID: "m2", Class: "order", IdempotencyKey: "m1", Destination: 7, Left: 10 * time.Second},
+			func(Answer, *store.Message) bool { return true }))
+		b.step(5 * ms)
+		b.step(5 * ms)
+		assert.Empty(t, b.calls, "%v later", later)
+	}
+}
+
+// A message's end is told with its attempt out; then that proves not to have run. After a kill
+// the message goes as one that never left.
+func TestNotRunAfterItsEnd(t *testing.T) {
+	for outcome, sent := range map[snowjunction.Outcome]bool{snowjunction.Full: true, snowjunction.Error: false} {
+		b := newBench(t, nil)
+		require.NoError(t, b.c.TakeIn(Request{ID: "m1", Class: "order", Key: 9, IdempotencyKey: "k", Destination: 7, Left: time.Second},
+			func(Answer, *store.Message) bool { return true }))
+		b.step(5 * ms)
+		require.Len(t, b.calls, 1)
+		b.c.do(snowjunction.Fail{Request: b.c.ids[name0("m1")].id})
+		require.Len(t, b.ended, 1)
+		b.calls[0].done(Result{Outcome: outcome})
+		b = b.killed(4900*ms, nil)
+		require.NoError(t, b.c.TakeIn(Request{ID: "m2", Class: "order", Key: 9, IdempotencyKey: "k", Destination: 7, Left: time.Second},
+			func(Answer, *store.Message) bool { return true }))
+		b.step(200 * ms)
+		b.step(10 * ms)
+		assert.Equal(t, sent, len(b.calls) == 1, outcome)
+	}
+}
+
+// The clock is set back over a restart by a little more than that took. What may have run does
+// not go when the clock has passed its attempt, as the first decisions wait for the directory.
+func TestClockSetBackIntoThePause(t *testing.T) {
+	b := newBench(t, nil)
+	m := b.ran("m1", -50*ms)
+	b.c.Pause(80 * ms)
+	b.c.Restore([]*store.Message{m})
+	b.step(81 * ms)
+	b.step(10 * ms)
+	assert.Empty(t, b.calls)
+	require.Len(t, b.ended, 1)
+	assert.Equal(t, store.Failed, b.ended[0].State)
+}
+
+// A client that has not heard hands its message in again under another id before the first has
+// left. What the second sends goes within the window of the first, whatever becomes of that one
+// and however often the process is killed; past it, it is told as failed.
+func TestSameKeyBothHeld(t *testing.T) {
+	for name, way := range map[string]struct {
+		first  snowjunction.Outcome // of all attempts under the first id
+		killed string               // "out": with the first attempt out; "ended": so, and its end told; "over": once the first is over; "late": and forgotten
+		sent   bool                 // the second is sent past what would be the window
+	}{
+		"may have run":                    {first: snowjunction.Reset},
+		"delivered":                       {first: snowjunction.OK},
+		"never ran":                       {first: snowjunction.Full, sent: true},
+		"killed with it out":              {first: snowjunction.Reset, killed: "out"},
+		"killed with it out at its end":   {first: snowjunction.Reset, killed: "ended"},
+		"killed long after":               {first: snowjunction.Reset, killed: "late"},
+		"killed after it may have run":    {first: snowjunction.Reset, killed: "over"},
+		"killed after it was delivered":   {first: snowjunction.OK, killed: "over"},
+		"killed after it proved to be no": {first: snowjunction.Full, killed: "over", sent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			change := func(s *snowjunction.Settings) {
+				s.Classes[0].Window, s.Classes[0].Deadline, s.MaxAttempts = time.Second, 1500*ms, 1
+			}
+			b := newBench(t, change)
+			for _, id := range []string{"m1", "m2"} {
+				require.NoError(t, b.c.TakeIn(Request{ID: id, Class: "order", Key: 5, IdempotencyKey: "k", Destination: 7, Left: 10 * time.Second},
+					func(Answer, *store.Message) bool { return true }))
+			}
+			b.step(5 * ms)
+			require.Len(t, b.calls, 1)
+			b.step(100 * ms)
+			switch way.killed {
+			case "out":
+			case "ended":
+				b.c.do(snowjunction.Fail{Request: b.c.ids[name0("m1")].id})
+			default:
+				b.list(snowjunction.Draining, false) // the second waits for an endpoint
+				b.calls[0].done(Result{Outcome: way.first})
+				b.step(5 * ms)
+				b.calls = nil
+			}
+			if way.killed == "late" {
+				b.step(2 * time.Second)
+				b.filler()
+				require.Empty(t, b.journal.Ran())
+			}
+			if way.killed != "" {
+				b.list(snowjunction.Draining, false)
+				b = newBenchWith(&bench{t: t, now: b.now.Add(600 * ms), settle: true, dir: b.dir, bare: true}, change)
+				b.c.Remember(b.journal.Ran())
+				b.c.Restore(b.heirs)
+			}
+			b.step(1200 * ms)
+			b.list(snowjunction.Ready, true)
+			b.step(200 * ms)
+			b.step(10 * ms)
+			assert.Equal(t, way.sent, len(b.calls) == 1)
+			if !way.sent {
+				require.NotEmpty(t, b.ended)
+				last := b.ended[len(b.ended)-1]
+				assert.Equal(t, "m2", last.ID)
+				assert.Equal(t, store.Failed, last.State)
+			}
+		})
+	}
+}
+
+// An endpoint says that nobody wants a message any more: it has not run, for the next process too.
+func TestNotWantedHasNotRun(t *testing.T) {
+	b := newBench(t, nil)
+	b.add("m1", "order", 5)
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.calls[0].done(Result{Outcome: snowjunction.Moot, Over: true})
+	require.Len(t, b.ended, 1)
+	b = b.killed(ms, nil)
+	assert.Empty(t, b.journal.Ran())
+}
+
+// name0 is an id of the first front's.
+func name0(id string) name { return name{0, id} }
+
+// An attempt is out for longer than the window of its key, its message is over, and the same
+// message is held under another id: that is told as failed, at its turn or when it is given up.
+func TestSameKeyAsOneThatIsOut(t *testing.T) {
+	for _, givenUp := range []bool{false, true} {
+		b := newBench(t, func(s *snowjunction.Settings) { s.Classes[0].Window = time.Second })
+		for i, id := range []string{"m1", "m2"} {
+			require.NoError(t, b.c.TakeIn(Request{ID: id, Class: "order", IdempotencyKey: "k", Destination: 7, Left: 10 * time.Second},
+				func(Answer, *store.Message) bool { return true }))
+			if i == 0 {
+				b.step(5 * ms)
+				b.list(snowjunction.Draining, false)
+				b.c.once.Never(once.Key{Destination: 7, Text: "k"}, id) // the second has come before it left
+			}
+		}
+		require.Len(t, b.calls, 1)
+		b.c.do(snowjunction.Fail{Request: b.c.ids[name0("m1")].id})
+		b.step(900 * ms)
+		require.Len(t, b.ended, 1)
+		b.now = b.now.Add(100 * ms) // its time-out is not heard of yet
+		if givenUp {
+			b.c.do(snowjunction.Refuse{Request: b.c.ids[name0("m2")].id})
+		} else {
+			b.c.send(snowjunction.Send{Request: b.c.ids[name0("m2")].id, Endpoint: 1, Timeout: time.Second})
+		}
+		require.Len(t, b.ended, 2)
+		assert.Equal(t, "m2", b.ended[1].ID)
+		assert.Equal(t, store.Failed, b.ended[1].State)
+		assert.Len(t, b.calls, 1)
+	}
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -36,22 +36,26 @@
 	f.attempt = nil
 	c.calls--
 	c.Counters.result(r.Outcome)
+	ran := mayHaveRun(r.Outcome)
 	switch {
 	case r.Outcome == snowjunction.OK && f.ended:
 		c.Counters.Late++
+		c.came(a, true)
 	case r.Outcome == snowjunction.OK && c.tooLate(f):
 		c.Counters.Overdue++
 		c.end(f, store.Failed, 0)
 	case r.Outcome == snowjunction.OK:
 		c.end(f, store.Delivered, 0)
 	case r.Over && !f.ended:
+		c.came(a, ran)
 		c.end(f, store.Withdrawn, 0)
-	case !f.ended:
-		if err := c.Journal.Came(f.msg, mayHaveRun(r.Outcome)); err != nil {
-			c.Log.Error("journal", "err", err)
+	default:
+		c.came(a, ran)
+		if r.Outcome == snowjunction.Moot && !f.ended && !c.inWindow(f) { // nor does it go any more
+			c.end(f, store.Failed, 0)
 		}
 	}
-	if !mayHaveRun(r.Outcome) && !f.msg.Ran {
+	if !ran && !f.msg.Ran {
 		c.once.Never(f.once(), f.msg.ID)
 	}
 	c.evidence(a, r)
