Descriptors: watch, notices and staff keep theirs; what is not needed makes room

Need: idle clients may fill the descriptors while discovery is down. Read and forced on real connections at 256 descriptors (224 for connections), with a clock that goes only when told. At fault: Engine.Dial counted everything alike, so clients and connections to endpoints took the watch's and the notices' place, and each new try ended with `limit` (also because a dial refused for want of room counted as open until its handler heard of it); a call made room only by a connection to another endpoint, never by an idle client; a client was refused where connections to endpoints that rest had taken all; the second address was refused by the clients' share, and ended its oldest caller even while that waited for its answer; new clients were turned away where silent ones, or such with one byte, came faster than 100 ms pass; the push front ended a client over unread bytes.

Config.Kept keeps connections by kind: watch 1, notices 1, second address 2 where there is one. What is not needed makes room: connections to endpoints that rest, then clients without a request, of any front; those that have handed nothing in before their 100 ms.

What held: nobody with an unanswered request is closed, clients' share, one line for each end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -133,7 +133,9 @@
 // one, is the courier's from then on.
 func (c *courier) build(e *handover.Estate) (left []*store.Message, err error) {
 	cfg, pushCfg := c.cfg, c.process.files.push
-	if c.engine, err = net.New(net.Config{Post: c.loop.Post, Log: c.log, MaxConns: max(cfg.Limits.Sockets-descriptors, cfg.Limits.Sockets/2)}); err != nil {
+	if c.engine, err = net.New(net.Config{
+		Post: c.loop.Post, Log: c.log, MaxConns: max(cfg.Limits.Sockets-descriptors, cfg.Limits.Sockets/2), Kept: kept(cfg),
+	}); err != nil {
 		return nil, err
 	}
 	// An address that somebody else has ends the start before anything of the folder is touched.
@@ -189,6 +191,17 @@
 	return left, err
 }
 
+// kept are the connections that are kept, whatever clients and targets need, for what a courier
+// has to hear and tell: the watch, a notice and, with a second address, a caller there who is
+// answered while another comes.
+func kept(cfg *config.Config) map[string]int {
+	n := map[string]int{platform.WatchKind: 1, platform.NoticeKind: 1}
+	if cfg.Console != "" {
+		n[console.ListenerKind] = 2
+	}
+	return n
+}
+
 // reserve binds the clients' addresses, or goes on with the sockets that have been handed over.
 func (c *courier) reserve(e *handover.Estate, pushListen string) error {
 	if e != nil {
@@ -397,7 +410,7 @@
 
 func (c *courier) count(why string) {
 	t := c.loop.Turns()
-	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(),
+	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(), "kinds", c.engine.Kinds(),
 		"journal", c.journal.Size(), "plugins", c.plugins, "idle", c.core.Dormant(), "learnt", c.core.Learning(), "directory", c.directory(), "heap", heap(),
 		"turns", t.Count, "longest_turn_us", t.Longest.Microseconds())
 }
--- a/internal/front/console/console.go
+++ b/internal/front/console/console.go
@@ -17,7 +17,7 @@
 const (
 	silentFor   = 5 * time.Second // that a caller may take for its line
 	readMost    = oneline.Most + 4
-	callersMost = 32 // beyond, the one that has been there for longest goes
+	callersMost = 32 // beyond, the one goes that has been there for longest without its call
 )
 
 // Config is what the front needs.
@@ -62,10 +62,11 @@
 }
 
 func (f *Front) accept(conn *net.Conn) net.Handler {
-	if len(f.callers) >= callersMost {
-		f.spare()
-	}
 	c := &caller{front: f, conn: conn}
+	if len(f.callers) >= callersMost && !f.spare() {
+		conn.Close(net.Limit)
+		return c
+	}
 	f.join(c)
 	return c
 }
@@ -75,13 +76,15 @@
 	f.callers = append(f.callers, c)
 }
 
-// spare ends the caller that has been there for longest.
+// spare ends the caller that has been there for longest, of those whose call has not come.
 func (f *Front) spare() bool {
-	if len(f.callers) == 0 {
-		return false
+	for _, c := range f.callers {
+		if !c.asked && !c.conn.Unread() {
+			c.end(net.Spared)
+			return true
+		}
 	}
-	f.callers[0].end(net.Spared)
-	return true
+	return false
 }
 
 func (c *caller) Opened() {}
--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -55,7 +55,7 @@
 	}
 	if d.conn == nil {
 		d.parser = http1.Parser{MaxBody: maxAnswer, Sink: d.piece}
-		d.conn = d.front.Engine.Dial("discovery", d.front.Discovery, d)
+		d.conn = d.front.Engine.Dial(WatchKind, d.front.Discovery, d)
 		d.await(openWithin, net.DialTimeout)
 		return
 	}
--- a/internal/front/platform/handover.go
+++ b/internal/front/platform/handover.go
@@ -69,7 +69,7 @@
 	var taken []*client
 	var bytes [][]byte
 	for _, x := range clients {
-		c := &client{front: f, opened: x.Since, since: x.Changed, served: x.Served, taking: true}
+		c := &client{front: f, opened: x.Since, since: x.Changed, served: x.Served, handed: x.Served, taking: true}
 		if c.conn = f.Engine.Adopt("client", true, x.Conn, c); c.conn == nil {
 			continue
 		}
--- a/internal/front/platform/listener.go
+++ b/internal/front/platform/listener.go
@@ -25,6 +25,7 @@
 	quit   bool      // ends after the answers that are due
 	opened time.Time
 	served bool      // has sent a command that makes sense
+	handed bool      // has handed a message in
 	since  time.Time // the last command began, or was answered
 }
 
@@ -74,21 +75,30 @@
 	f.Loop.After(sweepEvery, f.sweep)
 }
 
-// spareClient makes room for another client: of those that can be spared the
-// one goes that is farthest over its time. A request that crosses this is sent
-// again; to turn a new client away fails its request. Who has sent nothing that
-// makes sense has no such time: those who connect at need send at once, and a
-// flood of silent ones would keep them out.
-func (f *Front) spareClient() bool {
+// spareClient makes room for another: of those that can be spared the one goes that is farthest
+// over its time. A request that crosses this is sent again; to turn a new client away fails its
+// request. Who has sent nothing that makes sense goes first, and of these who has sent nothing at
+// all: those who connect at need send at once, and a flood of silent ones would keep them out.
+// Where it is full those go before their time who have handed nothing in, or they would shut the
+// others out where they come faster than it passes. Whose message has been answered just now is
+// left: a close could take the answer with it.
+func (f *Front) spareClient(full bool) bool {
 	now := f.Loop.Now()
 	var spare *client
 	var over time.Duration
 	for c := range f.clients {
+		if len(c.due) > 0 {
+			continue
+		}
 		idle, _ := c.idle(now)
+		may := idle >= spareAfter || full && !c.handed
 		if !c.served {
 			idle += idleMost
 		}
-		if idle >= spareAfter && idle > over && !c.conn.Unread() {
+		if !c.served && c.parser.Idle() {
+			idle += senseWithin
+		}
+		if may && idle >= over && !c.conn.Unread() {
 			spare, over = c, idle
 		}
 	}
@@ -103,7 +113,7 @@
 	// Clients hold a third of the descriptors at most: those that ask once and
 	// stay for a while would use that up, and no further request could come.
 	if float64(len(f.clients)) >= crowdShare*float64(f.Engine.Most()) {
-		f.spareClient()
+		f.spareClient(false)
 	}
 	now := f.Loop.Now()
 	c := &client{front: f, conn: conn, opened: now, since: now}
@@ -180,15 +190,16 @@
 func (c *client) take(a *answer, r core.Request) {
 	c.front.requests++
 	a.asked, a.until, a.no = r, c.front.Loop.Now().Add(r.Left), c.front.requests
+	served, handed := c.served, c.handed
+	c.served, c.handed = true, true // already: what it has to make room for may be decided within
 	err := c.front.core.TakeIn(r, func(x core.Answer, _ *store.Message) bool {
 		a.text, a.asked = render(x), core.Request{}
 		return c.conn.Up() && c.flush()
 	})
 	if err != nil {
 		a.text = resp.Error("ERR " + err.Error())
-		return
+		c.served, c.handed = served, handed
 	}
-	c.served = true
 }
 
 func render(x core.Answer) []byte {
--- a/internal/front/platform/notices.go
+++ b/internal/front/platform/notices.go
@@ -54,7 +54,7 @@
 	if n.conn == nil {
 		n.up = false
 		n.parser = http1.Parser{MaxBody: maxAnswer}
-		n.conn = n.front.Engine.Dial("notices", n.front.Discovery, n)
+		n.conn = n.front.Engine.Dial(NoticeKind, n.front.Discovery, n)
 		n.limit = n.front.Loop.After(n.within(), func() { n.unanswered(net.DialTimeout) })
 		return
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -65,9 +65,16 @@
 	f.discovery.front = f
 	f.discovery.patience = patience.New(cfg.Settings.Fleet, cfg.Settings.Seed).Within(cfg.Settings.DrainGrace)
 	f.notices.front = f
+	f.Engine.SpareIdle(f.spareTarget)
 	return f
 }
 
+// The kinds of the connections to the platform's agent.
+const (
+	WatchKind  = "discovery"
+	NoticeKind = "notices"
+)
+
 // readyAfter bounds how long a courier that knows no target group waits for
 // discovery before it calls itself ready.
 const readyAfter = 2 * time.Second
@@ -83,7 +90,7 @@
 // Start listens, takes the target group as last known and watches it.
 func (f *Front) Start(c *core.Core, known Begin) error {
 	f.core = c
-	addr, err := f.Engine.Listen("client", f.Listen, f.accept, f.spareClient)
+	addr, err := f.Engine.Listen(ListenerKind, f.Listen, f.accept, func() bool { return f.spareClient(true) })
 	if err != nil {
 		return err
 	}
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -73,9 +73,6 @@
 		l.write()
 		return l
 	}
-	if t.front.Engine.Full() {
-		t.front.spareTarget()
-	}
 	l := &link{target: t, parser: http1.Parser{MaxBody: maxAnswer}}
 	l.begin(m.ID, out, shape.Whole, done)
 	l.may = may
@@ -122,18 +119,21 @@
 	t.drop(net.Drained)
 }
 
-// spareTarget ends the connection to a target that has been idle for longest.
-func (f *Front) spareTarget() {
+// spareTarget ends the connection to a target that has been idle for longest, and tells whether
+// there was one.
+func (f *Front) spareTarget() bool {
 	var oldest *target
 	for t := range f.targets {
 		if len(t.idle) > 0 && (oldest == nil || t.idle[0].used.Before(oldest.idle[0].used)) {
 			oldest = t
 		}
 	}
-	if oldest != nil {
-		oldest.idle[0].conn.Close(net.Spared)
-		oldest.idle = oldest.idle[1:]
+	if oldest == nil {
+		return false
 	}
+	oldest.idle[0].conn.Close(net.Spared)
+	oldest.idle = oldest.idle[1:]
+	return true
 }
 
 func (t *target) drop(code net.Code) {
--- a/internal/front/push/listener.go
+++ b/internal/front/push/listener.go
@@ -56,7 +56,7 @@
 	var spare *client
 	for c := range f.clients {
 		idle := c.h2.Open() == 0 && f.Loop.Now().Sub(c.since) >= spareAfter
-		if idle && (spare == nil || c.since.Before(spare.since)) {
+		if idle && (spare == nil || c.since.Before(spare.since)) && !c.conn.Unread() {
 			spare = c
 		}
 	}
--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	stdnet "net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -30,6 +31,7 @@
 	t         *testing.T
 	now       time.Time
 	loop      *core.Loop
+	engine    *net.Engine
 	core      *core.Core
 	front     *platform.Front
 	discovery *peer
@@ -41,6 +43,7 @@
 	l     stdnet.Listener
 	mu    sync.Mutex
 	conns []*end
+	shut  bool // who comes is turned away at once
 }
 
 // end is the stand-in's end of a connection.
@@ -71,8 +74,15 @@
 			}
 			e := &end{TCPConn: c.(*stdnet.TCPConn), p: p}
 			p.mu.Lock()
-			p.conns = append(p.conns, e)
+			shut := p.shut
+			if !shut {
+				p.conns = append(p.conns, e)
+			}
 			p.mu.Unlock()
+			if shut {
+				c.Close()
+				continue
+			}
 			go e.read()
 		}
 	}()
@@ -103,6 +113,25 @@
 	return p.conns[i]
 }
 
+// with is the youngest connection that has been sent some text; nil: there is none yet.
+func (p *peer) with(text string) *end {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range slices.Backward(p.conns) {
+		if bytes.Contains(e.got, []byte(text)) {
+			return e
+		}
+	}
+	return nil
+}
+
+// turnAway has who comes turned away, or taken again.
+func (p *peer) turnAway(shut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shut = shut
+}
+
 // took tells whether the connection of that number has been sent some text n times.
 func (p *peer) took(i int, text string, n int) bool {
 	p.mu.Lock()
@@ -146,12 +175,17 @@
 	}
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T) *site { return newSiteOf(t, net.Config{MaxConns: 64}) }
+
+// newSiteOf is one with so many connections.
+func newSiteOf(t *testing.T, limits net.Config) *site {
 	s := &site{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), discovery: newPeer(t), target: newPeer(t)}
 	s.loop = core.NewLoop(func() time.Time { return s.now })
 	log := slog.New(slog.DiscardHandler)
-	engine, err := net.New(net.Config{Post: s.loop.Post, Log: log, MaxConns: 64})
+	limits.Post, limits.Log = s.loop.Post, log
+	engine, err := net.New(limits)
 	require.NoError(t, err)
+	s.engine = engine
 	t.Cleanup(engine.Stop)
 	journal, _, err := store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
 	require.NoError(t, err)
@@ -198,15 +232,24 @@
 // client connects a client that has been answered once.
 func (s *site) client() *end {
 	s.t.Helper()
-	c, err := stdnet.Dial("tcp", s.front.Addr())
+	e := s.connect(s.front.Addr(), "*1\r\n$4\r\nPING\r\n")
+	s.until("a client is answered", func() bool { return e.p.took(0, "+PONG\r\n", 1) })
+	return e
+}
+
+// connect connects to an address and sends some text, if any. What comes back is the first
+// connection's of a peer of its own.
+func (s *site) connect(addr, text string) *end {
+	s.t.Helper()
+	c, err := stdnet.Dial("tcp", addr)
 	require.NoError(s.t, err)
 	s.t.Cleanup(func() { c.Close() })
-	p := &peer{}
-	e := &end{TCPConn: c.(*stdnet.TCPConn), p: p}
-	p.conns = append(p.conns, e)
+	e := &end{TCPConn: c.(*stdnet.TCPConn), p: &peer{}}
+	e.p.conns = append(e.p.conns, e)
 	go e.read()
-	e.say(s.t, "*1\r\n$4\r\nPING\r\n")
-	s.until("a client is answered", func() bool { return p.took(0, "+PONG\r\n", 1) })
+	if text != "" {
+		e.say(s.t, text)
+	}
 	return e
 }
 
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -25,6 +25,7 @@
 	up       bool
 	over     bool
 	accepted bool
+	booked   bool // it counts as open
 	halves   bool // its other side may close its sending side and still be answered
 	in, out  int
 	written  atomic.Int64 // of out, what the kernel has taken
@@ -93,13 +94,19 @@
 	switch {
 	case !c.Up():
 		return false, true
-	case c.nc == nil: // a plain one is read at once
-		return false, false
+	case c.nc == nil: // a plain one's end comes by itself
+		c.plain.control(func(fd int) {
+			n, _, ok := received(fd)
+			if bytes = n-c.base != uint64(c.handed); !ok {
+				bytes, _ = c.peek(fd)
+			}
+		})
+		return bytes, false
 	}
 	received, ended, ok := received(c.nc.Hash())
 	bytes = received-c.base != uint64(c.handed)
 	if !ok {
-		bytes, ended = c.peek()
+		bytes, ended = c.peek(c.nc.Hash())
 	}
 	if c.gone() { // what was looked at may be another's by now
 		return bytes && !ok, true
@@ -108,9 +115,9 @@
 }
 
 // peek asks the socket and the reader.
-func (c *Conn) peek() (bytes, ended bool) {
+func (c *Conn) peek(fd int) (bytes, ended bool) {
 	var b [1]byte
-	n, _, err := unix.Recvfrom(c.nc.Hash(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	if c.coming.Load() > 0 {
 		return true, false
 	}
@@ -251,9 +258,8 @@
 // end books the end and leaves the connection's one line in the log.
 func (c *Conn) end(code Code) {
 	c.over = true
-	c.engine.open--
-	if c.accepted {
-		c.engine.accepted--
+	if c.booked {
+		c.engine.book(c, -1)
 	}
 	c.engine.cfg.Log.Info("connection ended", "kind", c.kind, "peer", c.peer, "code", string(code),
 		"in", c.in, "out", c.out, "ms", time.Since(c.since).Milliseconds())
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	stdnet "net"
 	"os"
 	"sync"
@@ -58,6 +59,9 @@
 	Post     func(func()) // hands work to the loop's goroutine
 	Log      *slog.Logger
 	MaxConns int // connections open at once, listeners' and targets' together
+	// Kept are connections, by kind, that are kept for it whatever the others need: clients that
+	// rest and calls to targets could else cut the courier off from those that it has to hear.
+	Kept map[string]int
 }
 
 // Engine opens and accepts connections.
@@ -65,8 +69,10 @@
 	cfg       Config
 	nb        *nbio.Engine
 	open      int
-	accepted  int // of these, by listeners
+	opened    map[string]int // of these, by kind
+	accepted  int            // of these, by listeners
 	listeners []listener
+	idle      []func() bool // each ends a dialled connection that is not in use, if there is one
 	accepting sync.WaitGroup
 	reading   sync.WaitGroup // of plain connections
 	plains    map[*plain]bool
@@ -99,7 +105,7 @@
 	logging.SetLevel(logging.LevelNone)
 	// The engine keeps a table of this size; its default is for two million.
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, cfg.MaxConns+4096)
-	e := &Engine{cfg: cfg, stopped: make(chan struct{}), plains: map[*plain]bool{}, halves: map[string]bool{}, nb: nbio.NewEngine(nbio.Config{
+	e := &Engine{cfg: cfg, opened: map[string]int{}, stopped: make(chan struct{}), plains: map[*plain]bool{}, halves: map[string]bool{}, nb: nbio.NewEngine(nbio.Config{
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: writeBuffer,
 		MaxConnReadTimesPerEventLoop: readTimes,
 	})}
@@ -185,7 +191,8 @@
 
 type listener struct {
 	stdnet.Listener
-	kind string
+	kind  string
+	spare func() bool
 }
 
 // Reserve binds the address that Listen will listen on for a kind, unless a listener has been
@@ -314,10 +321,7 @@
 	}
 	c := &Conn{engine: e, kind: kind, peer: from.Peer, since: from.Since, accepted: accepted, handler: handler, in: from.In, out: from.Out, halves: e.halves[kind]}
 	c.written.Store(int64(from.Out))
-	e.open++
-	if accepted {
-		e.accepted++
-	}
+	e.book(c, 1)
 	if !c.attach(raw) {
 		c.end(Limit)
 		return nil
@@ -325,8 +329,53 @@
 	return c
 }
 
-// Full tells that no further connection can be opened.
-func (e *Engine) Full() bool { return e.open >= e.cfg.MaxConns }
+// book counts a connection that is opened, 1, or ends, -1.
+func (e *Engine) book(c *Conn, n int) {
+	c.booked = n > 0
+	e.open += n
+	e.opened[c.kind] += n
+	if c.accepted {
+		e.accepted += n
+	}
+}
+
+// over tells that a kind has more connections than there is room for, with what is kept for others.
+func (e *Engine) over(kind string) bool {
+	most := e.cfg.MaxConns
+	for k, n := range e.cfg.Kept {
+		if k != kind {
+			most -= max(0, n-e.opened[k])
+		}
+	}
+	return e.open > most
+}
+
+// SpareIdle has a connection that is dialled and not in use make room for others; spare ends one
+// and tells whether it has.
+func (e *Engine) SpareIdle(spare func() bool) { e.idle = append(e.idle, spare) }
+
+// spareIdle makes room by a dialled connection that is not in use.
+func (e *Engine) spareIdle() bool {
+	for _, spare := range e.idle {
+		if spare() {
+			return true
+		}
+	}
+	return false
+}
+
+// spareAccepted makes room for a kind by an accepted connection that is not needed: its own first,
+// then another's, if none are kept for that.
+func (e *Engine) spareAccepted(kind string) bool {
+	for _, own := range []bool{true, false} {
+		for _, l := range e.listeners {
+			if (l.kind == kind) == own && (own || e.cfg.Kept[l.kind] == 0) && l.spare() {
+				return true
+			}
+		}
+	}
+	return false
+}
 
 // Most is the number of connections that may be open at once.
 func (e *Engine) Most() int { return e.cfg.MaxConns }
@@ -334,6 +383,9 @@
 // Open is the number of connections that are open or being opened.
 func (e *Engine) Open() int { return e.open }
 
+// Kinds is the same number, by kind.
+func (e *Engine) Kinds() map[string]int { return maps.Clone(e.opened) }
+
 // Listen accepts connections on addr; accept gives each its handler. Where
 // there is no room, spare may end one that is not needed, and tells whether it
 // has. Listen returns the address, which tells the port where addr leaves it
@@ -344,7 +396,7 @@
 	}
 	l := e.inherited[kind]
 	delete(e.inherited, kind)
-	e.listeners = append(e.listeners, listener{l, kind})
+	e.listeners = append(e.listeners, listener{l, kind, spare})
 	e.accepting.Add(1)
 	go func() {
 		defer e.accepting.Done()
@@ -361,7 +413,7 @@
 			// descriptors that nothing counts.
 			seen := make(chan struct{})
 			e.cfg.Post(func() {
-				e.accept(kind, raw, accept, spare)
+				e.accept(kind, raw, accept)
 				close(seen)
 			})
 			select {
@@ -373,12 +425,11 @@
 	return l.Addr().String(), nil
 }
 
-func (e *Engine) accept(kind string, raw stdnet.Conn, accept func(*Conn) Handler, spare func() bool) {
+func (e *Engine) accept(kind string, raw stdnet.Conn, accept func(*Conn) Handler) {
 	c := &Conn{engine: e, kind: kind, peer: raw.RemoteAddr().String(), since: time.Now(), accepted: true, halves: e.halves[kind]}
-	e.open++
-	e.accepted++
-	crowded := e.open > e.cfg.MaxConns || float64(e.accepted) > acceptShare*float64(e.cfg.MaxConns)
-	if crowded && !spare() {
+	e.book(c, 1)
+	crowded := float64(e.accepted) > acceptShare*float64(e.cfg.MaxConns) && e.opened[kind] > e.cfg.Kept[kind]
+	if crowded && !e.spareAccepted(kind) || e.over(kind) && !e.spareIdle() && !e.spareAccepted(kind) {
 		c.end(Limit)
 		raw.Close()
 		return
@@ -390,16 +441,17 @@
 	c.handler = accept(c)
 }
 
-// Dial opens a connection. The handler learns of its fate later, never within
-// this call.
+// Dial opens a connection; where there is no room, one that is not needed makes it. The handler
+// learns of its fate later, never within this call.
 //
 // The engine's own DialAsync puts the first four bytes of a 16-byte address on
 // the wire, which are zeros for IPv4, so the standard library dials.
 func (e *Engine) Dial(kind, addr string, h Handler) *Conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Conn{engine: e, kind: kind, peer: addr, since: time.Now(), handler: h, cancel: cancel}
-	e.open++
-	if e.open > e.cfg.MaxConns {
+	e.book(c, 1)
+	if e.over(kind) && !e.spareIdle() && !e.spareAccepted(kind) {
+		e.book(c, -1) // before it hears of that: the next may be one that has room kept for it
 		e.cfg.Post(func() { c.ended(Limit) })
 		return c
 	}
--- a/internal/net/plain.go
+++ b/internal/net/plain.go
@@ -30,10 +30,20 @@
 	return err == nil
 }
 
+// control calls f with the descriptor, unless the connection is closed.
+func (p *plain) control(f func(fd int)) {
+	if sc, ok := p.raw.(syscall.Conn); ok {
+		if rc, err := sc.SyscallConn(); err == nil {
+			_ = rc.Control(func(fd uintptr) { f(int(fd)) })
+		}
+	}
+}
+
 // attachPlain reads the connection for a handler that hears of a half close.
 func (c *Conn) attachPlain(raw stdnet.Conn) {
 	p, e := &plain{raw}, c.engine
 	c.plain, c.up, e.plains[p] = p, true, true
+	p.control(c.count)
 	e.reading.Add(1)
 	go func() {
 		defer e.reading.Done()
@@ -43,7 +53,9 @@
 			if n > 0 {
 				b := append([]byte(nil), buf[:n]...)
 				e.queue(n)
+				c.coming.Add(1)
 				e.cfg.Post(func() {
+					c.coming.Add(-1)
 					c.data(b)
 					e.unqueue(n)
 				})
