--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	stdnet "net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,7 @@
 	t         *testing.T
 	now       time.Time
 	loop      *core.Loop
+	engine    *net.Engine
 	core      *core.Core
 	front     *platform.Front
 	discovery *peer
@@ -47,6 +49,7 @@
 	l      stdnet.Listener
 	mu     sync.Mutex
 	conns  []*end
+	away   bool          // who comes is turned away at once
 	parked chan struct{} // nobody accepts from now on
 	resume chan struct{}
 	filler stdnet.Conn // takes the room of the queue meanwhile
@@ -85,8 +88,15 @@
 			}
 			e := &end{TCPConn: c.(*stdnet.TCPConn), p: p}
 			p.mu.Lock()
-			p.conns = append(p.conns, e)
+			away := p.away
+			if !away {
+				p.conns = append(p.conns, e)
+			}
 			p.mu.Unlock()
+			if away {
+				c.Close()
+				continue
+			}
 			go e.read()
 		}
 	}()
@@ -117,6 +127,25 @@
 	return p.conns[i]
 }
 
+// with is the youngest connection that has been sent some text; nil: there is none yet.
+func (p *peer) with(text string) *end {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range slices.Backward(p.conns) {
+		if bytes.Contains(e.got, []byte(text)) {
+			return e
+		}
+	}
+	return nil
+}
+
+// turnAway has who comes turned away, or taken again.
+func (p *peer) turnAway(away bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.away = away
+}
+
 // took tells whether the connection of that number has been sent some text n times.
 func (p *peer) took(i int, text string, n int) bool {
 	p.mu.Lock()
@@ -182,14 +211,21 @@
 
 // newSite is a courier alone, unless its settings are changed.
 func newSite(t *testing.T, change ...func(*snowjunction.Settings)) *site {
+	return newSiteOf(t, net.Config{MaxConns: 64}, change...)
+}
+
+// newSiteOf is one with so many connections.
+func newSiteOf(t *testing.T, limits net.Config, change ...func(*snowjunction.Settings)) *site {
 	s := &site{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), discovery: newPeer(t), target: newPeer(t)}
 	s.loop = core.NewLoop(func() time.Time { return s.now })
 	log := slog.New(ends{slog.DiscardHandler, &s.ends})
-	engine, err := net.New(net.Config{Log: log, MaxConns: 64, Post: func(f func()) {
+	limits.Log, limits.Post = log, func(f func()) {
 		s.posted.Add(1)
 		s.loop.Post(f)
-	}})
+	}
+	engine, err := net.New(limits)
 	require.NoError(t, err)
+	s.engine = engine
 	t.Cleanup(engine.Stop)
 	journal, _, err := store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
 	require.NoError(t, err)
@@ -239,15 +275,24 @@
 // client connects a client that has been answered once.
 func (s *site) client() *end {
 	s.t.Helper()
-	c, err := stdnet.Dial("tcp", s.front.Addr())
+	e := s.connect(s.front.Addr(), "*1\r\n$4\r\nPING\r\n")
+	s.until("a client is answered", func() bool { return e.p.took(0, "+PONG\r\n", 1) })
+	return e
+}
+
+// connect connects to an address and sends some text, if any. What comes back is the first
+// connection's of a peer of its own.
+func (s *site) connect(addr, text string) *end {
+	s.t.Helper()
+	c, err := stdnet.Dial("tcp", addr)
 	require.NoError(s.t, err)
 	s.t.Cleanup(func() { c.Close() })
-	p := &peer{}
-	e := &end{TCPConn: c.(*stdnet.TCPConn), p: p}
-	p.conns = append(p.conns, e)
+	e := &end{TCPConn: c.(*stdnet.TCPConn), p: &peer{}}
+	e.p.conns = append(e.p.conns, e)
 	go e.read()
-	e.say(s.t, "*1\r\n$4\r\nPING\r\n")
-	s.until("a client is answered", func() bool { return p.took(0, "+PONG\r\n", 1) })
+	if text != "" {
+		e.say(s.t, text)
+	}
 	return e
 }
 
