--- /dev/null
+++ b/capacity_test.go
@@ -0,0 +1,153 @@
+package snowjunction
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"snowjunction/internal/gauge"
+)
+
+// The fleet of docs/CAPACITY.md.
+const (
+	fleetToCome        = 3_400
+	destinationsToCome = 1_300_000
+	eventsToCome       = 7_900_000 // a second
+)
+
+func memberToCome(b *testing.B, number int) *Courier {
+	c, err := New(Settings{
+		Fleet: fleetToCome, Number: number, Notes: true, Tick: time.Millisecond, Slots: 4096, MaxAttempts: 6,
+		Classes: []Class{{Effect: Safe, Aim: 1500 * time.Millisecond, Deadline: 8 * time.Second, Worth: 2, LateShare: 0.1}},
+		Tenants: []Tenant{{Quota: eventsToCome}}, Report: []ReportField{AllowanceLeft, LimitRate}, ConnectTimeout: 1500 * time.Millisecond,
+		ColdShare: 0.2, FallMultiple: 2, WarmUp: 14 * time.Second, FallTime: 1500 * time.Millisecond,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return c
+}
+
+func twoOf(d DestinationID) []Endpoint {
+	return []Endpoint{{ID: EndpointID(2*d + 1), Destination: d, Phase: Ready, Weight: 1}, {ID: EndpointID(2*d + 2), Destination: d, Phase: Ready, Weight: 1}}
+}
+
+// What an ask with its grant costs the module of the account's keeper. It keeps an even part
+// of the accounts and is asked at the rate of their events.
+func BenchmarkKeeper(b *testing.B) {
+	const n = 20_000
+	c := memberToCome(b, 5)
+	var mine []DestinationID
+	for d := range DestinationID(destinationsToCome) {
+		if c.line.First(uint32(d)) == 5 {
+			mine = append(mine, d)
+		}
+	}
+	now, i, grants := time.Second, 0, 0
+	gauge.CPU(b, n, "ask", func() {
+		for range n {
+			now += time.Second * fleetToCome / eventsToCome
+			note := Note{Destination: mine[i%len(mine)], Asks: true, Calls: 1, Rank: 150, Limit: 12}
+			for _, a := range c.Handle(now, []Event{Heard{Peer: 6 + i%3000, Notes: []Note{note}}}) {
+				if t, ok := a.(Tell); ok && len(t.Notes) > 0 {
+					grants++
+				}
+			}
+			i++
+		}
+	})
+	if grants < b.N*n*9/10 {
+		b.Fatalf("%d grants of %d asks", grants, b.N*n)
+	}
+	b.ReportMetric(float64(len(mine)), "accounts")
+}
+
+// What a destination with two endpoints takes of the module while it is awake: after a call
+// to each of the two, and with one message that waits.
+func BenchmarkAwakeDestination(b *testing.B) {
+	const n = 4096
+	gauge.Held(b, n, "destination", func() any {
+		c := memberToCome(b, 5)
+		c.s.Notes = false
+		id := RequestID(0)
+		for round := range 2 {
+			for d := range DestinationID(n) {
+				now := time.Second + time.Duration(n*round+int(d))*time.Millisecond
+				var events []Event
+				if round == 0 {
+					events = append(events, Wake{Destination: d, Endpoints: twoOf(d), Destinations: destinationsToCome})
+				}
+				id++
+				for _, a := range c.Handle(now, append(events, Request{ID: id, Destination: d, Deadline: 8 * time.Second})) {
+					if s, ok := a.(Send); ok {
+						c.Handle(now+time.Millisecond/2, []Event{AttemptEnded{
+							Request: s.Request, Endpoint: s.Endpoint, Took: 200 * time.Microsecond, Done: true, Report: []float64{0.8, 12},
+						}})
+					}
+				}
+			}
+		}
+		return c
+	})
+}
+
+// held is a courier that holds so many messages, over so many destinations, none of which
+// may be called before a minute.
+func held(b *testing.B, messages, destinations int) *Courier {
+	c := memberToCome(b, 5)
+	c.s.Notes = false
+	now := time.Second
+	for d := range DestinationID(destinations) {
+		c.Handle(now, []Event{Wake{Destination: d, Endpoints: twoOf(d), Destinations: destinationsToCome}})
+		c.destination(d).routes[0].toldUntil = now + time.Hour
+		c.destination(d).routes[0].waitUntil = now + time.Hour
+	}
+	for i := range messages {
+		c.hold(&request{id: RequestID(i + 1), class: c.class(0), dest: c.destination(DestinationID(i % destinations)), aimAt: now + time.Hour, deadline: now + 2*time.Hour})
+	}
+	c.Handle(now, nil)
+	if len(c.held) != messages {
+		b.Fatalf("%d held of %d", len(c.held), messages)
+	}
+	return c
+}
+
+// What a message that waits takes of the module, beside its destination.
+func BenchmarkHeldRequest(b *testing.B) {
+	const n = 100_000
+	gauge.Held(b, n, "event", func() any { return held(b, n, 100) })
+}
+
+// What a turn of the module costs for each destination with messages that wait, and for each
+// message, as nothing happens.
+func BenchmarkTurn(b *testing.B) {
+	for _, x := range []struct{ messages, destinations int }{{100, 100}, {1_000, 1_000}, {4_000, 4_000}, {40_000, 4_000}, {1_000, 1}, {100_000, 1}} {
+		b.Run(fmt.Sprintf("messages=%d/destinations=%d", x.messages, x.destinations), func(b *testing.B) {
+			c, now := held(b, x.messages, x.destinations), time.Second
+			gauge.CPU(b, 100, "turn", func() {
+				for range 100 {
+					now += time.Millisecond
+					c.Handle(now, nil)
+				}
+			})
+		})
+	}
+}
+
+// What the end of one message costs the module where so many are held.
+func BenchmarkEndAmongHeld(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000, 1_000_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := held(b, n, 1_000)
+			i := 0
+			gauge.CPU(b, 100, "event", func() {
+				for range 100 {
+					r := c.held[(i*7919)%len(c.held)]
+					c.finish(r)
+					c.hold(&request{id: r.id, class: r.class, dest: r.dest, aimAt: r.aimAt, deadline: r.deadline})
+					i++
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/capacity_test.go
@@ -0,0 +1,71 @@
+package core
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/gauge"
+	"snowjunction/internal/groups"
+	"snowjunction/internal/store"
+)
+
+// What a message that waits takes of the whole core: flow, module and journal, with a body of
+// 256 bytes and a key of its own, at a destination whose one slot is in use.
+func BenchmarkHeldMessage(b *testing.B) {
+	const n = 20_000
+	gauge.Held(b, n, "event", func() any {
+		x := newBenchWith(&bench{t: b, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), settle: true, disk: 1 << 30}, func(s *snowjunction.Settings) {
+			s.MaxHeld, s.Slots = 0, 1
+			s.Classes[0].Aim, s.Classes[0].Deadline = time.Hour, 2*time.Hour
+		})
+		for i := range n {
+			id := fmt.Sprintf("%016x", i)
+			err := x.c.TakeIn(Request{ID: id, Class: "order", Key: uint64(i + 1), IdempotencyKey: id, Destination: 7, Left: time.Hour, Body: make([]byte, 256)},
+				func(Answer, *store.Message) bool { return true })
+			if err != nil {
+				b.Fatal(err)
+			}
+			if i%100 == 99 {
+				x.step(5 * ms)
+			}
+		}
+		if x.step(5 * ms); x.c.Held() != n {
+			b.Fatalf("%d held of %d", x.c.Held(), n)
+		}
+		return x
+	})
+}
+
+// What a whole list costs the core that holds the same already, and the heap that both take
+// while it is taken.
+func BenchmarkWholeList(b *testing.B) {
+	for _, n := range []int{20_000, 200_000, 2_600_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			x := newBenchWith(&bench{t: b, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)}, nil)
+			most := uint64(0)
+			gauge.CPU(b, n, "entry", func() {
+				l := groups.NewList(true)
+				for i := range n {
+					err := l.Add(Entry{
+						Name: fmt.Sprintf("s-%08x", uint32(i)*0x9e3779b1), Addr: fmt.Sprintf("10.%d.%d.%d:%d", i>>16&255, i>>8&255, i&255, 6379+i>>24),
+						Destination: snowjunction.DestinationID(i / 2), Phase: snowjunction.Ready, Weight: 1,
+					})
+					if err != nil {
+						b.Fatal(err)
+					}
+				}
+				if err := x.c.Listed(0, l); err != nil {
+					b.Fatal(err)
+				}
+				var s runtime.MemStats
+				runtime.ReadMemStats(&s)
+				most = max(most, s.HeapAlloc)
+				x.step(ms)
+			})
+			b.ReportMetric(float64(most)/float64(n), "peak-heap-B/entry")
+		})
+	}
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"log/slog"
 	"strings"
 	"testing"
@@ -21,7 +22,7 @@
 // bench drives a core on a clock of its own. It is the core's front, and its
 // targets keep the calls that they get.
 type bench struct {
-	t       *testing.T
+	t       testing.TB
 	c       *Core
 	now     time.Time
 	journal *store.Journal
@@ -38,6 +39,7 @@
 	dir     string                // of the journal
 	heirs   []*store.Message      // what an earlier process has left in it
 	goes    func(seq uint64) bool // which attempts go on
+	disk    int64                 // bytes that the journal may take; 0: 3e6
 }
 
 type testCall struct {
@@ -82,7 +84,7 @@
 	}
 }
 
-func newBench(t *testing.T, change func(*snowjunction.Settings)) *bench {
+func newBench(t testing.TB, change func(*snowjunction.Settings)) *bench {
 	return newBenchWith(&bench{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), settle: true}, change)
 }
 
@@ -93,7 +95,7 @@
 	if b.dir == "" {
 		b.dir = t.TempDir()
 	}
-	b.journal, b.heirs, err = store.Load(store.Options{Dir: b.dir, Bytes: 3e6, Log: log, Goes: b.goes})
+	b.journal, b.heirs, err = store.Load(store.Options{Dir: b.dir, Bytes: cmp.Or(b.disk, 3e6), Log: log, Goes: b.goes})
 	require.NoError(t, err)
 	t.Cleanup(func() { b.journal.Close() })
 	s := snowjunction.Settings{
--- /dev/null
+++ b/internal/emulate/capacity_test.go
@@ -0,0 +1,163 @@
+package emulate
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"snowjunction"
+	"snowjunction/internal/emulate/policy"
+	"snowjunction/internal/notes"
+)
+
+// tally counts what couriers tell each other.
+type tally struct {
+	greetings, datagrams, bytes, asks, grants, failing, limits int
+}
+
+// counted is a module whose notes are counted.
+type counted struct {
+	policy.Policy
+	n *tally
+}
+
+func (c counted) Handle(now time.Duration, events []snowjunction.Event) []snowjunction.Action {
+	actions := c.Policy.Handle(now, events)
+	for _, a := range actions {
+		t, ok := a.(snowjunction.Tell)
+		if !ok {
+			continue
+		}
+		if len(t.Notes) == 0 {
+			c.n.greetings++
+			continue
+		}
+		far := make([]snowjunction.Note, len(t.Notes))
+		for i, x := range t.Notes {
+			c.n.count(x)
+			far[i] = x
+			far[i].Destination += 1_000_000 // as long as most of the fleet to come have
+		}
+		for _, b := range notes.Write(far) {
+			c.n.datagrams++
+			c.n.bytes += len(b)
+		}
+	}
+	return actions
+}
+
+func (n *tally) count(x snowjunction.Note) {
+	for to, is := range map[*int]bool{&n.asks: x.Asks, &n.grants: x.Grants && !x.Serves, &n.failing: x.Failing, &n.limits: x.Limit > 0} {
+		if is {
+			*to++
+		}
+	}
+}
+
+// seeds of each size.
+const seedsTold = 2
+
+// ipAndUDP are the bytes of a datagram's headers.
+const ipAndUDP = 28
+
+// tell plays a scenario and reports its notes: for a message that clients handed in, and, of
+// those that only say that a courier is there, for a courier.
+func tell(b *testing.B, s *Scenario) (n tally) {
+	messages, delivered := 0, 0
+	for b.Loop() {
+		for seed := range uint64(seedsTold) {
+			r, err := Run(s, Options{Seed: seed + 1, New: func(s snowjunction.Settings, t policy.Truth) (policy.Policy, error) {
+				p, err := policy.New("module", s, t)
+				return counted{p, &n}, err
+			}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			messages, delivered = messages+r.Tries, delivered+r.Delivered
+		}
+	}
+	per := func(v int, what string) { b.ReportMetric(float64(v)/float64(messages), what+"/message") }
+	per(n.datagrams, "notes")
+	per(n.bytes, "B")
+	per(n.bytes+ipAndUDP*n.datagrams, "B-with-headers")
+	per(n.asks, "asks")
+	per(n.grants, "grants")
+	per(n.limits, "limits")
+	per(delivered, "delivered")
+	b.ReportMetric(float64(n.greetings)/float64(b.N*seedsTold*s.Couriers), "greetings/courier")
+	b.ReportMetric(0, "ns/op")
+	return n
+}
+
+// The notes of a few busy destinations, as couriers and load grow. What full load is, and so
+// the limits, grows with the factor; level is the load over it.
+func BenchmarkNotesOfGrowingFleet(b *testing.B) {
+	for _, couriers := range []int{20, 40, 80, 160, 320} {
+		for _, factor := range []float64{1, 2, 4} {
+			for _, level := range []float64{0.75, 1.1} {
+				b.Run(fmt.Sprintf("couriers=%d/full=%g/level=%g", couriers, 500*factor, level), func(b *testing.B) {
+					s, err := Load("growing-fleet")
+					if err != nil {
+						b.Fatal(err)
+					}
+					s.Couriers, s.Seconds, s.Load.Full, s.Load.Level = couriers, 10, 500*factor, level
+					tell(b, s)
+				})
+			}
+		}
+	}
+}
+
+// The fleet to come has 382 destinations for each courier, here a tenth, and each of them has
+// 6.1 events a second from all couriers: the more there are, the seldomer one courier meets it.
+const (
+	destinationsEach = 38
+	eventsEach       = 6.1
+)
+
+func sparse(b *testing.B, couriers int, limited, down float64) *Scenario {
+	file := filepath.Join(b.TempDir(), "overlay.json")
+	text := `{}`
+	if down > 0 {
+		text = fmt.Sprintf(`{"faults": [{"kind": "silent", "at_s": 0, "for_s": 100, "share": %g}]}`, down)
+	}
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	s, err := Load("growing-fleet", file)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.Couriers, s.Seconds, s.Dormancy = couriers, 5, true
+	s.Partners.Count, s.Partners.Limited = couriers*destinationsEach, limited
+	s.Partners.Skew, s.Load.Level = 0, 0.75
+	s.Load.Full = float64(s.Partners.Count) * eventsEach / s.Load.Level
+	return s
+}
+
+// The notes where many destinations have few events each.
+func BenchmarkNotesOfFleetToCome(b *testing.B) {
+	for _, couriers := range []int{10, 20, 40, 80} {
+		for _, limited := range []float64{0, 1} {
+			b.Run(fmt.Sprintf("couriers=%d/limited=%g", couriers, limited), func(b *testing.B) {
+				tell(b, sparse(b, couriers, limited, 0))
+			})
+		}
+	}
+}
+
+// What couriers say of destinations that are down, a hundredth of all, for each of them and
+// second.
+func BenchmarkNotesOfOutages(b *testing.B) {
+	for _, couriers := range []int{10, 20, 40} {
+		b.Run(fmt.Sprintf("couriers=%d", couriers), func(b *testing.B) {
+			s := sparse(b, couriers, 1, 0.01)
+			s.Seconds = 12
+			n := tell(b, s)
+			down := 0.01 * float64(s.Partners.Count)
+			b.ReportMetric(float64(n.failing)/float64(b.N)/seedsTold/down/s.Seconds, "failing/down-destination-s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/net/capacity_test.go
@@ -0,0 +1,39 @@
+package net
+
+import (
+	"log/slog"
+	stdnet "net"
+	"testing"
+
+	"snowjunction/internal/gauge"
+)
+
+// What a datagram costs its sender and its receiver together, one after another on loopback.
+func BenchmarkDatagram(b *testing.B) {
+	const n = 10_000
+	free := func() string {
+		c, err := stdnet.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer c.Close()
+		return c.LocalAddr().String()
+	}
+	each := []string{free(), free()}
+	come := make(chan struct{}, 1)
+	for i := range each {
+		d, err := Exchange(each[i], each, 256, func(f func()) { f() }, slog.New(slog.DiscardHandler), func(int, []byte) { come <- struct{}{} })
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(d.Close)
+		if i == 1 {
+			gauge.CPU(b, n, "datagram", func() {
+				for range n {
+					d.Send(0, []byte("8 bytes."))
+					<-come
+				}
+			})
+		}
+	}
+}
