--- a/capacity_test.go
+++ b/capacity_test.go
@@ -151,3 +151,43 @@
 		})
 	}
 }
+
+// What an event costs the module of the courier that carries it, where it meets each
+// destination so seldom that it wakes for one message, asks, calls and sleeps again; four
+// thousand others are awake meanwhile.
+func BenchmarkCarrier(b *testing.B) {
+	const n, awake = 20_000, 4_000
+	c, now, i, sent := memberToCome(b, 5), time.Second, 0, 0
+	gauge.CPU(b, n, "event", func() {
+		for range n {
+			now += time.Second * fleetToCome / eventsToCome
+			d, old := DestinationID(i*7919%destinationsToCome), DestinationID((i-awake)*7919%destinationsToCome)
+			var events []Event
+			if i >= awake {
+				events = append(events, Sleep{Destination: old})
+			}
+			i++
+			events = append(events, Wake{Destination: d, Endpoints: twoOf(d), Destinations: destinationsToCome}, Request{ID: RequestID(i), Destination: d, Deadline: 8 * time.Second})
+			for len(events) > 0 {
+				actions := c.Handle(now, events)
+				events = nil
+				for _, a := range actions {
+					switch a := a.(type) {
+					case Tell:
+						for _, x := range a.Notes {
+							if x.Asks && x.Calls > 0 {
+								events = append(events, Heard{Peer: a.Peer, Notes: []Note{{Destination: x.Destination, Grants: true, Calls: 1}}})
+							}
+						}
+					case Send:
+						sent++
+						events = append(events, AttemptEnded{Request: a.Request, Endpoint: a.Endpoint, Took: time.Millisecond / 10, Done: true, Report: []float64{0.8, 12}})
+					}
+				}
+			}
+		}
+	})
+	if sent < b.N*n*99/100 {
+		b.Fatalf("%d sent of %d", sent, b.N*n)
+	}
+}
--- a/internal/emulate/capacity_test.go
+++ b/internal/emulate/capacity_test.go
@@ -149,15 +149,19 @@
 }
 
 // What couriers say of destinations that are down, a hundredth of all, for each of them and
-// second.
+// second; beside the like without any.
 func BenchmarkNotesOfOutages(b *testing.B) {
 	for _, couriers := range []int{10, 20, 40} {
-		b.Run(fmt.Sprintf("couriers=%d", couriers), func(b *testing.B) {
-			s := sparse(b, couriers, 1, 0.01)
-			s.Seconds = 12
-			n := tell(b, s)
-			down := 0.01 * float64(s.Partners.Count)
-			b.ReportMetric(float64(n.failing)/float64(b.N)/seedsTold/down/s.Seconds, "failing/down-destination-s")
-		})
+		for _, down := range []float64{0, 0.01} {
+			b.Run(fmt.Sprintf("couriers=%d/down=%g", couriers, down), func(b *testing.B) {
+				s := sparse(b, couriers, 1, down)
+				s.Seconds = 12
+				n := tell(b, s)
+				if down > 0 {
+					seconds := down * float64(s.Partners.Count) * s.Seconds
+					b.ReportMetric(float64(n.failing)/float64(b.N)/seedsTold/seconds, "failing/down-destination-s")
+				}
+			})
+		}
 	}
 }
--- /dev/null
+++ b/internal/proto/listing/capacity_test.go
@@ -0,0 +1,33 @@
+package listing
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fastjson"
+
+	"snowjunction/internal/gauge"
+)
+
+// What an entry of a long list costs to read.
+func BenchmarkReadLongList(b *testing.B) {
+	const n = 100_000
+	var text strings.Builder
+	text.WriteString(`{"generation":1,"reset":true,"instances":[`)
+	for i := range n {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		fmt.Fprintf(&text, `{"instanceId":"s-%08x","hostPort":"10.1.%d.%d:6379","zone":"a","machineType":"m2","cell":%d,"lifecycle":"Ready","weight":1,"startedAtMs":0}`, i, i>>8&255, i&255, i/2)
+	}
+	text.WriteString(`]}`)
+	all := []byte(text.String())
+	gauge.CPU(b, n, "entry", func() {
+		r := &Reader{MaxSize: 1 << 30, MaxList: 1 << 30, Entry: func(*fastjson.Value) error { return nil }}
+		if err := errors.Join(r.Feed(all), r.End()); err != nil {
+			b.Fatal(err)
+		}
+	})
+}
