Start: its steps in one line, measured one by one and at once; the known list read entry by entry

Need: nine in ten restarted processes ready within 10 s, and nothing told where a start's time goes. The daemon logs `ready` once, with each step's time; `snowjunction measure start` starts processes with full folders beside a directory that is up, refuses, is silent or drips.

Seen with 65,536 endpoints in the configuration: the step `files` took most of a start, 950 to 2,260 ms alone and 5.7 s with three on one core (the machine was loaded by others). Cause: config.Parse had the whole list in JSON's own form before it read an entry; TotalAlloc 105 MB for 2.8 MB of text, at a limit of 32 MB for the process.

TestLongKnownListTakesLittle was seen to fail without that. TestStartTellsItsSteps and TestMeasureStart hold counts and order.

--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -114,6 +114,7 @@
 	Idle      idleCommand      `cmd:"" help:"What idle destinations cost, and how they wake."`
 	Hostile   hostileCommand   `cmd:"" help:"Ten thousand messages past hostile plug-ins; exit 0 only if every rule holds."`
 	Plugins   pluginsCommand   `cmd:"" help:"What plug-ins cost, and what a looping one does to other flows."`
+	Start     startCommand     `cmd:"" help:"Starts of processes with full folders, step by step, one by one and at once."`
 	Upgrade   upgradeCommand   `cmd:"" help:"Processes that follow one another under load; exit 0 only if nothing is lost."`
 }
 
@@ -151,6 +152,15 @@
 	return err
 }
 
+type startCommand struct{ measure.Start }
+
+func (m startCommand) Run() (err error) {
+	if m.Exe, err = os.Executable(); err == nil {
+		_, err = m.Start.Run(os.Stdout)
+	}
+	return err
+}
+
 type upgradeCommand struct{ measure.Upgrade }
 
 func (m upgradeCommand) Run() (err error) {
--- /dev/null
+++ b/cmd/snowjunction/start_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"io"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/daemon"
+	"snowjunction/internal/measure"
+	"snowjunction/internal/scenario"
+)
+
+// The log has one account of a start: its steps in their order, and what was taken up.
+func TestStartTellsItsSteps(t *testing.T) {
+	c := prepare(t)
+	ready := `msg=ready .*`
+	for _, step := range daemon.Steps {
+		ready += ` steps_ms\.` + step + `=[0-9.]+`
+	}
+	for _, restored := range []string{"0", "1"} {
+		require.NoError(t, c.Start())
+		_, err := c.Await(ready + ` restored=` + restored + ` endpoints=2`)
+		require.NoError(t, err)
+		c.Play.Run(`
+			client dial c
+			c send "*1\r\n$4\r\nPING\r\n"
+			c expect "+PONG\r\n"
+			c send "$ADDm` + restored + `$STATUSx\r\n"
+			c expect "+OK\r\n"
+		`)
+		assert.Equal(t, 1, strings.Count(c.Log(), "msg=ready "))
+		c.Play.Run(`courier wait kill`)
+	}
+}
+
+// The measurement of starts in short: every process is counted, has each step, and takes up all
+// that was left for it.
+func TestMeasureStart(t *testing.T) {
+	t.Setenv(scenario.RunAs, "1")
+	o := measure.Start{Starts: 1, AtOnce: 2, Entries: 60, DiskMB: 1, MemoryMB: 64, Exe: os.Args[0]}
+	require.NoError(t, o.Validate())
+	f, err := o.Run(io.Discard)
+	require.NoError(t, err)
+	assert.Equal(t, 4*(1+2), f.Processes)
+	assert.Equal(t, 60, f.OnDisk)
+	assert.Greater(t, f.Restored, 500)
+	assert.Equal(t, append(append([]string{"exec"}, daemon.Steps...), "pong", "whole"), f.Steps)
+	assert.Len(t, f.Ms, 4*2)
+	for kind, steps := range f.Ms {
+		assert.Len(t, steps, len(f.Steps), kind)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math"
@@ -18,6 +19,7 @@
 	"snowjunction"
 	"snowjunction/internal/core"
 	"snowjunction/internal/groups"
+	"snowjunction/internal/proto/listing"
 )
 
 // Config is what a courier is told at its start.
@@ -112,6 +114,7 @@
 
 // Parse decodes a configuration.
 func Parse(b []byte, env func(string) string) (*Config, error) {
+	b, known := cutKnown(b)
 	v, err := fastjson.ParseBytes(b)
 	if err != nil {
 		return nil, err
@@ -158,14 +161,46 @@
 		c.Columns = append(c.Columns, string(name))
 	}
 	c.Names = Names{Zones: number(set.GetArray("dcs")), Kinds: number(set.GetArray("models"))}
-	if known := v.Get("known"); known != nil && known.Type() == fastjson.TypeObject {
-		if c.Known, err = c.Names.list(known); err != nil {
+	if known != nil {
+		if c.Known, err = c.Names.read(known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
 	return c, nil
 }
 
+// cutKnown takes the known list out of a configuration: it may be a thousand times as long as all
+// else, and is read entry by entry. Without one, or where it is no object, known is nil.
+func cutKnown(b []byte) (rest, known []byte) {
+	const name = "\"known\""
+	depth, quote, from := 0, -1, -1 // where a string begins; where the list does
+	for i := 0; i < len(b); i++ {
+		switch c := b[i]; {
+		case quote >= 0 && c == '\\':
+			i++
+		case quote >= 0 && c == '"':
+			if after := bytes.TrimLeft(b[i+1:], " \t\r\n"); depth == 1 && from < 0 && string(b[quote:i+1]) == name && len(after) > 0 && after[0] == ':' {
+				after = bytes.TrimLeft(after[1:], " \t\r\n")
+				if len(after) == 0 || after[0] != '{' {
+					return b, nil
+				}
+				from = len(b) - len(after)
+			}
+			quote = -1
+		case quote >= 0:
+		case c == '"':
+			quote = i
+		case c == '{' || c == '[':
+			depth++
+		case c == '}' || c == ']':
+			if depth--; depth == 1 && from >= 0 {
+				return slices.Concat(b[:from], []byte("null"), b[i+1:]), b[from : i+1]
+			}
+		}
+	}
+	return b, nil
+}
+
 // Differs names what c and another configuration do not agree on, but for the
 // address of discovery, the list and the seed, which are another each time.
 func (c *Config) Differs(other *Config) (names []string) {
@@ -208,29 +243,28 @@
 
 // List decodes an answer of discovery.
 func (n Names) List(b []byte) (List, error) {
-	v, err := fastjson.ParseBytes(b)
-	if err != nil {
-		return List{}, fmt.Errorf("list: %w", err)
-	}
-	l, err := n.list(v)
+	l, err := n.read(b)
 	if err != nil {
 		return List{}, fmt.Errorf("list: %w", err)
 	}
 	return l, nil
 }
 
-func (n Names) list(v *fastjson.Value) (List, error) {
-	if !v.Exists("generation") {
-		return List{}, errors.New("no generation")
-	}
-	out := List{Held: true, Generation: v.GetUint64("generation"), Full: v.GetBool("reset")}
-	for i, t := range v.GetArray("instances") {
-		e, err := n.Target(t)
-		if err != nil {
-			return List{}, fmt.Errorf("instances[%d]: %w", i, err)
-		}
+// read decodes a list entry by entry: as a whole in JSON's own form it would take many times the
+// room of the entries, and a start most of its time.
+func (n Names) read(b []byte) (out List, err error) {
+	r := listing.Reader{MaxSize: len(b), MaxList: len(b), Entry: func(v *fastjson.Value) error {
+		e, err := n.Target(v)
 		out.Targets = append(out.Targets, e)
+		return err
+	}}
+	if err := r.Feed(b); err != nil {
+		return List{}, err
+	}
+	if err := r.End(); err != nil {
+		return List{}, err
 	}
+	out.Held, out.Generation, out.Full = true, r.Generation, r.Full
 	return out, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,8 +1,10 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -57,6 +59,49 @@
 	assert.ErrorContains(t, err, "GW_STATE")
 }
 
+// The known list is found wherever it stands, and nothing else is taken for it.
+func TestKnownListIsCutOut(t *testing.T) {
+	const list = `{"generation":7,"reset":true,"instances":[]}`
+	for text, want := range map[string]string{
+		`{"known":` + list + `,"x":1}`:                         `{"known":null,"x":1}`,
+		`{"x":[{"known":{}},"known"], "known" : ` + list + `}`: `{"x":[{"known":{}},"known"], "known" : null}`,
+		`{"x":"\"known\":{","y":"}\\","known":` + list + `}`:   `{"x":"\"known\":{","y":"}\\","known":null}`,
+		`{"x":"known","known":null}`:                           ``,
+		`{"known":[` + list + `]}`:                             ``,
+		`{"known":{"generation":7`:                             ``,
+		`{"known"`:                                             ``,
+		`"known":{}`:                                           ``,
+		``:                                                     ``,
+	} {
+		rest, known := cutKnown([]byte(text))
+		if want == "" {
+			assert.Equal(t, text, string(rest))
+			assert.Nil(t, known, text)
+			continue
+		}
+		assert.Equal(t, want, string(rest))
+		assert.Equal(t, list, string(known), text)
+	}
+}
+
+// A long list is read entry by entry: what that takes beside its text and its entries does not
+// grow with it. In JSON's own form it took ten times its text, and a start most of its time.
+func TestLongKnownListTakesLittle(t *testing.T) {
+	const n = 20000
+	var list strings.Builder
+	for i := range n {
+		fmt.Fprintf(&list, `,{"instanceId":"s-%08d","hostPort":"127.0.0.1:1","zone":"b","machineType":"k","cell":%d,"lifecycle":"Ready","weight":1,"startedAtMs":0}`, i, i)
+	}
+	text := []byte(strings.Replace(good, `"instances":[`, `"instances":[`+list.String()[1:]+`,`, 1))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	c, err := Parse(text, env)
+	runtime.ReadMemStats(&after)
+	require.NoError(t, err)
+	assert.Len(t, c.Known.Targets, n+1)
+	assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(6*len(text)))
+}
+
 // A reload names what it cannot change. The platform's address, the list and
 // the seed are no such things.
 func TestDiffers(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,6 +142,7 @@
 	if err := c.reserve(e, pushCfg.Listen); err != nil {
 		return nil, err
 	}
+	c.process.did("address")
 	goes := map[uint64]bool{}
 	if e != nil {
 		for _, x := range e.Calls {
@@ -155,10 +156,11 @@
 	if err != nil {
 		return nil, err
 	}
+	c.process.did("journal")
 	c.platform = platform.New(platform.Config{
 		Loop: c.loop, Engine: c.engine, Log: c.log, Number: platformFront, Listen: cfg.Listen,
 		Discovery: cfg.Discovery, Names: cfg.Names, Columns: cfg.Columns, Settings: cfg.Settings,
-		Lists: platform.ListLimits{Bytes: c.idle.ListBytes, Entries: c.idle.ListEntries},
+		Lists: platform.ListLimits{Bytes: c.idle.ListBytes, Entries: c.idle.ListEntries}, Started: c.started,
 	})
 	c.push = push.New(push.Config{
 		Loop: c.loop, Engine: c.engine, Log: c.log, Number: pushFront, Push: pushCfg, API: c.process.api, Life: c.process.life,
@@ -188,6 +190,7 @@
 	if c.core, err = core.New(coreCfg); err == nil && c.process.counted != nil {
 		c.core.Carry(*c.process.counted)
 	}
+	c.process.did("module")
 	return left, err
 }
 
@@ -262,6 +265,7 @@
 		c.core.Pause(wordWithin)
 	}
 	c.core.Restore(left) // before the loop runs: nothing new comes in front of it
+	c.process.did("restored")
 	if e != nil {
 		c.platform.TakeOver(e.Clients)
 		c.log.Info("taken over", "clients", len(e.Clients), "calls", len(e.Calls), "known", len(e.Known), "keys", len(e.Keys),
@@ -294,6 +298,26 @@
 	return nil
 }
 
+// started hears of the steps of the platform's front. The last is told on the loop, once clients
+// are answered that the courier is ready, and the account of the start is the log's then.
+func (c *courier) started(step platform.Step) {
+	switch step {
+	case platform.Listening:
+		c.process.did("listener")
+	case platform.Listed:
+		c.process.did("endpoints")
+	case platform.Ready:
+		c.loop.After(0, func() {
+			if s := c.process.steps; s != nil {
+				c.process.did("ready")
+				c.process.steps = nil
+				c.log.Info("ready", "ms", float64(s.last.Sub(s.begun).Microseconds())/1000, "steps_ms", s,
+					"restored", c.core.Counters.Restored, "endpoints", len(c.begin.Targets), "journal", c.journal.Size())
+			}
+		})
+	}
+}
+
 func (c *courier) signal(s os.Signal) {
 	if c.yielding { // whoever goes on is told
 		c.process.later(s)
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -171,6 +171,7 @@
 	if kept == nil && c.dir.Cache {
 		kept = dircache.Load(c.cfg.State, wrong)
 	}
+	c.process.did("list")
 	if kept != nil {
 		kept.Rename(c.cfg.Names.Zones, c.cfg.Names.Kinds)
 	}
@@ -204,6 +205,7 @@
 			c.learnt, cfg.Learnt = store, store
 		}
 	}
+	c.process.did("learnt")
 }
 
 // directory tells of the list kept on disk.
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -30,6 +30,7 @@
 	life *describe.Life
 
 	files files
+	steps *start         // of the first courier, until it is ready
 	since time.Time      // it owns
 	lock  *handover.Lock // nil: the folder cannot be locked here, or is somebody else's
 	// Of the courier before: what it counted, and how things stood.
@@ -61,13 +62,14 @@
 		signal.Notify(own, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
 		signals = own
 	}
+	steps := newStart(time.Now())
 	f, err := readAll(o.Env, nil)
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(float64(f.cfg.Limits.MemoryMB<<20) * memoryShare))
-	p := &process{o: o, files: f, log: o.Logger().With("courier", f.cfg.Name)}
+	p := &process{o: o, files: f, steps: steps, log: o.Logger().With("courier", f.cfg.Name)}
 	if p.api, p.life, err = descriptions(f.push); err != nil {
 		return err
 	}
@@ -76,11 +78,14 @@
 			p.later(s)
 		}
 	}()
+	p.did("files")
 	c, err := p.prepare()
 	if err != nil {
 		return err
 	}
+	p.did("plugins")
 	estate, err := p.own()
+	p.did("lock")
 	if err != nil || estate == nil && p.ended() {
 		c.plugins.Close()
 		return err
@@ -127,6 +132,13 @@
 	}
 }
 
+// did counts a step of the start.
+func (p *process) did(step string) {
+	if p.steps != nil {
+		p.steps.did(step, time.Now())
+	}
+}
+
 // later has a signal heard by whoever hears them now, or next.
 func (p *process) later(s os.Signal) {
 	p.mu.Lock()
--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -206,7 +206,7 @@
 	if d.watching && d.front.core.Recheck(d.front.Number) > 0 {
 		d.known = false // the whole list again: what it leaves out is in doubt
 	}
-	d.front.ready = true
+	d.front.becomeReady()
 	d.watch()
 }
 
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -28,8 +28,19 @@
 	Columns   []string // of the load report
 	Settings  snowjunction.Settings
 	Lists     ListLimits
+	Started   func(Step) // nil: nobody asks
 }
 
+// Step is one of a front's start.
+type Step int
+
+// The steps, in their order. The first two are told within Start.
+const (
+	Listening Step = iota
+	Listed         // the known list is taken, if there is one
+	Ready          // messages are taken from now on
+)
+
 // ListLimits bound a list that discovery may send.
 type ListLimits struct {
 	Bytes, Entries int
@@ -95,6 +106,7 @@
 		return err
 	}
 	f.addr = addr
+	f.did(Listening)
 	f.sweep()
 	if known.Held {
 		news, err := known.News()
@@ -107,10 +119,11 @@
 			known = Begin{}
 		}
 	}
+	f.did(Listed)
 	if known.Held {
-		f.ready = true
+		f.becomeReady()
 	} else {
-		f.Loop.After(readyAfter, func() { f.ready = true })
+		f.Loop.After(readyAfter, f.becomeReady)
 	}
 	f.discovery.generation, f.discovery.known, f.discovery.held = known.Generation, known.Held && known.Watch, known.Held
 	f.discovery.agent = f.Discovery
@@ -122,6 +135,20 @@
 	return nil
 }
 
+func (f *Front) did(s Step) {
+	if f.Started != nil {
+		f.Started(s)
+	}
+}
+
+// becomeReady has messages taken from now on.
+func (f *Front) becomeReady() {
+	if !f.ready {
+		f.ready = true
+		f.did(Ready)
+	}
+}
+
 // Move turns to the platform's new address: the watch begins anew there, and
 // the notices that are owed go there, also those that were on their way.
 func (f *Front) Move(discovery string) {
--- /dev/null
+++ b/internal/measure/start.go
@@ -0,0 +1,358 @@
+package measure
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"snowjunction"
+	"snowjunction/internal/daemon"
+	"snowjunction/internal/dircache"
+	"snowjunction/internal/groups"
+	"snowjunction/internal/rig"
+	"snowjunction/internal/standin"
+	"snowjunction/internal/store"
+)
+
+// Start are the options of the measurement of starts, step by step, with as much in the folder
+// that lasts as fits.
+type Start struct {
+	Starts   int     `default:"10" help:"Starts of each kind, one after the other."`
+	AtOnce   int     `default:"10" help:"Starts at once, all on one core; 0: none."`
+	Entries  int     `default:"65536" help:"Endpoints listed, in the configuration and, as far as it fits, on disk."`
+	DiskMB   float64 `default:"3" help:"What the folder that lasts may hold."`
+	Journal  bool    `help:"The journal gets the folder: of the list on disk only what the defaults allow."`
+	MemoryMB int     `default:"192" help:"A courier's memory limit."`
+	JSON     string  `placeholder:"FILE" help:"Where the figures go, too."`
+	Exe      string  `kong:"-"`
+}
+
+// Validate tells what of the options is out of range.
+func (o Start) Validate() error {
+	switch {
+	case o.Starts < 1 || o.Starts > 1000:
+		return fmt.Errorf("--starts: %d is not from 1 to 1000", o.Starts)
+	case o.AtOnce < 0 || o.AtOnce > 200:
+		return fmt.Errorf("--at-once: %d is not from 0 to 200", o.AtOnce)
+	case o.Entries < 1 || o.Entries > 65536:
+		return fmt.Errorf("--entries: %d is not from 1 to 65536", o.Entries)
+	case o.DiskMB < 1 || o.DiskMB > 1000:
+		return fmt.Errorf("--disk-mb: %v is not from 1 to 1000", o.DiskMB)
+	case o.MemoryMB < 32 || o.MemoryMB > 4096:
+		return fmt.Errorf("--memory-mb: %d is not from 32 to 4096", o.MemoryMB)
+	}
+	return nil
+}
+
+// Beside the courier's own steps: from the start of its process to the first of these, and from
+// there to the first +PONG that a client reads.
+const (
+	execStep = "exec"
+	pongStep = "pong"
+)
+
+// StartFigures are what it measures.
+type StartFigures struct {
+	Machine   string                       `json:"machine"`
+	Restored  int                          `json:"restored"` // messages in the journal
+	Journal   int64                        `json:"journal_bytes"`
+	OnDisk    int                          `json:"endpoints_on_disk"`
+	Listed    int                          `json:"endpoints_listed"`
+	Steps     []string                     `json:"steps"` // in their order; then the whole
+	Ms        map[string]map[string]Spread `json:"ms"`    // by kind and step
+	Late      int                          `json:"over_10_s"`
+	Processes int                          `json:"processes"`
+}
+
+// Spread is how long something took, in milliseconds.
+type Spread struct {
+	Median float64 `json:"median"`
+	P90    float64 `json:"p90"`
+	Worst  float64 `json:"worst"`
+}
+
+const whole = "whole"
+
+// directories are what a start may meet, by name, each with how to open one.
+var directories = []struct {
+	name string
+	open func(list []standin.Instance) (addr string, closer func(), err error)
+}{
+	{"directory up", func(list []standin.Instance) (string, func(), error) { return directory(list, false) }},
+	{"directory refuses", refusing},
+	{"directory silent", func(list []standin.Instance) (string, func(), error) { return directory(list, true) }},
+	{"directory drips", dripping},
+}
+
+func directory(list []standin.Instance, down bool) (string, func(), error) {
+	d, err := standin.NewDirectory(list)
+	if err != nil {
+		return "", nil, err
+	}
+	d.Down(down)
+	return d.Addr(), d.Close, nil
+}
+
+func refusing([]standin.Instance) (string, func(), error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	return l.Addr().String(), func() {}, l.Close()
+}
+
+// dripping answers with a list of which a byte comes every 100 ms.
+func dripping([]standin.Instance) (string, func(), error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n{")
+				for ; err == nil; time.Sleep(100 * time.Millisecond) {
+					_, err = io.WriteString(c, " ")
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), func() { l.Close() }, nil
+}
+
+// Run measures.
+func (o Start) Run(out io.Writer) (*StartFigures, error) {
+	f := &StartFigures{
+		Machine: machine(), Listed: o.Entries, Ms: map[string]map[string]Spread{},
+		Steps: slices.Concat([]string{execStep}, daemon.Steps, []string{pongStep, whole}),
+	}
+	fmt.Fprintln(out, f.Machine)
+	dir, err := os.MkdirTemp("", "snowjunction-start-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	var list []standin.Instance
+	for i := range o.Entries { // nobody is there: what is taken up is tried, and refused
+		list = append(list, standin.Instance{
+			InstanceID: fmt.Sprintf("s-%08d", i), HostPort: fmt.Sprintf("127.0.%d.%d:9", i>>8, i&255), Zone: "a", MachineType: "k",
+			Cell: uint32(i/2 + 1), Lifecycle: "Ready", Weight: 1,
+		})
+	}
+	for _, kind := range directories {
+		addr, closer, err := kind.open(list)
+		if err == nil {
+			err = o.kind(out, f, dir, kind.name, addr, list)
+			closer()
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	fmt.Fprintf(out, "%d processes, %d not ready within 10 s; journal %d bytes with %d messages, %d of %d endpoints on disk\n",
+		f.Processes, f.Late, f.Journal, f.Restored, f.OnDisk, f.Listed)
+	return f, save(o.JSON, f)
+}
+
+// kind measures starts one by one and at once, with one kind of directory.
+func (o Start) kind(out io.Writer, f *StartFigures, dir, name, addr string, list []standin.Instance) error {
+	one := map[string][]float64{}
+	for n := range o.Starts {
+		place := filepath.Join(dir, fmt.Sprintf("%s-%d", name, n))
+		if err := o.fill(place, addr, list, f); err != nil {
+			return err
+		}
+		if err := o.once(place, addr, list, one, f); err != nil {
+			return err
+		}
+		os.RemoveAll(place)
+	}
+	o.tell(out, f, name+", one", one)
+	if o.AtOnce == 0 {
+		return nil
+	}
+	many := map[string][]float64{}
+	var places []string
+	for n := range o.AtOnce {
+		place := filepath.Join(dir, fmt.Sprintf("%s-at-once-%d", name, n))
+		if err := o.fill(place, addr, list, f); err != nil {
+			return err
+		}
+		places = append(places, place)
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var failed error
+	for _, place := range places {
+		wg.Go(func() {
+			runtime.LockOSThread() // and never unlocked: the thread ends with this
+			err := oneCore()       // which the process inherits
+			took := map[string][]float64{}
+			if err == nil {
+				var mine StartFigures
+				err = o.once(place, addr, list, took, &mine)
+				mu.Lock()
+				f.Late, f.Processes = f.Late+mine.Late, f.Processes+mine.Processes
+				mu.Unlock()
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			failed = errors.Join(failed, err)
+			for step, ms := range took {
+				many[step] = append(many[step], ms...)
+			}
+		})
+	}
+	wg.Wait()
+	if failed != nil {
+		return failed
+	}
+	o.tell(out, f, fmt.Sprintf("%s, %d at once on one core", name, o.AtOnce), many)
+	return nil
+}
+
+// oneCore has this thread run on the first of the cores that it may use.
+func oneCore() error {
+	var may, one unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &may); err != nil {
+		return err
+	}
+	for n := range len(may) * 64 {
+		if may.IsSet(n) {
+			one.Set(n)
+			break
+		}
+	}
+	return unix.SchedSetaffinity(0, &one)
+}
+
+func (o Start) operator() map[string]any {
+	return map[string]any{"cache": true, "cache_kb": o.cacheKB(), "generations": 1}
+}
+
+// cacheKB is for the whole list, or as much as half of the folder can bear: a snapshot, the one
+// that is being written, and what is learnt.
+func (o Start) cacheKB() int {
+	const entry, learnt, least = 44, 48, 48 // bytes of an entry at the most, and the default
+	if o.Journal {
+		return least
+	}
+	return max(least, min(o.Entries*entry>>10+1, (int(o.DiskMB*1e6/2)>>10-learnt)/2-2))
+}
+
+// fill makes a folder with as much as fits: a journal of live messages and of those that are over,
+// and a list.
+func (o Start) fill(place, agent string, list []standin.Instance, f *StartFigures) error {
+	state := filepath.Join(place, "state")
+	cache, err := dircache.Open(dircache.Options{Dir: state, Bytes: o.cacheKB() << 10, Generations: 1, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		return err
+	}
+	w := dircache.NewWriter(dircache.Head{Told: time.Now(), Generation: 2, Agent: agent, Zones: []string{"a"}, Kinds: []string{"k"}}, o.cacheKB()<<10)
+	f.OnDisk = 0
+	for _, x := range list {
+		if w.Add(groups.Entry{Name: x.InstanceID, Addr: x.HostPort, Destination: snowjunction.DestinationID(x.Cell), Weight: 1, Phase: snowjunction.Ready}) {
+			f.OnDisk++
+		}
+	}
+	cache.Put(w.Bytes())
+	cache.Close()
+	room := int64(o.DiskMB*1e6) - int64(2*(o.cacheKB()<<10+512)) - 2*48<<10
+	j, _, err := store.Load(store.Options{Dir: state, Bytes: room, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		return err
+	}
+	defer j.Close()
+	now := time.Now()
+	message := func(n int) *store.Message {
+		return &store.Message{
+			ID: fmt.Sprintf("%016x", n), IdempotencyKey: fmt.Sprintf("%016x", n), Key: uint64(n%1000 + 1), Destination: uint32(n%max(1, o.Entries/2) + 1),
+			Class: "order", Tenant: "town", Deadline: now.Add(10 * time.Minute), Body: []byte("a small body, as many messages as fit"),
+		}
+	}
+	// Those that are over make it as long as it may be: a message's records are read all the same.
+	past := 0
+	for ; j.Size() < int64(0.6*float64(room)); past++ {
+		m := message(past)
+		err := errors.Join(j.Take(m), j.Sent(m, now), j.Came(m, true), j.Ended(m, store.Delivered, 0, now), j.Settle(m))
+		if err != nil {
+			return err
+		}
+	}
+	live := 0
+	for ; ; live++ {
+		if err := j.Take(message(past + live)); errors.Is(err, store.ErrFull) {
+			break
+		} else if err != nil {
+			return err
+		}
+	}
+	f.Restored, f.Journal = live, j.Size()
+	return nil
+}
+
+// once starts a process and adds what each step took.
+func (o Start) once(place, agent string, list []standin.Instance, took map[string][]float64, f *StartFigures) error {
+	begun := time.Now()
+	c, err := rig.Start(o.Exe, rig.Config{
+		Dir: place, Discovery: agent, Settings: rig.Large(48, 100000, 1000), MemoryMB: o.MemoryMB, Sockets: 256, DiskMB: o.DiskMB,
+		Known: list, OperatorDirectory: o.operator(),
+	})
+	if err != nil {
+		return err
+	}
+	defer c.Kill()
+	if text, err := once(c.Addr, "*1\r\n$4\r\nPING\r\n"); err != nil || text != "+PONG\r\n" {
+		return fmt.Errorf("the courier answers %q, %v", text, err)
+	}
+	all := ms(time.Since(begun))
+	line, err := c.Ready()
+	if err != nil {
+		return err
+	}
+	at, err := time.Parse(time.RFC3339Nano, fmt.Sprint(line["time"]))
+	if err != nil {
+		return err
+	}
+	own := rig.Number(line, "ms")
+	add := func(step string, ms float64) { took[step] = append(took[step], ms) }
+	for _, step := range daemon.Steps {
+		add(step, rig.Number(line, "steps_ms", step))
+	}
+	add(execStep, ms(at.Sub(begun))-own)
+	add(pongStep, all-ms(at.Sub(begun)))
+	add(whole, all)
+	if f.Processes++; all > 10000 {
+		f.Late++
+	}
+	return nil
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func (o Start) tell(out io.Writer, f *StartFigures, name string, took map[string][]float64) {
+	f.Ms[name] = map[string]Spread{}
+	fmt.Fprintf(out, "%s: step, median, 0.9, worst of %d, ms\n", name, len(took[whole]))
+	for _, step := range f.Steps {
+		x := took[step]
+		slices.Sort(x)
+		s := Spread{x[len(x)/2], x[(len(x)*9+9)/10-1], x[len(x)-1]}
+		f.Ms[name][step] = s
+		fmt.Fprintf(out, "  %-10s %9.1f %9.1f %9.1f\n", step, s.Median, s.P90, s.Worst)
+	}
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -65,6 +65,7 @@
 	Settings  map[string]any
 	MemoryMB  int
 	Sockets   int
+	DiskMB    float64            // 0: 3
 	Known     []standin.Instance // nil: no list is known at the start
 	Push      map[string]any     // the push front's file; nil: off
 	Idle      map[string]any     // the file for idle destinations; nil: its defaults
@@ -89,6 +90,7 @@
 	tail   []string
 	counts chan map[string]any
 	up     chan map[string]any
+	ready  chan map[string]any
 
 	replaced chan map[string]any
 	exited   chan error
@@ -121,6 +123,9 @@
 	if cfg.Known != nil {
 		whole["known"] = map[string]any{"generation": 1, "reset": true, "instances": cfg.Known}
 	}
+	if cfg.DiskMB > 0 {
+		whole["limits"].(map[string]any)["disk_mb"] = cfg.DiskMB
+	}
 	if cfg.Push == nil {
 		cfg.Push = map[string]any{}
 	}
@@ -154,7 +159,7 @@
 func launch(exe string, env []string, console bool) (*Courier, error) {
 	c := &Courier{
 		cmd: exec.Command(exe, "run", "--log-format=json"), counts: make(chan map[string]any, 16),
-		up: make(chan map[string]any, 1), replaced: make(chan map[string]any, 1), exited: make(chan error, 1),
+		up: make(chan map[string]any, 1), ready: make(chan map[string]any, 1), replaced: make(chan map[string]any, 1), exited: make(chan error, 1),
 		exe: exe, env: env, console: console, second: make(chan string, 1),
 	}
 	c.cmd.Env = env
@@ -201,6 +206,11 @@
 			case c.up <- line:
 			default: // it owns its folder again
 			}
+		case "ready":
+			select {
+			case c.ready <- line:
+			default:
+			}
 		case "second address":
 			at, _ := line["listen"].(string)
 			select {
@@ -222,6 +232,16 @@
 	c.exited <- c.cmd.Wait()
 }
 
+// Ready waits until it says that it is ready, and returns that line.
+func (c *Courier) Ready() (map[string]any, error) {
+	select {
+	case line := <-c.ready:
+		return line, nil
+	case <-time.After(startWithin):
+		return nil, fmt.Errorf("the courier is not ready in %v\n%s", startWithin, c.Tail())
+	}
+}
+
 // Tail is the last lines of its log.
 func (c *Courier) Tail() string {
 	c.mu.Lock()
