Start: the list is cut out without a look behind each string; a start is counted from its process

The measurement counted the writing of its own configuration to the step exec. cutKnown looked behind every string of the list; now behind those at its own depth alone.

Measured: tests of internal/config and TestMeasureStart, TestStartTellsItsSteps pass.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -172,19 +172,21 @@
 // cutKnown takes the known list out of a configuration: it may be a thousand times as long as all
 // else, and is read entry by entry. Without one, or where it is no object, known is nil.
 func cutKnown(b []byte) (rest, known []byte) {
-	const name = "\"known\""
+	const name, space = "\"known\"", " \t\r\n"
 	depth, quote, from := 0, -1, -1 // where a string begins; where the list does
 	for i := 0; i < len(b); i++ {
 		switch c := b[i]; {
 		case quote >= 0 && c == '\\':
 			i++
 		case quote >= 0 && c == '"':
-			if after := bytes.TrimLeft(b[i+1:], " \t\r\n"); depth == 1 && from < 0 && string(b[quote:i+1]) == name && len(after) > 0 && after[0] == ':' {
-				after = bytes.TrimLeft(after[1:], " \t\r\n")
-				if len(after) == 0 || after[0] != '{' {
+			if depth == 1 && from < 0 && string(b[quote:i+1]) == name {
+				after, colon := bytes.CutPrefix(bytes.TrimLeft(b[i+1:], space), []byte(":"))
+				after = bytes.TrimLeft(after, space)
+				if colon && !bytes.HasPrefix(after, []byte("{")) {
 					return b, nil
+				} else if colon {
+					from = len(b) - len(after)
 				}
-				from = len(b) - len(after)
 			}
 			quote = -1
 		case quote >= 0:
--- a/internal/measure/start.go
+++ b/internal/measure/start.go
@@ -308,7 +308,6 @@
 
 // once starts a process and adds what each step took.
 func (o Start) once(place, agent string, list []standin.Instance, took map[string][]float64, f *StartFigures) error {
-	begun := time.Now()
 	c, err := rig.Start(o.Exe, rig.Config{
 		Dir: place, Discovery: agent, Settings: rig.Large(48, 100000, 1000), MemoryMB: o.MemoryMB, Sockets: 256, DiskMB: o.DiskMB,
 		Known: list, OperatorDirectory: o.operator(),
@@ -317,6 +316,7 @@
 		return err
 	}
 	defer c.Kill()
+	begun := c.Begun
 	if text, err := once(c.Addr, "*1\r\n$4\r\nPING\r\n"); err != nil || text != "+PONG\r\n" {
 		return fmt.Errorf("the courier answers %q, %v", text, err)
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -77,8 +77,9 @@
 
 // Courier is a running courier.
 type Courier struct {
-	Addr, Push string // where its fronts listen
-	Console    string // its second address; "": none
+	Addr, Push string    // where its fronts listen
+	Console    string    // its second address; "": none
+	Begun      time.Time // its process
 
 	exe     string
 	env     []string
@@ -167,6 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.Begun = time.Now()
 	if err := c.cmd.Start(); err != nil {
 		return nil, err
 	}
