Push front: reads what has come before it closes at the end; tests of its look and its end

Need: the push front's look at an idle connection and its part in the process's end had no tests. Cause of what these found: `client.write` (push/listener.go) closed a client without streams at the drain whatever lay unread in its socket or half a frame in its parser: a reset, which may take the GOAWAY with it that tells the client that its request was not taken.

Change: a client is closed only with nothing unread, no stream open and no frame begun, and `Unanswered` counts the same.

--- a/internal/front/push/listener.go
+++ b/internal/front/push/listener.go
@@ -127,13 +127,22 @@
 	switch {
 	case c.h2.Open() > 0:
 	case c.front.draining:
-		c.end(net.Shutdown)
+		if !c.unanswered() { // a close over what has come would be a reset, and take the GOAWAY with it
+			c.end(net.Shutdown)
+		}
 	default:
 		c.since = c.front.Loop.Now()
 		c.idle = c.front.Loop.After(idleAfter, func() { c.bye(net.Idle) })
 	}
 }
 
+// unanswered tells that a request has come, or begun to come, and has no answer yet: one that
+// is above the last of a GOAWAY has its answer there, once it has been read.
+func (c *client) unanswered() bool {
+	bytes, _ := c.conn.Look()
+	return bytes || c.h2.Open() > 0 || c.h2.Begun()
+}
+
 // bye ends a connection without streams, in due form.
 func (c *client) bye(code net.Code) {
 	c.h2.GoAway()
--- a/internal/front/push/push.go
+++ b/internal/front/push/push.go
@@ -204,7 +204,7 @@
 // Unanswered tells that the request of some client is being read, or waits for its answer.
 func (f *Front) Unanswered() bool {
 	for c := range f.clients {
-		if bytes, _ := c.conn.Look(); bytes || c.h2.Open() > 0 {
+		if c.unanswered() {
 			return true
 		}
 	}
--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -49,6 +49,7 @@
 	p    *peer
 	got  []byte
 	over bool
+	err  error // it ended with
 }
 
 func newPeer(t *testing.T) *peer {
@@ -85,7 +86,7 @@
 		n, err := e.Read(b)
 		e.p.mu.Lock()
 		e.got = append(e.got, b[:n]...)
-		e.over = err != nil
+		e.over, e.err = err != nil, err
 		e.p.mu.Unlock()
 		if err != nil {
 			return
@@ -332,6 +333,30 @@
 	}
 }
 
+// An idle connection ends while the attempt that is to go on it is recorded: nothing of it leaves
+// there.
+func TestEndedWhileItIsRecorded(t *testing.T) {
+	s := newSite(t)
+	target := s.front.Target(core.Entry{Name: "s-1", Addr: s.target.l.Addr().String()})
+	var results []core.Result
+	call := func(id string, may func() bool) core.Call {
+		return target.Call(&store.Message{ID: id}, core.Shape{}, 10*time.Second, may, func(r core.Result) { results = append(results, r) })
+	}
+	call("m1", always)
+	s.until("the first call comes", func() bool { return s.target.took(0, "m1", 1) })
+	s.target.at(0).say(t, answer("200 OK", ""))
+	s.until("and is answered", func() bool { return len(results) == 1 })
+	call("m2", func() bool {
+		if s.target.at(1) == nil {
+			s.target.at(0).finish(t)
+		}
+		return true
+	})
+	s.until("the second comes on another connection", func() bool { return s.target.took(1, "m2", 1) })
+	assert.False(t, s.target.took(0, "m2", 1))
+	assert.Len(t, results, 1)
+}
+
 // Requests that have come when the courier begins to end are answered, whatever has been read
 // of them; only then do their connections end.
 func TestRequestsThatCrossTheEnd(t *testing.T) {
--- a/internal/proto/h2/conn.go
+++ b/internal/proto/h2/conn.go
@@ -403,6 +403,9 @@
 	c.out = appendFrame(c.out, frameGoAway, 0, 0, append(b, why...))
 }
 
+// Begun tells that a frame or a header list has come in part.
+func (c *Conn) Begun() bool { return len(c.in) > 0 || c.blockOf.stream != 0 }
+
 // Open is the number of streams that are open.
 func (c *Conn) Open() int { return len(c.streams) }
 
