Tests of the process's own wait at its end, on real connections and a clock of their own

Need: that a courier which ends waits for a request that has come in part, on either front, and for a notice without its answer, while it decides and after it has stopped, had no test.

The daemon's parts are built as the process builds them; a loop that turns only while the test waits, and a clock that goes only when told. Loop.Ended tells that Run returns.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -177,6 +177,9 @@
 // End makes Run return after the work at hand.
 func (l *Loop) End() { l.ended = true }
 
+// Ended tells that Run returns.
+func (l *Loop) Ended() bool { return l.ended }
+
 // timers is a heap, the first due on top; of equals the one set first.
 type timers []*Timer
 
--- /dev/null
+++ b/internal/daemon/drain_test.go
@@ -0,0 +1,271 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	stdnet "net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
+
+	"snowjunction"
+	"snowjunction/internal/belief"
+	"snowjunction/internal/config"
+	"snowjunction/internal/core"
+	"snowjunction/internal/describe"
+	"snowjunction/internal/distrust"
+	"snowjunction/internal/front/platform"
+	"snowjunction/internal/front/push"
+	"snowjunction/internal/net"
+	"snowjunction/internal/store"
+)
+
+// ending is a courier on real connections. Its loop turns only while the test waits for
+// something, and its clock goes only when told.
+type ending struct {
+	*courier
+	t       *testing.T
+	now     time.Time
+	notices chan struct{} // some have come
+	confirm chan struct{} // closed: notices are answered
+}
+
+func newEnding(t *testing.T) *ending {
+	e := &ending{
+		courier: &courier{log: slog.New(slog.DiscardHandler), process: &process{}}, t: t,
+		now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), notices: make(chan struct{}, 1), confirm: make(chan struct{}),
+	}
+	over := make(chan struct{})
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/discovery") {
+			<-over
+			return
+		}
+		select {
+		case e.notices <- struct{}{}:
+		default: // it goes again and again
+		}
+		select {
+		case <-e.confirm:
+		case <-over:
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	t.Cleanup(discovery.Close)
+	t.Cleanup(func() { close(over) }) // first of these
+	e.loop = core.NewLoop(func() time.Time { return e.now })
+	var err error
+	e.engine, err = net.New(net.Config{Post: e.loop.Post, Log: e.log, MaxConns: 64})
+	require.NoError(t, err)
+	t.Cleanup(e.engine.Stop)
+	e.journal, _, err = store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: e.log})
+	require.NoError(t, err)
+	t.Cleanup(func() { e.journal.Close() })
+	settings := snowjunction.Settings{
+		Seed: 1, Fleet: 1, Tick: 5 * time.Millisecond, Slots: 8, MaxHeld: 10, MaxAttempts: 6, MaxRetry: 3 * time.Second,
+		ConnectTimeout: time.Second, DrainGrace: time.Second, Kinds: []snowjunction.Kind{{BundleMax: 1}},
+		Classes: []snowjunction.Class{{Name: "status", Aim: time.Second, Deadline: 20 * time.Second, Worth: 2}},
+	}
+	e.platform = platform.New(platform.Config{
+		Loop: e.loop, Engine: e.engine, Log: e.log, Number: platformFront, Listen: "127.0.0.1:0",
+		Discovery: strings.TrimPrefix(discovery.URL, "http://"), Settings: settings,
+	})
+	text, err := os.ReadFile("../../deploy/openapi.json")
+	require.NoError(t, err)
+	api, err := describe.OpenAPI("openapi.json", text)
+	require.NoError(t, err)
+	e.push = push.New(push.Config{
+		Loop: e.loop, Engine: e.engine, Log: e.log, Number: pushFront, API: api, Settings: settings,
+		Push: &config.Push{Listen: "127.0.0.1:0", MaxConns: 8, TargetConns: 4},
+	})
+	e.core, err = core.New(core.Config{
+		Loop: e.loop, Log: e.log, Journal: e.journal, Settings: settings, Fronts: []core.Front{platformFront: e.platform, pushFront: e.push},
+		Directories: map[int]core.Directory{platformFront: {Belief: belief.Default(), Trust: distrust.Default()}},
+	})
+	require.NoError(t, err)
+	require.NoError(t, e.push.Start(e.core, nil))
+	known := platform.Begin{Watch: true}
+	known.Held, known.Full, known.Generation = true, true, 1
+	known.Targets = []core.Entry{{Name: "s-1", Addr: "127.0.0.1:1", Destination: 7, Weight: 1, Phase: snowjunction.Draining}}
+	require.NoError(t, e.platform.Start(e.core, known))
+	t.Cleanup(e.platform.Close)
+	t.Cleanup(e.push.Close)
+	return e
+}
+
+// until turns the loop until what is awaited has come. Only a failure runs into the limit.
+func (e *ending) until(what string, come func() bool) {
+	e.t.Helper()
+	limit := time.Now().Add(20 * time.Second)
+	e.loop.RunUntil(func() bool { return come() || time.Now().After(limit) })
+	require.True(e.t, come(), what)
+}
+
+// after lets the clock go on in steps of a look; what is due then is done.
+func (e *ending) after(d time.Duration) {
+	for ; d > 0; d -= lookAgain {
+		e.now = e.now.Add(min(d, lookAgain))
+		e.loop.Turn()
+	}
+}
+
+// caller is a client of a front, and what it has been told.
+type caller struct {
+	stdnet.Conn
+	mu  sync.Mutex
+	got string
+}
+
+func (e *ending) call(addr, text string) *caller {
+	e.t.Helper()
+	conn, err := stdnet.Dial("tcp", addr)
+	require.NoError(e.t, err)
+	e.t.Cleanup(func() { conn.Close() })
+	c := &caller{Conn: conn}
+	go func() {
+		b := make([]byte, 4096)
+		for {
+			n, err := conn.Read(b)
+			c.mu.Lock()
+			c.got += string(b[:n])
+			c.mu.Unlock()
+			if err != nil {
+				return
+			}
+		}
+	}()
+	_, err = io.WriteString(conn, text)
+	require.NoError(e.t, err)
+	return c
+}
+
+func (c *caller) told(text string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return strings.Contains(c.got, text)
+}
+
+func add(id string) string {
+	out := "*5\r\n"
+	for _, a := range []string{"OUT.ADD", "0", id, "c=status,d=15000,dest=7", "body"} {
+		out += fmt.Sprintf("$%d\r\n%s\r\n", len(a), a)
+	}
+	return out
+}
+
+// beginning is what begins so long after the end has, or before.
+type beginning struct {
+	since time.Duration
+	begin func(e *ending) (finish func())
+}
+
+func (b beginning) begins(e *ending) (finish func()) {
+	if b.since == 0 {
+		finish = b.begin(e)
+		e.drain()
+		return finish
+	}
+	e.drain()
+	e.after(b.since)
+	return b.begin(e)
+}
+
+// A courier that ends waits for what has begun: a request that has come in part, on either
+// front, and a notice without its answer. It does so before it stops deciding and after, and
+// not past the time that it has.
+func TestTheEndWaitsForWhatHasBegun(t *testing.T) {
+	message := add("m2")
+	for name, way := range map[string]beginning{
+		// A client may take 2 s over a request: it comes among the last.
+		"half a request": {since: listenFor - lookAgain, begin: func(e *ending) func() {
+			c := e.call(e.platform.Addr(), message[:20])
+			e.until("a part is read", e.platform.Unanswered)
+			return func() {
+				_, err := io.WriteString(c, message[20:])
+				require.NoError(e.t, err)
+				e.until("it is answered", func() bool { return c.told("-BUSY") })
+			}
+		}},
+		"half a request to the push front": {begin: func(e *ending) func() {
+			c := e.call(e.push.Addr(), http2.ClientPreface[:20])
+			e.until("a part is read", e.push.Unanswered)
+			return func() {
+				_, err := io.WriteString(c, http2.ClientPreface[20:])
+				require.NoError(e.t, err)
+				e.until("it is read", func() bool { return !e.push.Unanswered() })
+			}
+		}},
+		"a notice": {begin: func(e *ending) func() {
+			e.platform.Ended(&store.Message{ID: "m3", State: store.Failed})
+			come := false
+			e.until("it goes", func() bool {
+				select {
+				case <-e.notices:
+					come = true
+				default:
+				}
+				return come
+			})
+			return func() {
+				close(e.confirm)
+				e.until("it is confirmed", func() bool {
+					e.now = e.now.Add(time.Millisecond) // between two tries nothing else comes
+					return e.platform.Quiet()
+				})
+			}
+		}},
+	} {
+		for _, held := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, held %v", name, held), func(t *testing.T) {
+				e := newEnding(t)
+				if held { // what waits for an endpoint: deciding stops before it is over
+					c := e.call(e.platform.Addr(), add("m1"))
+					e.until("a message is read", func() bool { return e.core.Counters.In == 1 })
+					e.after(lookAgain)
+					e.until("it is taken on", func() bool { return c.told("+OK") })
+				}
+				began := e.now
+				finish := way.begins(e)
+				wait := listenFor
+				if held {
+					wait = decideFor
+				}
+				e.after(began.Add(wait + 2*lookAgain).Sub(e.now))
+				require.Equal(t, held, e.still)
+				require.False(t, e.loop.Ended(), "it waits")
+				finish()
+				e.after(2 * lookAgain)
+				assert.True(t, e.loop.Ended(), "and ends at once then")
+				assert.Less(t, e.now.Sub(began), finishFor)
+			})
+		}
+		t.Run(name+", that never ends", func(t *testing.T) {
+			e := newEnding(t)
+			began := e.now
+			way.begins(e)
+			e.after(began.Add(finishFor + lookAgain).Sub(e.now))
+			assert.True(t, e.loop.Ended())
+		})
+	}
+}
+
+// With nothing begun it ends as soon as no new clients come, or with the last call.
+func TestTheEndOfWhatOwesNothing(t *testing.T) {
+	e := newEnding(t)
+	c := e.call(e.platform.Addr(), "*1\r\n$4\r\nPING\r\n")
+	e.until("a client rests", func() bool { return c.told("+PONG") })
+	e.drain()
+	e.after(listenFor - lookAgain)
+	assert.False(t, e.loop.Ended(), "new clients are answered still")
+	e.after(2 * lookAgain)
+	assert.True(t, e.loop.Ended())
+}
