--- a/internal/front/late_test.go
+++ b/internal/front/late_test.go
@@ -1,7 +1,6 @@
 package front_test
 
 import (
-	"log/slog"
 	stdnet "net"
 	"net/http"
 	"net/http/httptest"
@@ -24,7 +23,6 @@
 // both are fronts that are called through their targets alone, and their loop.
 func both(t *testing.T) (*core.Loop, map[string]core.Front) {
 	loop := core.NewLoop(time.Now)
-	log := slog.New(slog.DiscardHandler)
 	engine, err := net.New(net.Config{Post: loop.Post, Log: log, MaxConns: 8})
 	require.NoError(t, err)
 	t.Cleanup(engine.Stop)
--- a/internal/front/push_races_test.go
+++ b/internal/front/push_races_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"log/slog"
 	stdnet "net"
 	"os"
 	"path/filepath"
@@ -21,7 +20,6 @@
 	"snowjunction/internal/core"
 	"snowjunction/internal/describe"
 	"snowjunction/internal/front/push"
-	"snowjunction/internal/net"
 	"snowjunction/internal/store"
 )
 
@@ -116,15 +114,8 @@
 }
 
 func newPushSite(t *testing.T) *pushSite {
-	s := &pushSite{site: &site{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)}}
-	s.loop = core.NewLoop(func() time.Time { return s.now })
-	log := slog.New(slog.DiscardHandler)
-	engine, err := net.New(net.Config{Post: s.loop.Post, Log: log, MaxConns: 64})
-	require.NoError(t, err)
-	t.Cleanup(engine.Stop)
-	journal, _, err := store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
-	require.NoError(t, err)
-	t.Cleanup(func() { journal.Close() })
+	s := &pushSite{site: &site{t: t}}
+	engine, journal := s.begin()
 	read := func(name string) []byte {
 		text, err := os.ReadFile(filepath.Join("../../deploy", name))
 		require.NoError(t, err)
--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -147,16 +147,24 @@
 	}
 }
 
-func newSite(t *testing.T) *site {
-	s := &site{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), discovery: newPeer(t), target: newPeer(t)}
+// begin makes the clock, the loop, and what a core and a front are built on.
+func (s *site) begin() (*net.Engine, *store.Journal) {
+	s.now = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
 	s.loop = core.NewLoop(func() time.Time { return s.now })
-	log := slog.New(slog.DiscardHandler)
 	engine, err := net.New(net.Config{Post: s.loop.Post, Log: log, MaxConns: 64})
-	require.NoError(t, err)
-	t.Cleanup(engine.Stop)
-	journal, _, err := store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
-	require.NoError(t, err)
-	t.Cleanup(func() { journal.Close() })
+	require.NoError(s.t, err)
+	s.t.Cleanup(engine.Stop)
+	journal, _, err := store.Load(store.Options{Dir: s.t.TempDir(), Bytes: 3e6, Log: log})
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { journal.Close() })
+	return engine, journal
+}
+
+var log = slog.New(slog.DiscardHandler)
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, discovery: newPeer(t), target: newPeer(t)}
+	engine, journal := s.begin()
 	settings := snowjunction.Settings{
 		Seed: 1, Fleet: 1, Tick: 5 * time.Millisecond, Slots: 8, MaxHeld: 10, MaxAttempts: 6, RetryAfter: true, MaxRetry: 3 * time.Second,
 		ConnectTimeout: time.Second, ConnIdle: 15 * time.Second, OrderSettle: 100 * time.Millisecond, DrainGrace: time.Second,
@@ -169,6 +177,7 @@
 	s.front = platform.New(platform.Config{
 		Loop: s.loop, Engine: engine, Log: log, Listen: "127.0.0.1:0", Discovery: s.discovery.l.Addr().String(), Settings: settings,
 	})
+	var err error
 	s.core, err = core.New(core.Config{
 		Loop: s.loop, Log: log, Journal: journal, Settings: settings, Fronts: []core.Front{s.front},
 		Directories: map[int]core.Directory{0: {Belief: belief.Default(), Trust: distrust.Default()}},
