--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -61,6 +61,7 @@
 	p    *peer
 	got  []byte
 	over bool
+	err  error // it ended with
 }
 
 func newPeer(t *testing.T) *peer {
@@ -109,7 +110,7 @@
 		n, err := e.Read(b)
 		e.p.mu.Lock()
 		e.got = append(e.got, b[:n]...)
-		e.over = err != nil
+		e.over, e.err = err != nil, err
 		e.p.mu.Unlock()
 		if err != nil {
 			return
@@ -209,6 +210,26 @@
 	return nil
 }
 
+// begin makes the clock, the loop, and what a core and a front are built on.
+func (s *site) begin(limits net.Config) *store.Journal {
+	s.now = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	s.loop = core.NewLoop(func() time.Time { return s.now })
+	limits.Log, limits.Post = slog.New(ends{log.Handler(), &s.ends}), func(f func()) {
+		s.posted.Add(1)
+		s.loop.Post(f)
+	}
+	var err error
+	s.engine, err = net.New(limits)
+	require.NoError(s.t, err)
+	s.t.Cleanup(s.engine.Stop)
+	journal, _, err := store.Load(store.Options{Dir: s.t.TempDir(), Bytes: 3e6, Log: log})
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { journal.Close() })
+	return journal
+}
+
+var log = slog.New(slog.DiscardHandler)
+
 // newSite is a courier alone, unless its settings are changed.
 func newSite(t *testing.T, change ...func(*snowjunction.Settings)) *site {
 	return newSiteOf(t, net.Config{MaxConns: 64}, change...)
@@ -216,20 +237,8 @@
 
 // newSiteOf is one with so many connections.
 func newSiteOf(t *testing.T, limits net.Config, change ...func(*snowjunction.Settings)) *site {
-	s := &site{t: t, now: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), discovery: newPeer(t), target: newPeer(t)}
-	s.loop = core.NewLoop(func() time.Time { return s.now })
-	log := slog.New(ends{slog.DiscardHandler, &s.ends})
-	limits.Log, limits.Post = log, func(f func()) {
-		s.posted.Add(1)
-		s.loop.Post(f)
-	}
-	engine, err := net.New(limits)
-	require.NoError(t, err)
-	s.engine = engine
-	t.Cleanup(engine.Stop)
-	journal, _, err := store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
-	require.NoError(t, err)
-	t.Cleanup(func() { journal.Close() })
+	s := &site{t: t, discovery: newPeer(t), target: newPeer(t)}
+	journal := s.begin(limits)
 	settings := snowjunction.Settings{
 		Seed: 1, Fleet: 1, Tick: 5 * time.Millisecond, Slots: 8, MaxHeld: 10, MaxAttempts: 6, RetryAfter: true, MaxRetry: 3 * time.Second,
 		ConnectTimeout: time.Second, ConnIdle: 15 * time.Second, OrderSettle: 100 * time.Millisecond, DrainGrace: time.Second,
@@ -243,8 +252,9 @@
 		c(&settings)
 	}
 	s.front = platform.New(platform.Config{
-		Loop: s.loop, Engine: engine, Log: log, Listen: "127.0.0.1:0", Discovery: s.discovery.l.Addr().String(), Settings: settings,
+		Loop: s.loop, Engine: s.engine, Log: log, Listen: "127.0.0.1:0", Discovery: s.discovery.l.Addr().String(), Settings: settings,
 	})
+	var err error
 	s.core, err = core.New(core.Config{
 		Loop: s.loop, Log: log, Journal: journal, Settings: settings, Fronts: []core.Front{s.front},
 		Directories: map[int]core.Directory{0: {Belief: belief.Default(), Trust: distrust.Default()}},
@@ -419,6 +429,30 @@
 	}
 }
 
+// An idle connection ends while the attempt that is to go on it is recorded: nothing of it leaves
+// there.
+func TestEndedWhileItIsRecorded(t *testing.T) {
+	s := newSite(t)
+	target := s.front.Target(core.Entry{Name: "s-1", Addr: s.target.l.Addr().String()})
+	var results []core.Result
+	call := func(id string, may func() bool) core.Call {
+		return target.Call(&store.Message{ID: id}, core.Shape{}, 10*time.Second, may, func(r core.Result) { results = append(results, r) })
+	}
+	call("m1", always)
+	s.until("the first call comes", func() bool { return s.target.took(0, "m1", 1) })
+	s.target.at(0).say(t, answer("200 OK", ""))
+	s.until("and is answered", func() bool { return len(results) == 1 })
+	call("m2", func() bool {
+		if s.target.at(1) == nil {
+			s.target.at(0).finish(t)
+		}
+		return true
+	})
+	s.until("the second comes on another connection", func() bool { return s.target.took(1, "m2", 1) })
+	assert.False(t, s.target.took(0, "m2", 1))
+	assert.Len(t, results, 1)
+}
+
 // Requests that have come when the courier begins to end are answered, whatever has been read
 // of them; only then do their connections end.
 func TestRequestsThatCrossTheEnd(t *testing.T) {
