Scale run: real couriers among hollow ones, each role's state, traffic and time in force

measure scale runs some processes of the product among hollow couriers that share one: core, module, the front's watch and backoff, the list's table and the sockets for notes are the product's own; only clients and endpoints are drawn, by the stand-in partners without a wire between. Couriers tell what their sockets for notes have exchanged and what they hold in the line of counters; the directory's stand-in counts what it exchanges and makes each answer once a generation.

--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -114,6 +114,7 @@
 	Idle      idleCommand      `cmd:"" help:"What idle destinations cost, and how they wake."`
 	Hostile   hostileCommand   `cmd:"" help:"Ten thousand messages past hostile plug-ins; exit 0 only if every rule holds."`
 	Plugins   pluginsCommand   `cmd:"" help:"What plug-ins cost, and what a looping one does to other flows."`
+	Scale     scaleCommand     `cmd:"" help:"A fleet of real couriers among hollow ones: what each role costs, by size."`
 	Upgrade   upgradeCommand   `cmd:"" help:"Processes that follow one another under load; exit 0 only if nothing is lost."`
 }
 
@@ -151,6 +152,15 @@
 	return err
 }
 
+type scaleCommand struct{ measure.Scale }
+
+func (m scaleCommand) Run() (err error) {
+	if m.Exe, err = os.Executable(); err == nil {
+		err = m.Scale.Run(os.Stdout)
+	}
+	return err
+}
+
 type upgradeCommand struct{ measure.Upgrade }
 
 func (m upgradeCommand) Run() (err error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -398,7 +398,7 @@
 func (c *courier) count(why string) {
 	t := c.loop.Turns()
 	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(),
-		"journal", c.journal.Size(), "plugins", c.plugins, "idle", c.core.Dormant(), "learnt", c.core.Learning(), "directory", c.directory(), "heap", heap(),
+		"journal", c.journal.Size(), "plugins", c.plugins, "idle", c.core.Dormant(), "learnt", c.core.Learning(), "directory", c.directory(), "datagrams", c.exchanged(), "state", c.core.Footprint(), "heap", heap(),
 		"turns", t.Count, "longest_turn_us", t.Longest.Microseconds())
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -24,7 +24,7 @@
 	if !c.fleet.Notes || !p.Reach() {
 		return
 	}
-	socket, err := net.Exchange(p.Listen, p.Each, notes.Most, c.loop.Post, c.log, c.noted)
+	socket, err := net.Exchange(p.Listen, net.NewPeers(p.Each), notes.Most, c.loop.Post, c.log, c.noted)
 	if err != nil {
 		c.log.Warn("no notes between couriers", "err", err)
 		return
@@ -46,3 +46,11 @@
 	}
 	c.core.Noted(peer, items)
 }
+
+// exchanged is what has gone to and fro between couriers.
+func (c *courier) exchanged() (n net.DatagramCounts) {
+	if c.datagrams != nil {
+		n = c.datagrams.Counts()
+	}
+	return n
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -21,8 +21,8 @@
 	Loop      *core.Loop
 	Engine    *net.Engine
 	Log       *slog.Logger
-	Number    int // of this front in the core
-	Listen    string
+	Number    int    // of this front in the core
+	Listen    string // empty: messages come in otherwise, and nothing listens
 	Discovery string
 	Names     config.Names
 	Columns   []string // of the load report
@@ -83,12 +83,14 @@
 // Start listens, takes the target group as last known and watches it.
 func (f *Front) Start(c *core.Core, known Begin) error {
 	f.core = c
-	addr, err := f.Engine.Listen("client", f.Listen, f.accept, f.spareClient)
-	if err != nil {
-		return err
+	if f.Listen != "" {
+		addr, err := f.Engine.Listen("client", f.Listen, f.accept, f.spareClient)
+		if err != nil {
+			return err
+		}
+		f.addr = addr
+		f.sweep()
 	}
-	f.addr = addr
-	f.sweep()
 	if known.Held {
 		news, err := known.News()
 		if err == nil {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -72,6 +72,10 @@
 
 	OperatorDirectory map[string]any // the directory's file; nil: its defaults
 	Console           bool           // it has a second address
+
+	Peers  []string // the fleet's addresses for notes, by number; nil: no notes
+	Number int      // this courier's, in the settings too
+	Seed   uint64   // 0: one that is always the same
 }
 
 // Courier is a running courier.
@@ -114,8 +118,11 @@
 		path := filepath.Join(cfg.Dir, name)
 		return path, os.WriteFile(path, b, 0o600)
 	}
+	if cfg.Seed == 0 {
+		cfg.Seed = 0x8c1f30d27a5be964
+	}
 	whole := map[string]any{
-		"name": "n0", "listen": "127.0.0.1:0", "discovery": cfg.Discovery, "seed": "8c1f30d27a5be964",
+		"name": fmt.Sprintf("n%d", cfg.Number), "listen": "127.0.0.1:0", "discovery": cfg.Discovery, "seed": fmt.Sprintf("%016x", cfg.Seed),
 		"limits": map[string]any{"memory_mb": cfg.MemoryMB, "sockets": cfg.Sockets, "disk_mb": 3}, "settings": cfg.Settings,
 	}
 	if cfg.Known != nil {
@@ -133,6 +140,9 @@
 	if cfg.OperatorDirectory == nil {
 		cfg.OperatorDirectory = map[string]any{}
 	}
+	if cfg.Peers != nil {
+		whole["peers"], whole["peer_listen"] = cfg.Peers, cfg.Peers[cfg.Number]
+	}
 	if cfg.Console {
 		whole["console"] = "127.0.0.1:0"
 	}
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -55,6 +55,16 @@
 	notices    map[string][]Notice
 	told       int
 	started    sync.WaitGroup
+	watched    func(from string, generation uint64)
+	texts      map[textKey][]byte // answers at textsAt
+	textsAt    uint64
+	traffic    traffic
+}
+
+// textKey tells answers of one generation apart.
+type textKey struct {
+	full  bool
+	after uint64
 }
 
 type change struct {
@@ -85,7 +95,7 @@
 	mux.HandleFunc("GET /discovery/hosts", d.hosts)
 	mux.HandleFunc("POST /v1/outcomes", d.outcomes)
 	d.server = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: 5 * time.Second}
-	d.started.Go(func() { _ = d.server.Serve(l) })
+	d.started.Go(func() { _ = d.server.Serve(d.traffic.listen(l)) })
 	return d, nil
 }
 
@@ -194,14 +204,21 @@
 		timeout = t.C
 		d.mu.Lock()
 		d.heard = max(d.heard, after)
+		watched := d.watched
 		d.mu.Unlock()
+		if watched != nil {
+			watched(r.RemoteAddr, after)
+		}
 	}
+	d.traffic.calls.Add(1)
 	for late := false; ; {
 		d.mu.Lock()
 		grown, down, raw, current := d.grown, d.down, d.raw, d.generation
 		var text []byte
 		if !down && raw == nil && (!watching || after != current || late) {
+			begun := time.Now()
 			text = d.answer(after, watching)
+			d.traffic.answering.Add(int64(time.Since(begun)))
 		}
 		d.mu.Unlock()
 		if raw != nil && !down {
@@ -210,7 +227,9 @@
 		if text != nil {
 			w.Header().Set("Content-Type", "application/json")
 			w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+			begun := time.Now()
 			_, _ = w.Write(text)
+			d.traffic.answering.Add(int64(time.Since(begun)))
 			return
 		}
 		select {
@@ -226,6 +245,16 @@
 // answer is what is newer than a generation, or everything.
 func (d *Directory) answer(after uint64, watching bool) []byte {
 	full := !watching || after < d.floor || after > d.generation
+	key := textKey{full: full}
+	if !full {
+		key.after = after
+	}
+	if d.textsAt != d.generation {
+		d.texts, d.textsAt = map[textKey][]byte{}, d.generation
+	}
+	if b, ok := d.texts[key]; ok {
+		return b
+	}
 	list := []Instance{}
 	if full {
 		list = d.list
@@ -238,6 +267,7 @@
 		list = youngest(list)
 	}
 	b, _ := json.Marshal(map[string]any{"generation": d.generation, "reset": full, "instances": list})
+	d.texts[key] = b
 	return b
 }
 
--- a/internal/standin/farm.go
+++ b/internal/standin/farm.go
@@ -242,19 +242,9 @@
 		http.Error(w, "too big", http.StatusBadRequest)
 		return
 	}
-	c := f.call(id, body)
-	h.mu.Lock()
-	a := h.p.Begin(f.Now(), c)
-	if f.drained(addr.String()) {
-		h.p.Counts.Drained++
-	}
-	h.mu.Unlock()
+	a, end := f.begin(h, id, body, f.drained(addr.String()))
 	written := false
-	defer func() {
-		h.mu.Lock()
-		h.p.End(f.Now(), c, written)
-		h.mu.Unlock()
-	}()
+	defer func() { end(written) }()
 	if a.Status == 0 && !a.Reset {
 		f.wait(r.Context(), time.Hour)
 		panic(http.ErrAbortHandler)
@@ -267,16 +257,63 @@
 		panic(http.ErrAbortHandler)
 	}
 	if a.Limit > 0 {
-		w.Header().Set("X-Server-Load", fmt.Sprintf("x0=%.3f,x1=%g", a.Left, a.Limit))
+		w.Header().Set(headerLoad, load(a))
 	}
 	if a.Status == http.StatusTooManyRequests {
-		w.Header().Set("X-RateLimit-Wait-Ms", strconv.FormatInt(a.Wait.Milliseconds(), 10))
+		w.Header().Set(headerWait, wait(a))
 	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(a.Status)
 	written = a.Status == http.StatusOK
 }
 
+const (
+	headerLoad = "X-Server-Load"
+	headerWait = "X-RateLimit-Wait-Ms"
+)
+
+func load(a partner.Answer) string { return fmt.Sprintf("x0=%.3f,x1=%g", a.Left, a.Limit) }
+
+func wait(a partner.Answer) string { return strconv.FormatInt(a.Wait.Milliseconds(), 10) }
+
+// Header is what an answer's header says where it goes over no wire; "": it has none of
+// that name.
+func Header(a partner.Answer, name string) string {
+	switch {
+	case name == headerLoad && a.Limit > 0:
+		return load(a)
+	case name == headerWait && a.Status == http.StatusTooManyRequests:
+		return wait(a)
+	}
+	return ""
+}
+
+func (f *Farm) begin(h *host, id string, body []byte, drained bool) (a partner.Answer, end func(delivered bool)) {
+	c := f.call(id, body)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a = h.p.Begin(f.Now(), c)
+	if drained {
+		h.p.Counts.Drained++
+	}
+	return a, func(delivered bool) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.p.End(f.Now(), c, delivered)
+	}
+}
+
+// Begin has the partner of a destination take a call that comes over no wire. end is to be
+// called once the answer has been given, or given up.
+func (f *Farm) Begin(destination uint32, id string, body []byte) (a partner.Answer, end func(delivered bool), err error) {
+	h := f.byDest[destination]
+	if h == nil {
+		return a, nil, fmt.Errorf("no partner has number %d", destination)
+	}
+	a, end = f.begin(h, id, body, false)
+	return a, end, nil
+}
+
 // wait returns false where the caller gives up, or the farm closes, before d
 // has passed.
 func (f *Farm) wait(ctx context.Context, d time.Duration) bool {
--- /dev/null
+++ b/internal/standin/traffic.go
@@ -0,0 +1,82 @@
+package standin
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+	"unsafe"
+)
+
+// nameBytes are those of an entry in the table of names.
+const nameBytes = 32
+
+// Traffic is what a directory has exchanged with its watchers.
+type Traffic struct {
+	Calls     int64         // asks for the list
+	In, Out   int64         // bytes over its connections, notices included
+	Answering time.Duration // in which answers were made and written, of all its goroutines
+	Bytes     int           // of the list, and of the answers made of it as it stands
+}
+
+type traffic struct{ calls, in, out, answering atomic.Int64 }
+
+// listen has what goes over a listener's connections counted.
+func (t *traffic) listen(l net.Listener) net.Listener { return countedListener{l, t} }
+
+type countedListener struct {
+	net.Listener
+	t *traffic
+}
+
+// Accept waits for the next connection.
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.t}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	t *traffic
+}
+
+// Read counts what comes.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.t.in.Add(int64(n))
+	return n, err
+}
+
+// Write counts what goes.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.t.out.Add(int64(n))
+	return n, err
+}
+
+// Traffic tells what has gone to and fro since the directory was opened.
+func (d *Directory) Traffic() Traffic {
+	t := Traffic{
+		Calls: d.traffic.calls.Load(), In: d.traffic.in.Load(), Out: d.traffic.out.Load(),
+		Answering: time.Duration(d.traffic.answering.Load()),
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, x := range d.list {
+		t.Bytes += int(unsafe.Sizeof(x)) + len(x.InstanceID) + len(x.HostPort) + nameBytes
+	}
+	for _, b := range d.texts {
+		t.Bytes += len(b)
+	}
+	return t
+}
+
+// Watched has f told of each watch: which address it comes from, and which generation is
+// held there. It may be called by many goroutines at once.
+func (d *Directory) Watched(f func(from string, generation uint64)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.watched = f
+}
