--- a/cmd/snowjunction/fleet_test.go
+++ b/cmd/snowjunction/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strconv"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -154,4 +155,18 @@
 		t send "$ok"
 	`)
 	assert.Equal(t, 44.0, <-limits)
+	// Each of them is counted, and what an address says that is no peer's.
+	stranger, err := net.Dial("udp4", peers[79])
+	require.NoError(t, err)
+	defer stranger.Close()
+	_, err = stranger.Write(notes.Write([]snowjunction.Note{{Destination: 7, Grants: true, Calls: 9}})[0])
+	require.NoError(t, err)
+	for {
+		require.NoError(t, c.Signal(syscall.SIGUSR1))
+		line, err := c.Await(`counters .* n.unread=([0-9]+) .* datagrams.strange=([0-9]+) datagrams.oversize=([0-9]+)`)
+		require.NoError(t, err)
+		if line[1] >= "2" && line[2] == "1" && line[3] >= "1" { // they come when they come
+			break
+		}
+	}
 }
--- /dev/null
+++ b/cmd/snowjunction/scale_test.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/measure"
+)
+
+// A scale run that cannot be is refused in one line, before anything starts.
+func TestScaleBadInput(t *testing.T) {
+	for args, want := range map[string]string{
+		"--couriers=0": "--couriers: 0 is not over 0", "--events=-1": "--events: -1 is not over 0", "--bogus": "unknown flag --bogus",
+		"--couriers=301 --real=301":           "302 processes are more than 300",
+		"--couriers=301 --real=1 --agree":     "302 processes are more than 300",
+		"--destinations=999999999":            "memory",
+		"--destinations=many":                 "--destinations",
+		"--cuts=1":                            "--cuts: 1 need two regions at least",
+		"--fit=moon":                          "--fit must be one of",
+		"--couriers=1 --real=1 --real=2":      "--real: 2 is not between",
+		"--couriers=10 --regions=4 --real=10": "the first region's 3 couriers",
+	} {
+		out, code := command(t, nil, append([]string{"measure", "scale"}, strings.Fields(args)...)...)
+		assert.Equal(t, exitUsage, code, args)
+		assert.Contains(t, out, want, args)
+		assert.Equal(t, 1, strings.Count(out, "\n"), "%s: %s", args, out)
+	}
+}
+
+// played runs a short scale run and returns what it tells.
+func played(t *testing.T, into any, args ...string) {
+	file := filepath.Join(t.TempDir(), "figures.json")
+	out, code := command(t, nil, append([]string{"measure", "scale", "--json=" + file, "--settle=0.5"}, args...)...)
+	require.Equal(t, 0, code, out)
+	b, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal(b, into))
+}
+
+// Real and hollow couriers are one fleet: they hold one list, hear of each change, ask each
+// other for leave, and messages of both are delivered.
+func TestScaleShort(t *testing.T) {
+	var f measure.ScaleFigures
+	played(t, &f, "--couriers=9", "--real=2", "--destinations=12", "--endpoints=2", "--zones=2", "--down=0.1",
+		"--events=60", "--changes=120", "--seconds=2")
+	assert.Equal(t, 4, f.Force.Changes)
+	assert.LessOrEqual(t, f.Force.Heard, int64(f.Force.Expect))
+	assert.Positive(t, f.Force.Heard)
+	for _, c := range []*measure.CourierFigures{f.Real, f.Hollow} {
+		require.NotNil(t, c)
+		assert.Positive(t, c.Sent)
+		assert.Positive(t, c.Received)
+		assert.GreaterOrEqual(t, c.StateBytes, 24*56.0, "the list alone takes that")
+	}
+	assert.Equal(t, []int{2, 7}, []int{f.Real.Couriers, f.Hollow.Couriers})
+	assert.Positive(t, f.Carrier.Sent)
+	assert.Positive(t, f.Keeper.Sent)
+	assert.Positive(t, f.Keeper.Accounts)
+	assert.Positive(t, f.Delivered)
+	assert.Positive(t, f.Directory.Out)
+	assert.Zero(t, f.Dropped)
+	assert.Zero(t, f.Cut)
+}
+
+// What the flags name happens: couriers restart and are back, and a cut stops notes.
+func TestScaleEvents(t *testing.T) {
+	var f measure.ScaleFigures
+	played(t, &f, "--couriers=9", "--real=2", "--destinations=6", "--events=90", "--regions=3", "--cuts=1", "--cut-seconds=1.5",
+		"--restarts=9", "--seconds=3", "--changes=0")
+	assert.Positive(t, f.Cut)
+	assert.Positive(t, f.Delivered)
+	assert.Zero(t, f.Force.Changes)
+	assert.Positive(t, f.Real.Sent, "the counts of earlier lives stay")
+	assert.Positive(t, f.Real.CPU)
+}
+
+// Five sizes are played, and each sum has its line.
+func TestScaleFit(t *testing.T) {
+	var f measure.Fitted
+	played(t, &f, "--fit=destinations", "--couriers=4", "--real=0", "--destinations=50", "--events=40", "--seconds=0.5")
+	assert.Equal(t, []float64{10, 20, 30, 40, 50}, f.Sizes)
+	assert.Len(t, f.Runs, 5)
+	assert.Positive(t, f.Lines["directory: B out at the start"].Slope)
+	assert.Positive(t, f.Lines["carrier: state, B"].Intercept+50*f.Lines["carrier: state, B"].Slope)
+	assert.NotContains(t, f.Lines, "real courier: core")
+}
--- a/internal/measure/scalerun.go
+++ b/internal/measure/scalerun.go
@@ -20,6 +20,7 @@
 	shardsMost   = 4 // loops that hollow couriers share
 	holdWithin   = 15 * time.Minute
 	realsAtOnce  = 8
+	tellEvery    = 10 * time.Second
 	downFor      = time.Second // a courier that is restarted, at least
 	realSockets  = 1024
 	realMemoryMB = 128 // as the fleet to come allows
@@ -85,6 +86,9 @@
 		}
 	}
 	all, failed := newStarts(), make(chan error, p.Couriers)
+	ended := make(chan struct{})
+	defer close(ended)
+	t.work.Go(func() { t.follow(ended) })
 	reals := make(chan struct{}, realsAtOnce)
 	var wg sync.WaitGroup
 	for n := range p.Couriers {
@@ -124,6 +128,22 @@
 	return nil
 }
 
+// follow tells now and then how many couriers hold the list.
+func (t *fleet) follow(ended chan struct{}) {
+	clock := time.NewTicker(tellEvery)
+	defer clock.Stop()
+	for begun := time.Now(); ; {
+		select {
+		case <-ended:
+			return
+		case <-t.ending:
+			return
+		case <-clock.C:
+			fmt.Fprintf(os.Stderr, "%.0f s: %d of %d couriers hold the list\n", time.Since(begun).Seconds(), t.watchers(), t.plan.Couriers)
+		}
+	}
+}
+
 // watchers is how many connections have watched the list.
 func (t *fleet) watchers() int {
 	t.force.mu.Lock()
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -22,11 +22,11 @@
 	// PointsLeast are the sizes over which a sum is fitted.
 	PointsLeast = 5
 	confidence  = 0.95
-	bendMost    = 0.1 // share of the rise that a bend may have and still count as none
+	bendMost    = 0.05 // share of the rise that a bend may have and still count as none: a root over fifths bends by 0.09
 )
 
 // Fit fits y against x, of PointsLeast points at least. A sum is not linear if the square
-// that is put beside the line is sure at 95% and bends it by over a tenth of its rise.
+// that is put beside the line is sure at 95% and bends it by over a twentieth of its rise.
 func Fit(x, y []float64) Line {
 	n := float64(len(x))
 	l := Line{Linear: true}
