--- a/internal/measure/start.go
+++ b/internal/measure/start.go
@@ -289,7 +289,7 @@
 	past := 0
 	for ; j.Size() < int64(0.6*float64(room)); past++ {
 		m := message(past)
-		err := errors.Join(j.Take(m), j.Sent(m, now), j.Came(m, true), j.Ended(m, store.Delivered, 0, now), j.Settle(m))
+		err := errors.Join(j.Take(m), j.Sent(m, now), j.Came(m, true, now), j.Ended(m, store.Delivered, 0, now), j.Settle(m))
 		if err != nil {
 			return err
 		}
