--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -173,13 +173,17 @@
 // else, and is read entry by entry. Without one, or where it is no object, known is nil.
 func cutKnown(b []byte) (rest, known []byte) {
 	const name, space = "\"known\"", " \t\r\n"
-	depth, quote, from := 0, -1, -1 // where a string begins; where the list does
+	depth, from := 0, -1 // where the list begins
 	for i := 0; i < len(b); i++ {
-		switch c := b[i]; {
-		case quote >= 0 && c == '\\':
-			i++
-		case quote >= 0 && c == '"':
-			if depth == 1 && from < 0 && string(b[quote:i+1]) == name {
+		switch b[i] {
+		case '"':
+			quote := i
+			for i++; i < len(b) && b[i] != '"'; i++ {
+				if b[i] == '\\' {
+					i++
+				}
+			}
+			if depth == 1 && from < 0 && i < len(b) && string(b[quote:i+1]) == name {
 				after, colon := bytes.CutPrefix(bytes.TrimLeft(b[i+1:], space), []byte(":"))
 				after = bytes.TrimLeft(after, space)
 				if colon && !bytes.HasPrefix(after, []byte("{")) {
@@ -188,13 +192,9 @@
 					from = len(b) - len(after)
 				}
 			}
-			quote = -1
-		case quote >= 0:
-		case c == '"':
-			quote = i
-		case c == '{' || c == '[':
+		case '{', '[':
 			depth++
-		case c == '}' || c == ']':
+		case '}', ']':
 			if depth--; depth == 1 && from >= 0 {
 				return slices.Concat(b[:from], []byte("null"), b[i+1:]), b[from : i+1]
 			}
@@ -255,6 +255,7 @@
 // read decodes a list entry by entry: as a whole in JSON's own form it would take many times the
 // room of the entries, and a start most of its time.
 func (n Names) read(b []byte) (out List, err error) {
+	out.Targets = slices.Grow(out.Targets, bytes.Count(b, []byte(`"instanceId"`)))
 	r := listing.Reader{MaxSize: len(b), MaxList: len(b), Entry: func(v *fastjson.Value) error {
 		e, err := n.Target(v)
 		out.Targets = append(out.Targets, e)
@@ -282,13 +283,13 @@
 		return e, errors.New("no instanceId")
 	}
 	var ok bool
-	if e.Phase, ok = phases[text(t, "lifecycle")]; !ok {
+	if e.Phase, ok = phases[string(t.GetStringBytes("lifecycle"))]; !ok {
 		e.Phase = snowjunction.Draining
 	}
-	if e.Zone, ok = n.Zones[text(t, "zone")]; !ok {
+	if e.Zone, ok = n.Zones[string(t.GetStringBytes("zone"))]; !ok {
 		e.Zone = len(n.Zones)
 	}
-	if e.Kind, ok = n.Kinds[text(t, "machineType")]; !ok {
+	if e.Kind, ok = n.Kinds[string(t.GetStringBytes("machineType"))]; !ok {
 		e.Kind = len(n.Kinds)
 	}
 	if e.Phase == snowjunction.Gone {
--- a/internal/proto/listing/listing.go
+++ b/internal/proto/listing/listing.go
@@ -74,8 +74,16 @@
 // take returns how many bytes of b belong to the value, and whether it ends
 // with them.
 func (s *scan) take(b []byte) (n int, ended bool, err error) {
-	for i, c := range b {
-		switch {
+	for i := 0; i < len(b); i++ {
+		if s.quoted && !s.escaped { // most of a list is text
+			for i < len(b) && b[i] != '"' && b[i] != '\\' {
+				i++
+			}
+			if i == len(b) {
+				break
+			}
+		}
+		switch c := b[i]; {
 		case s.escaped:
 			s.escaped = false
 		case s.quoted:
