Accepting: room is looked for three times, as what others have sent may lie unread

Need: clients that come faster than they can be closed, each with a byte or a PING. Trials with such a flood against a process at 256 descriptors, memory 32 MB: the loop accepted faster than bytes were read, nobody with unread bytes may be spared, and newcomers were turned away though others only rested. One that finds no room is looked at anew after the loop and the reader have had their turn, three times in all; a listener that is closed meanwhile ends it as before.

TestRoomAfterALook was seen to fail with one try.

--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -11,6 +11,7 @@
 	"maps"
 	stdnet "net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -409,36 +410,60 @@
 				time.Sleep(10 * time.Millisecond)
 				continue
 			}
-			// One at a time: in a burst those not looked at yet would hold
-			// descriptors that nothing counts.
-			seen := make(chan struct{})
-			e.cfg.Post(func() {
-				e.accept(kind, raw, accept)
-				close(seen)
-			})
-			select {
-			case <-seen:
-			case <-e.stopped:
-			}
+			e.admit(kind, raw, accept)
 		}
 	}()
 	return l.Addr().String(), nil
 }
 
-func (e *Engine) accept(kind string, raw stdnet.Conn, accept func(*Conn) Handler) {
+// roomTries is how often room is looked for, for one that has been accepted: what the others have
+// sent lies unread for no longer, and none of them can be spared before.
+const roomTries = 3
+
+// admit has the loop accept a connection. One at a time: in a burst those not looked at yet would
+// hold descriptors that nothing counts.
+func (e *Engine) admit(kind string, raw stdnet.Conn, accept func(*Conn) Handler) {
+	for n := 1; ; n++ {
+		in := make(chan bool, 1)
+		e.cfg.Post(func() { in <- e.accept(kind, raw, accept, n >= roomTries) })
+		select {
+		case ok := <-in:
+			if ok {
+				return
+			}
+		case <-e.stopped:
+			e.cfg.Post(func() { // which the loop does after the other
+				if !<-in {
+					e.accept(kind, raw, accept, true)
+				}
+			})
+			return
+		}
+		runtime.Gosched() // to who reads
+	}
+}
+
+// accept gives a connection its handler. Where there is no room it is closed, if this is the last
+// try, or else false is returned.
+func (e *Engine) accept(kind string, raw stdnet.Conn, accept func(*Conn) Handler, last bool) bool {
 	c := &Conn{engine: e, kind: kind, peer: raw.RemoteAddr().String(), since: time.Now(), accepted: true, halves: e.halves[kind]}
 	e.book(c, 1)
 	crowded := float64(e.accepted) > acceptShare*float64(e.cfg.MaxConns) && e.opened[kind] > e.cfg.Kept[kind]
 	if crowded && !e.spareAccepted(kind) || e.over(kind) && !e.spareIdle() && !e.spareAccepted(kind) {
+		if !last {
+			e.book(c, -1)
+			return false
+		}
 		c.end(Limit)
 		raw.Close()
-		return
+		return true
 	}
 	if !c.attach(raw) {
 		c.end(Limit)
-		return
+		return true
 	}
 	c.handler = accept(c)
+	return true
 }
 
 // Dial opens a connection; where there is no room, one that is not needed makes it. The handler
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -316,3 +316,32 @@
 	assert.False(t, ok)
 	assert.False(t, accepted.Unread())
 }
+
+// Who can be spared may show only once what lies unread has been read: room is looked for again
+// before a connection is turned away.
+func TestRoomAfterALook(t *testing.T) {
+	b := newBench(t, 10)
+	var accepted []*Conn
+	asked := 0
+	addr, err := b.engine.Listen("test", "127.0.0.1:0", func(c *Conn) Handler {
+		accepted = append(accepted, c)
+		return &end{}
+	}, func() bool {
+		if asked++; asked < 3 {
+			return false
+		}
+		accepted[0].Close(Spared)
+		return true
+	})
+	require.NoError(t, err)
+	for n := range 8 { // one more than the share
+		c, err := stdnet.Dial("tcp", addr)
+		require.NoError(t, err)
+		defer c.Close()
+		b.until(func() bool { return len(accepted) > n || asked > 3 })
+	}
+	assert.Len(t, accepted, 8)
+	assert.Equal(t, 3, asked)
+	assert.Equal(t, 7, b.engine.Open())
+	assert.Equal(t, 1, b.lines(), "the one that was spared, and none turned away")
+}
