Notes between couriers: a read that fails rests before the next

Read: the loop, its timers and posts, the engine, the handover's door, the directory's keeper and all `for {` of the daemon's packages. One reader turns without blocking: Datagrams.read went on at once after any error but the socket's end, so an error that lasts would keep one thread busy for good. It rests 10 ms now, as the accept loops do. TestReadsThatFail was seen to fail without the rest.

--- a/internal/net/datagrams.go
+++ b/internal/net/datagrams.go
@@ -7,6 +7,7 @@
 	stdnet "net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 )
 
 // Datagrams is a socket for notes between the couriers of a fleet. Its reader only hands
@@ -45,19 +46,31 @@
 	if d.conn, err = stdnet.ListenUDP("udp4", stdnet.UDPAddrFromAddrPort(at)); err != nil {
 		return nil, fmt.Errorf("listen for notes: %w", err)
 	}
-	go d.read(most, post, got)
+	go d.read(d.conn, time.Sleep, most, post, got)
 	return d, nil
 }
 
-func (d *Datagrams) read(most int, post func(func()), got Datagram) {
+// readAgain is how long a reader rests after an error: one that lasts must not keep it busy.
+const readAgain = 10 * time.Millisecond
+
+// datagramReader is what read needs of a socket.
+type datagramReader interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+}
+
+func (d *Datagrams) read(conn datagramReader, rest func(time.Duration), most int, post func(func()), got Datagram) {
 	buf := make([]byte, most+1)
 	for {
-		n, from, err := d.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, stdnet.ErrClosed) {
 			return
 		}
+		if err != nil {
+			rest(readAgain)
+			continue
+		}
 		peer, known := d.numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if err != nil || !known || n > most || d.pending.Load() >= datagramsPending {
+		if !known || n > most || d.pending.Load() >= datagramsPending {
 			continue
 		}
 		b := append([]byte(nil), buf[:n]...)
--- a/internal/net/datagrams_test.go
+++ b/internal/net/datagrams_test.go
@@ -1,9 +1,12 @@
 package net
 
 import (
+	"errors"
 	"log/slog"
 	stdnet "net"
+	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -51,3 +54,24 @@
 	_, err = Exchange(each[0], each, 4, nil, nil, nil)
 	require.Error(t, err, "somebody listens there")
 }
+
+// broken is a socket that has an error for each read, and is closed after the last.
+type broken struct{ reads, most int }
+
+func (b *broken) ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error) {
+	if b.reads++; b.reads > b.most {
+		return 0, netip.AddrPort{}, stdnet.ErrClosed
+	}
+	return 0, netip.AddrPort{}, errors.New("no memory for it")
+}
+
+// A socket whose reads fail for long does not keep its reader busy: it rests between two.
+func TestReadsThatFail(t *testing.T) {
+	conn, rests := &broken{most: 5}, 0
+	(&Datagrams{}).read(conn, func(d time.Duration) {
+		assert.Equal(t, readAgain, d)
+		rests++
+		assert.Equal(t, rests, conn.reads, "one rest for each read")
+	}, 4, nil, nil)
+	assert.Equal(t, conn.most, rests)
+}
