--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -104,7 +104,7 @@
 			return
 		}
 	}
-	if at, ran := c.once.Since(f.once(), c.since()); ran && f.keyed() {
+	if at, ran := c.ran.Since(f.idempotencyKey(), c.since()); ran && f.keyed() {
 		f.msg.Ran, f.msg.RanSince = true, c.start.Add(at) // under another id: its window goes on
 	}
 	f.fresh = true
@@ -117,7 +117,7 @@
 	f.id = snowjunction.RequestID(c.Counters.serial)
 	c.flows[f.id], c.ids[f.name()] = f, f
 	if f.keyed() {
-		c.keys[f.once()] = append(c.keys[f.once()], f)
+		c.keys[f.idempotencyKey()] = append(c.keys[f.idempotencyKey()], f)
 	}
 	c.held++
 	if g := c.hold(f); g.waiting {
@@ -230,8 +230,8 @@
 		at, window = now-window, 2*window
 	}
 	c.left(f, at, window)
-	if f.keyed() && f.msg.State != store.Open && c.before[f.once()] == nil {
-		c.before[f.once()] = f.msg
+	if f.keyed() && f.msg.State != store.Open && c.before[f.idempotencyKey()] == nil {
+		c.before[f.idempotencyKey()] = f.msg
 	}
 }
 
@@ -281,7 +281,7 @@
 		case m.State == store.Open && known:
 			c.Counters.Restored++
 			f := &flow{msg: m, class: &c.Settings.Classes[no], untried: m.Attempts == 0}
-			if first := c.before[f.once()]; first != nil && f.keyed() && !m.Ran {
+			if first := c.before[f.idempotencyKey()]; first != nil && f.keyed() && !m.Ran {
 				c.ranUnderAnother(f, first.RanSince)
 			}
 			if f.untried {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,8 +26,8 @@
 	"snowjunction/internal/dormancy"
 	"snowjunction/internal/exclusions"
 	"snowjunction/internal/handover"
+	"snowjunction/internal/idempotency"
 	"snowjunction/internal/learnt"
-	"snowjunction/internal/once"
 	"snowjunction/internal/store"
 )
 
@@ -140,10 +140,10 @@
 	picker   *learnt.Picker
 	learning *Timer // until something learnt may be written
 	resting  *Timer // until destinations may go to sleep
-	once     *once.Book
-	keys     map[once.Key][]*flow        // held, or with an attempt out, by idempotency key
-	before   map[once.Key]*store.Message // of an earlier process that are over, and may have run; until Restore
-	relayed  uint64                      // attempts whose bytes have left, or leave
+	ran      *idempotency.Book
+	keys     map[idempotency.Key][]*flow        // held, or with an attempt out, by idempotency key
+	before   map[idempotency.Key]*store.Message // of an earlier process that are over, and may have run; until Restore
+	relayed  uint64                             // attempts whose bytes have left, or leave
 	out      *exclusions.Set
 	tallies  []tally // by class, and one for what is of none
 	idle     func()  // called once frozen and no call is out
@@ -187,7 +187,7 @@
 		asking: map[uint64][]*flow{}, owing: map[uint64][]*flow{}, unknown: map[uint64]int{},
 		classes: map[string]int{}, tenants: map[string]int{},
 		routes: newRoutes(len(cfg.Fronts)), picker: learnt.NewPicker(),
-		once: once.New(onceMost), keys: map[once.Key][]*flow{}, before: map[once.Key]*store.Message{}, tallies: make([]tally, len(cfg.Settings.Classes)+1),
+		ran: idempotency.New(idempotencyKeysMost), keys: map[idempotency.Key][]*flow{}, before: map[idempotency.Key]*store.Message{}, tallies: make([]tally, len(cfg.Settings.Classes)+1),
 		dirs: make([]*directory, len(cfg.Fronts)), out: exclusions.New(cfg.Settings.WarmUp), wishes: map[string]*wish{},
 	}
 	for front, d := range cfg.Directories {
@@ -203,9 +203,9 @@
 }
 
 const (
-	settleSlack = 60 * time.Millisecond
-	windowSlack = 60 * time.Millisecond
-	onceMost    = 8192 // idempotency keys that are remembered for their windows
+	settleSlack         = 60 * time.Millisecond
+	windowSlack         = 60 * time.Millisecond
+	idempotencyKeysMost = 8192 // idempotency keys that are remembered for their windows
 )
 
 // feed has the module asked about ev, with all else that comes before the
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -9,8 +9,8 @@
 	"snowjunction"
 	"snowjunction/internal/belief"
 	"snowjunction/internal/handover"
+	"snowjunction/internal/idempotency"
 	"snowjunction/internal/memento"
-	"snowjunction/internal/once"
 	"snowjunction/internal/store"
 )
 
@@ -97,7 +97,7 @@
 		}
 		e.Calls = calls
 		c.last(e)
-		c.once.Each(c.since(), func(k once.Key, id string, at, until time.Duration) {
+		c.ran.Each(c.since(), func(k idempotency.Key, id string, at, until time.Duration) {
 			e.Keys = append(e.Keys, handover.Key{
 				Destination: k.Destination, Text: k.Text, ID: id, At: c.start.Add(at), Until: c.start.Add(until),
 			})
@@ -159,7 +159,7 @@
 		c.book.Hand(snowjunction.DestinationID(k.Destination), k.Text, k.At.Sub(c.start), c.since(), k.Awake, k.Restart)
 	}
 	for _, k := range e.Keys {
-		c.once.Left(once.Key{Destination: k.Destination, Text: k.Text}, k.ID, k.At.Sub(c.start), k.Until.Sub(k.At))
+		c.ran.Left(idempotency.Key{Destination: k.Destination, Text: k.Text}, k.ID, k.At.Sub(c.start), k.Until.Sub(k.At))
 	}
 	for _, r := range e.Rests {
 		if left := r.Until.Sub(c.Loop.Now()); left > 0 {
--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"snowjunction"
-	"snowjunction/internal/once"
+	"snowjunction/internal/idempotency"
 	"snowjunction/internal/store"
 )
 
@@ -460,7 +460,7 @@
 			if i == 0 {
 				b.step(5 * ms)
 				b.list(snowjunction.Draining, false)
-				b.c.once.Never(once.Key{Destination: 7, Text: "k"}, id) // the second has come before it left
+				b.c.ran.Never(idempotency.Key{Destination: 7, Text: "k"}, id) // the second has come before it left
 			}
 		}
 		require.Len(t, b.calls, 1)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -56,7 +56,7 @@
 		}
 	}
 	if !ran && !f.msg.Ran {
-		c.once.Never(f.once(), f.msg.ID)
+		c.ran.Never(f.idempotencyKey(), f.msg.ID)
 	}
 	c.evidence(a, r)
 	c.learn(snowjunction.DestinationID(f.msg.Destination))
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"snowjunction"
-	"snowjunction/internal/once"
+	"snowjunction/internal/idempotency"
 	"snowjunction/internal/store"
 )
 
@@ -85,15 +85,15 @@
 	return nil
 }
 
-// once is what an endpoint knows a flow's message by.
-func (f *flow) once() once.Key {
-	return once.Key{Destination: f.msg.Destination, Text: f.msg.IdempotencyKey}
+// idempotencyKey is what an endpoint knows a flow's message by.
+func (f *flow) idempotencyKey() idempotency.Key {
+	return idempotency.Key{Destination: f.msg.Destination, Text: f.msg.IdempotencyKey}
 }
 
 // left has it remembered that an attempt of a flow may run from then on.
 func (c *Core) left(f *flow, at, window time.Duration) {
 	if f.keyed() {
-		c.once.Left(f.once(), f.msg.ID, at, window+2*windowSlack) // as its client reckons it
+		c.ran.Left(f.idempotencyKey(), f.msg.ID, at, window+2*windowSlack) // as its client reckons it
 	}
 }
 
@@ -116,7 +116,7 @@
 	if !f.keyed() {
 		return true
 	}
-	for _, o := range c.keys[f.once()] {
+	for _, o := range c.keys[f.idempotencyKey()] {
 		since := ranSince(o.msg)
 		if (o != f || o.msg.Ran) && !since.IsZero() && c.Loop.Now().Sub(since) >= f.class.Window-2*c.Settings.Tick {
 			return false
@@ -131,9 +131,9 @@
 	if !f.keyed() {
 		return
 	}
-	others := slices.DeleteFunc(c.keys[f.once()], func(o *flow) bool { return o == f })
-	if c.keys[f.once()] = others; len(others) == 0 {
-		delete(c.keys, f.once())
+	others := slices.DeleteFunc(c.keys[f.idempotencyKey()], func(o *flow) bool { return o == f })
+	if c.keys[f.idempotencyKey()] = others; len(others) == 0 {
+		delete(c.keys, f.idempotencyKey())
 	}
 	since := ranSince(f.msg)
 	for _, o := range others {
--- a/internal/once/once.go
+++ b/internal/idempotency/idempotency.go
@@ -1,11 +1,11 @@
-// Package once remembers which idempotency keys may have run, and since when. It knows no
+// Package idempotency remembers which idempotency keys may have run, and since when. It knows no
 // clock, no wire and no goroutine.
 //
 // A client that has no answer in time may hand its message in again under a new id. The
 // endpoint knows the two for one by their idempotency key, as long as its class's window
 // lasts, counted from the first attempt that may have run; so the second message's attempts
 // belong into that same window. What was sent under the first id is known here alone.
-package once
+package idempotency
 
 import "time"
 
--- a/internal/once/once_test.go
+++ b/internal/idempotency/idempotency_test.go
@@ -1,4 +1,4 @@
-package once
+package idempotency
 
 import (
 	"strconv"
