--- a/internal/emulate/courier.go
+++ b/internal/emulate/courier.go
@@ -143,6 +143,9 @@
 	if w.check != nil {
 		w.check.Died(w.now, c.no)
 	}
+	if !w.s.Kept.Learnt {
+		w.ramp.Forgot(c.no)
+	}
 	for _, h := range c.held {
 		id, m := h.id, c.message(h)
 		if m == nil {
@@ -412,6 +415,7 @@
 		x.answer, x.apart = w.part(p, x.endpoint)
 	}
 	if !x.apart {
+		w.load(p, x.courier)
 		x.answer = p.Begin(w.now, partner.Call{})
 	}
 	if p.Counts.Fell > p.fell {
@@ -514,6 +518,9 @@
 	w.res.outcomes[out]++
 	c.kept.journal++
 	c.learn(x.dest)
+	if out != snowjunction.OK {
+		w.failed(c.no, x.dest)
+	}
 	unsure := out == snowjunction.TimedOut || out == snowjunction.Reset || out == snowjunction.Cancelled
 	ran := unsure || out == snowjunction.Error
 	if ran && !m.ran {
--- a/internal/emulate/result.go
+++ b/internal/emulate/result.go
@@ -45,6 +45,11 @@
 	Unreached  int `json:"unreached"`
 	Handshakes int `json:"handshakes"`
 	Fell       int `json:"fell"`
+	// Falls of cold partners past N + 2 x root of N + 2 calls (rules.Ramp), those that
+	// break the rule, and the most calls as a multiple of that.
+	RampFell   int     `json:"ramp_fell,omitempty"`
+	RampBroken int     `json:"ramp_broken,omitempty"`
+	RampPeak   float64 `json:"ramp_peak,omitempty"`
 
 	Notes   int `json:"notes,omitempty"` // that couriers sent each other
 	Asked   int `json:"plugin_asked,omitempty"`
@@ -127,6 +132,7 @@
 	for _, p := range w.partners {
 		r.Fell += p.Counts.Fell
 	}
+	r.RampPeak = w.ramp.Peak()
 	r.P50Ms, r.P99Ms = r.latency.Ms(50), r.latency.Ms(99)
 	whole := account{}
 	for _, x := range r.second {
@@ -176,10 +182,18 @@
 		{"delivered", share(r.Delivered)}, {"late", share(r.Late)}, {"refused", share(r.Refused)}, {"failed", share(r.Failed)}, {"lost", share(r.Lost)},
 		{"turned_away", share(r.TurnedAway)}, {"errors", share(r.Errors)}, {"timed_out", share(r.TimedOut)}, {"resets", share(r.Resets)},
 		{"unreached", share(r.Unreached)}, {"handshakes", share(r.Handshakes)}, {"fell", float64(r.Fell)}, {"broken", float64(r.Broken())},
+		{"ramp_past", one(r.RampFell > 0)}, {"ramp_broken", one(r.RampBroken > 0)}, {"ramp_peak", r.RampPeak},
 		{"plugin_asked", share(r.Asked)}, {"plugin_skipped", share(r.Skipped)}, {"p50_ms", r.P50Ms}, {"p99_ms", r.P99Ms}, {"events", float64(r.Events)},
 	}
 }
 
+func one(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // MeasureNames are the names of all measures, in order.
 func MeasureNames() (names []string) {
 	for _, m := range (&Result{}).Measures() {
--- a/internal/emulate/rules/rules.go
+++ b/internal/emulate/rules/rules.go
@@ -26,6 +26,7 @@
 	Order    Rule = "order"       // one of a key at a time, in order, after its rest
 	Wait     Rule = "wait"        // told waits heeded
 	Cold     Rule = "cold"        // a cold partner is not pushed over
+	Pushed   Rule = "cold ramp"   // nor by those that were told of its outage, beyond chance (Ramp)
 	Place    Rule = "wrong place" // only endpoints that its list has named, of its destination
 )
 
@@ -278,6 +279,11 @@
 	c.breach(now, Cold, "destination %d is pushed over while cold", dest)
 }
 
+// Pushed tells that those who were told of a destination's outage have pushed it over.
+func (c *Checker) Pushed(now time.Duration, dest int32) {
+	c.breach(now, Pushed, "destination %d is pushed over by couriers that were told of its outage", dest)
+}
+
 // Over tells that the run is over at a time: what is held still has no end.
 func (c *Checker) Over(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(c.messages)) {
--- a/internal/emulate/scenario.go
+++ b/internal/emulate/scenario.go
@@ -57,6 +57,7 @@
 		FallMultiple float64 `json:"fall_multiple"`
 		FallS        float64 `json:"fall_s"`
 		FallSlack    float64 `json:"fall_slack"` // calls
+		FallRoot     float64 `json:"fall_root"`  // times the root of what the settings allow, besides
 	} `json:"partners"`
 	Load struct {
 		Full   float64 `json:"full"`  // messages a second that limits are measured by
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -67,6 +67,7 @@
 	weights   []float64 // of the partners that get traffic, summed up
 	pairs     []partition
 	check     *rules.Checker
+	ramp      *rules.Ramp
 	res       Result
 	serial    uint32
 	keys      uint64
@@ -214,6 +215,7 @@
 			Back: 1500 * time.Millisecond, Slack: 20*time.Millisecond + 2*seconds(s.TickMs/1000),
 		})
 	}
+	w.ramp = rules.NewRamp(seconds(s.Partners.FallS))
 	w.notes = map[int32]snowjunction.Heard{}
 	w.makePartners(o.Seed)
 	if err := w.makeCouriers(o); err != nil {
@@ -254,7 +256,7 @@
 		f := partner.Profile{
 			Limit: limit, Span: span, Counting: r.Float64() < p.Counting, Tells: p.Tells, Report: r.Float64() < p.Reports,
 			Refresh: seconds(draw(r, p.RefreshMs) / 1000), Capacity: capacity, Latency: seconds(draw(r, p.LatencyMs) / 1000), LeastWait: seconds(draw(r, p.LeastWaitS)),
-			Queue: p.Queue, ColdShare: p.ColdShare, WarmUp: seconds(p.WarmS), FallMultiple: p.FallMultiple, FallTime: seconds(p.FallS), FallSlack: p.FallSlack,
+			Queue: p.Queue, ColdShare: p.ColdShare, WarmUp: seconds(p.WarmS), FallMultiple: p.FallMultiple, FallTime: seconds(p.FallS), FallSlack: p.FallSlack, FallRoot: p.FallRoot,
 		}
 		x := &place{Partner: partner.New(f, r.Uint64()), no: int32(i), rate: rate}
 		x.Blind = true
@@ -483,6 +485,35 @@
 	}
 }
 
+// load counts a call that reaches a partner by what a cold one stands.
+func (w *world) load(p *place, courier int32) {
+	allowed, cold := p.Cold(w.now)
+	if !cold {
+		if !p.Out(w.now) {
+			w.ramp.Warm(p.no)
+		}
+		return
+	}
+	falls, breaks := w.ramp.Call(w.now, courier, p.no, allowed)
+	if falls {
+		w.res.RampFell++
+	}
+	if breaks {
+		w.res.RampBroken++
+		if w.check != nil {
+			w.check.Pushed(w.now, p.no)
+		}
+	}
+}
+
+// failed tells the ramp's counter of a call that has failed in an outage or after it.
+func (w *world) failed(courier, dest int32) {
+	p := w.partners[dest]
+	if _, cold := p.Cold(w.now); cold || p.Out(w.now) {
+		w.ramp.Failed(courier, dest)
+	}
+}
+
 // leaves is the end of an endpoint.
 func (w *world) leaves(id int32) {
 	e := &w.endpoints[id]
--- a/internal/standin/partner/partner.go
+++ b/internal/standin/partner/partner.go
@@ -30,6 +30,7 @@
 	FallMultiple float64       // sent more than this many times what it can do then
 	FallTime     time.Duration // for this long, it falls over and stays down
 	FallSlack    float64       // calls beyond that, as a burst may be under way; 0: one
+	FallRoot     float64       // times the root of that besides
 }
 
 // Kind is a kind of fault.
@@ -358,6 +359,22 @@
 	return Answer{Status: 200, After: took}
 }
 
+// Cold is how many calls it is allowed in the fall time while it is back from an outage
+// and not warm yet; false: it is not.
+func (p *Partner) Cold(now time.Duration) (allowed float64, cold bool) {
+	f := p.Profile
+	share := p.present(now)
+	if f.FallMultiple <= 0 || f.Capacity <= 0 || share >= 1 || p.down || p.Out(now) {
+		return 0, false
+	}
+	return f.FallMultiple * share * f.Capacity * f.FallTime.Seconds(), true
+}
+
+// Out tells that it is in an outage from which it comes back cold, or has fallen.
+func (p *Partner) Out(now time.Duration) bool {
+	return p.down || slices.ContainsFunc(p.faults, func(f Fault) bool { return f.Cold && now >= f.From && now < f.Until })
+}
+
 // strain lets it fall over where it is sent far more than it can do, cold.
 func (p *Partner) strain(now time.Duration) {
 	f := p.Profile
@@ -366,7 +383,8 @@
 		return
 	}
 	p.work = append(recent(p.work, now-f.FallTime), now)
-	if float64(len(p.work)) > f.FallMultiple*p.present(now)*f.Capacity*f.FallTime.Seconds()+math.Max(f.FallSlack, 1) {
+	allowed := f.FallMultiple * p.present(now) * f.Capacity * f.FallTime.Seconds()
+	if float64(len(p.work)) > allowed+math.Max(f.FallSlack+f.FallRoot*math.Sqrt(allowed), 1) {
 		p.down = true
 		p.Counts.Fell++
 	}
--- a/internal/standin/partner/partner_test.go
+++ b/internal/standin/partner/partner_test.go
@@ -136,3 +136,34 @@
 	assert.Equal(t, [2]int{1, 1}, [2]int{p.Counts.Delivered, p.Counts.Late})
 	assert.True(t, p.Seen("a"))
 }
+
+// Back from an outage it stands what is allowed and, where its profile says so, what is put
+// down to chance; it tells what is allowed as long as it is cold and has not fallen.
+func TestFallsBeyondChance(t *testing.T) {
+	const back = 10 * time.Second
+	for _, tc := range []struct {
+		slack, root float64
+		most        int // calls that it stands, of 9 allowed
+	}{{0, 0, 10}, {4, 0, 13}, {2, 2, 17}} {
+		p := New(Profile{
+			Capacity: 15, ColdShare: 0.2, WarmUp: 1000 * time.Hour, FallMultiple: 2, FallTime: 1500 * time.Millisecond, FallSlack: tc.slack, FallRoot: tc.root,
+		}, 1)
+		p.Add(Fault{Kind: Silent, Until: back, Cold: true})
+		_, cold := p.Cold(back - 1)
+		assert.False(t, cold)
+		assert.True(t, p.Out(back-1))
+		for i := range tc.most {
+			now := back + time.Duration(i)*time.Millisecond
+			allowed, cold := p.Cold(now)
+			assert.True(t, cold)
+			assert.InDelta(t, 9, allowed, 0.001)
+			p.Begin(now, Call{ID: strconv.Itoa(i)})
+		}
+		assert.Zero(t, p.Counts.Fell, "%+v", tc)
+		p.Begin(back+time.Second, Call{ID: "one more"})
+		assert.Equal(t, 1, p.Counts.Fell, "%+v", tc)
+		_, cold = p.Cold(back + time.Second)
+		assert.False(t, cold)
+		assert.True(t, p.Out(back+time.Second))
+	}
+}
