Scale run: starts past 1,300 couriers, and greetings are counted

At 1,700 couriers the run stood still with 1,332 that held the list, with four loops and with eight: the engine's table is bounded by its connections, and goes by descriptors, of which the process has others.

--- a/internal/measure/hollow.go
+++ b/internal/measure/hollow.go
@@ -87,6 +87,8 @@
 	each      []string
 	parted    atomic.Int64 // the number of the region that is cut off, and one; 0: none is
 	cut       atomic.Int64 // datagrams that met a cut
+	told      atomic.Int64 // datagrams that hollow couriers have sent
+	greetings atomic.Int64 // of these, with nothing in them but that their sender is there
 }
 
 // cuts tells whether no note passes between two couriers now.
@@ -218,6 +220,10 @@
 			continue
 		}
 		h.socket.Send(peer, b)
+		h.told.Add(1)
+		if len(items) == 0 {
+			h.greetings.Add(1)
+		}
 		h.asks.Sent, h.asks.SentBytes = h.asks.Sent+1-granted, h.asks.SentBytes+(1-granted)*float64(len(b))
 		h.grants.Sent, h.grants.SentBytes = h.grants.Sent+granted, h.grants.SentBytes+granted*float64(len(b))
 	}
--- a/internal/measure/scale.go
+++ b/internal/measure/scale.go
@@ -49,14 +49,15 @@
 	Directory DirectoryTraffic `json:"directory"`
 	Force     ForceFigures     `json:"in_force"`
 
-	Messages  float64 `json:"messages_per_s"`  // handed in
-	Delivered float64 `json:"delivered_per_s"` // by the partners
-	Refused   float64 `json:"refused_per_s"`   // calls, by the partners
-	Lost      float64 `json:"lost_share"`      // of the datagrams sent, but for those that met a cut
-	Cut       float64 `json:"cut_per_s"`       // datagrams that met a cut
-	Dropped   float64 `json:"dropped"`         // datagrams from no peer, too long, cut off or of no sense
-	Crowded   float64 `json:"crowded"`         // datagrams that a courier had no time for
-	HeapBytes float64 `json:"hollow_heap"`     // of this process for each hollow courier, stand-ins included
+	Messages       float64 `json:"messages_per_s"`  // handed in
+	Delivered      float64 `json:"delivered_per_s"` // by the partners
+	Refused        float64 `json:"refused_per_s"`   // calls, by the partners
+	Lost           float64 `json:"lost_share"`      // of the datagrams sent, but for those that met a cut
+	Cut            float64 `json:"cut_per_s"`       // datagrams that met a cut
+	Dropped        float64 `json:"dropped"`         // datagrams from no peer, too long, cut off or of no sense
+	Crowded        float64 `json:"crowded"`         // datagrams that a courier had no time for
+	StartGreetings float64 `json:"start_greetings"` // of hollow couriers, until the measured seconds
+	HeapBytes      float64 `json:"hollow_heap"`     // of this process for each hollow courier, stand-ins included
 }
 
 // CourierFigures are one courier's, in both roles: a second, and at the end.
@@ -69,7 +70,8 @@
 	SentBytes     float64 `json:"bytes_sent_per_s"`
 	Received      float64 `json:"datagrams_received_per_s"`
 	ReceivedBytes float64 `json:"bytes_received_per_s"`
-	CPU           float64 `json:"cpu_share"` // of a core; a hollow courier's is its loop's alone
+	Greetings     float64 `json:"greetings_sent_per_s"` // of the datagrams, that say nothing else; of hollow couriers
+	CPU           float64 `json:"cpu_share"`            // of a core; a hollow courier's is its loop's alone
 }
 
 // RoleFigures are a hollow courier's in one role.
@@ -346,5 +348,8 @@
 		f.Force.MeanMs, f.Force.P90Ms, f.Force.P99Ms, f.Force.LastMs, f.Force.Heard, f.Force.Expect)
 	fmt.Fprintf(out, "delivered %.4g, refused %.4g a second; datagrams: %.4f lost, %.4g a second met a cut, %.0f dropped as no peer's or of no sense, %.0f for want of time\n",
 		f.Delivered, f.Refused, f.Lost, f.Cut, f.Dropped, f.Crowded)
+	if f.Hollow != nil {
+		fmt.Fprintf(out, "greetings of hollow couriers: %.2f of one a second; %.0f of all before that\n", f.Hollow.Greetings, f.StartGreetings)
+	}
 	fmt.Fprintf(out, "the lists took %.0f bytes from the directory until all held one; this process's heap for each hollow courier: %.0f bytes\n", d.StartOut, f.HeapBytes)
 }
--- a/internal/measure/scalerun.go
+++ b/internal/measure/scalerun.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	shardsMost   = 4 // loops that hollow couriers share
+	shardsMost   = 8 // loops that hollow couriers share
 	holdWithin   = 15 * time.Minute
 	realsAtOnce  = 8
 	tellEvery    = 10 * time.Second
@@ -78,7 +78,7 @@
 	if hollow := p.Couriers - p.Real; hollow > 0 {
 		n := min(shardsMost, runtime.GOMAXPROCS(0), hollow)
 		for range n {
-			s, err := newShard(2*hollow + 64)
+			s, err := newShard(t.machine.Files) // its table goes by descriptors, of which the process has others, too
 			if err != nil {
 				return err
 			}
@@ -100,6 +100,9 @@
 			})
 			continue
 		}
+		for _, s := range t.shards { // what the last ones have brought is looked at first
+			s.on(func() {})
+		}
 		s, held := t.shards[n%len(t.shards)], all.one()
 		h, err := newHollow(&t.wires, s, n, t.member(n), held)
 		if err != nil {
@@ -139,7 +142,8 @@
 		case <-t.ending:
 			return
 		case <-clock.C:
-			fmt.Fprintf(os.Stderr, "%.0f s: %d of %d couriers hold the list\n", time.Since(begun).Seconds(), t.watchers(), t.plan.Couriers)
+			fmt.Fprintf(os.Stderr, "%.0f s: %d of %d couriers hold the list, %d datagrams, %d of them greetings\n",
+				time.Since(begun).Seconds(), t.watchers(), t.plan.Couriers, t.told.Load(), t.greetings.Load())
 		}
 	}
 }
@@ -243,6 +247,7 @@
 	realState           float64
 	realHeap, realRSS   float64
 	handed, unread, cut float64
+	greetings           float64
 	dir                 standin.Traffic
 	partners            partner.Counts
 }
@@ -280,7 +285,7 @@
 		}
 	}
 	r.handed += float64(t.handed.Load())
-	r.cut, r.dir = float64(t.cut.Load()), t.directory.Traffic()
+	r.cut, r.greetings, r.dir = float64(t.cut.Load()), float64(t.greetings.Load()), t.directory.Traffic()
 	t.farm.Each(func(_ uint32, p *partner.Partner) { r.partners.Add(p.Counts) })
 	return r, nil
 }
@@ -400,6 +405,10 @@
 		f.Lost = max(0, 1-come/gone)
 	}
 	f.Cut = rate(from.cut, to.cut)
+	if f.Hollow != nil {
+		f.Hollow.Greetings = rate(from.greetings, to.greetings) / float64(f.Hollow.Couriers)
+		f.StartGreetings = from.greetings
+	}
 	f.Crowded = both(to, "crowded")
 	f.Dropped = both(to, "strange") + both(to, "oversize") + to.unread
 	f.Messages = rate(from.handed, to.handed)
