--- a/internal/measure/hollow.go
+++ b/internal/measure/hollow.go
@@ -122,6 +122,7 @@
 	serial int
 	life   int
 	alive  bool
+	flows  bool // messages come, in each life
 	asks   part // as a carrier
 	grants part // as a keeper
 }
@@ -145,7 +146,7 @@
 // begin starts a life.
 func (h *hollow) begin() (err error) {
 	h.life++
-	life, log := h.life, slog.New(slog.DiscardHandler)
+	log := slog.New(slog.DiscardHandler)
 	if h.socket, err = net.Exchange(h.each[h.number], h.peers, notes.Most, h.shard.loop.Post, log, h.noted); err != nil {
 		return err
 	}
@@ -166,7 +167,9 @@
 		return err
 	}
 	h.alive = true
-	h.next(life)
+	if h.flows {
+		h.next()
+	}
 	return nil
 }
 
@@ -188,13 +191,20 @@
 	}
 }
 
-// next has the next message of its traffic come.
-func (h *hollow) next(life int) {
-	after, dest, keyed := h.arrivals.Next()
+// next has the next message of its traffic come, when it is due.
+func (h *hollow) next() {
+	after, _, _ := h.arrivals.Next()
+	h.arrive(after)
+}
+
+// arrive has messages come from then on.
+func (h *hollow) arrive(after time.Duration) {
+	life := h.life
 	h.shard.loop.After(after, func() {
 		if h.life != life {
 			return
 		}
+		next, dest, keyed := h.arrivals.Next()
 		h.serial++
 		m := message(h.number, h.serial, dest, keyed)
 		r := core.Request{
@@ -207,7 +217,7 @@
 		if h.front.Ready() {
 			_ = h.core.TakeIn(r, func(core.Answer, *store.Message) bool { return true }) // it is well-formed
 		}
-		h.next(life)
+		h.arrive(next)
 	})
 }
 
--- a/internal/measure/scale.go
+++ b/internal/measure/scale.go
@@ -218,6 +218,7 @@
 		return nil, err
 	}
 	f = &ScaleFigures{Machine: machine(), Plan: p, StartS: time.Since(begun).Seconds()}
+	t.flow()
 	f.Directory.StartOut = float64(t.directory.Traffic().Out)
 	if !t.sleep(span(p.Settle)) {
 		return nil, fmt.Errorf("the run was ended")
--- a/internal/measure/scalerun.go
+++ b/internal/measure/scalerun.go
@@ -100,9 +100,7 @@
 			})
 			continue
 		}
-		for _, s := range t.shards { // what the last ones have brought is looked at first
-			s.on(func() {})
-		}
+		t.calm()
 		s, held := t.shards[n%len(t.shards)], all.one()
 		h, err := newHollow(&t.wires, s, n, t.member(n), held)
 		if err != nil {
@@ -131,6 +129,13 @@
 	return nil
 }
 
+// calm waits until what couriers have brought up to now has been looked at.
+func (t *fleet) calm() {
+	for _, s := range t.shards {
+		s.on(func() {})
+	}
+}
+
 // follow tells now and then how many couriers hold the list.
 func (t *fleet) follow(ended chan struct{}) {
 	clock := time.NewTicker(tellEvery)
@@ -142,8 +147,7 @@
 		case <-t.ending:
 			return
 		case <-clock.C:
-			fmt.Fprintf(os.Stderr, "%.0f s: %d of %d couriers hold the list, %d datagrams, %d of them greetings\n",
-				time.Since(begun).Seconds(), t.watchers(), t.plan.Couriers, t.told.Load(), t.greetings.Load())
+			fmt.Fprintf(os.Stderr, "%.0f s: %d of %d couriers hold the list\n", time.Since(begun).Seconds(), t.watchers(), t.plan.Couriers)
 		}
 	}
 }
@@ -155,7 +159,7 @@
 	return len(t.force.held)
 }
 
-// startReal starts a process, again if it has been there, and its traffic.
+// startReal starts a process, again if it has been there.
 func (t *fleet) startReal(n int) error {
 	t.mu.Lock()
 	m := t.real[n]
@@ -176,13 +180,34 @@
 	}
 	t.mu.Lock()
 	m.c, m.client = c, load.New(c.Addr, "")
-	first := t.real[n] == nil
 	t.real[n] = m
 	t.mu.Unlock()
-	if first {
+	return nil
+}
+
+// flow has messages come to all couriers, to hollow ones one after another: each greets up to
+// 1,024 others with its first.
+func (t *fleet) flow() {
+	begun, told := time.Now(), time.Now()
+	for n := range t.plan.Couriers {
+		h := t.hollow[n]
+		if h == nil {
+			continue
+		}
+		t.calm()
+		h.shard.on(func() {
+			h.flows = true
+			h.arrive(0)
+		})
+		if time.Since(told) > tellEvery {
+			told = time.Now()
+			fmt.Fprintf(os.Stderr, "%.0f s: messages come up to courier %d, %d datagrams, %d of them greetings\n",
+				time.Since(begun).Seconds(), n, t.told.Load(), t.greetings.Load())
+		}
+	}
+	for _, m := range t.real {
 		t.work.Go(func() { t.traffic(m) })
 	}
-	return nil
 }
 
 // traffic hands a real courier its messages.
