--- a/internal/measure/scalerun.go
+++ b/internal/measure/scalerun.go
@@ -375,12 +375,11 @@
 	}
 	t.sleep(time.Until(from.at.Add(span(t.plan.Seconds))))
 	events.Wait()
-	select {
-	case err := <-wrong:
+	close(wrong)
+	for err := range wrong {
 		if err != nil {
 			return err
 		}
-	default:
 	}
 	to, err := t.read(true)
 	if err != nil {
--- /dev/null
+++ b/internal/standin/traffic_test.go
@@ -0,0 +1,54 @@
+package standin
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/standin/partner"
+)
+
+// A call that comes over no wire meets the same partner as one that does.
+func TestCallWithoutWire(t *testing.T) {
+	f := farm(t, Spec{Destination: 4, Endpoints: 1, Profile: partner.Profile{Limit: 1.0 / 4096, Span: 1 << 42, Tells: 1, Report: true}})
+	a, end, err := f.Begin(4, "a", nil)
+	require.NoError(t, err)
+	end(a.Status == 200)
+	b, err := call(t, client(t, false), f.Endpoints()[0].Addr, "b", nil)
+	require.NoError(t, err)
+	assert.Equal(t, 200, a.Status)
+	assert.Equal(t, 429, b.StatusCode, "the first has used the limit up")
+	c, end, err := f.Begin(4, "c", nil)
+	require.NoError(t, err)
+	end(false)
+	assert.NotEmpty(t, Header(a, "X-Server-Load"))
+	assert.Empty(t, Header(a, "X-RateLimit-Wait-Ms"))
+	assert.NotEmpty(t, Header(c, "X-RateLimit-Wait-Ms"))
+	assert.Empty(t, Header(c, "X-Other"))
+	assert.Equal(t, partner.Counts{Calls: 3, Delivered: 1}, partner.Counts{Calls: f.Obey(Order{Do: "stats"}).Counts[4].Calls, Delivered: f.Obey(Order{Do: "stats"}).Counts[4].Delivered})
+	_, _, err = f.Begin(5, "a", nil)
+	assert.Error(t, err)
+}
+
+// A directory counts what it exchanges, and tells of each watch.
+func TestDirectoryTraffic(t *testing.T) {
+	d, err := NewDirectory(List([]Endpoint{{"a", "127.0.0.1:1", 1, false}}))
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	held := make(chan uint64, 4)
+	d.Watched(func(_ string, generation uint64) { held <- generation })
+	c, url := client(t, false), "http://"+d.Addr()+"/discovery/hosts"
+	first, second := get(t, c, url), get(t, c, url)
+	assert.Equal(t, first, second, "made once")
+	n := d.Traffic()
+	assert.EqualValues(t, 2, n.Calls)
+	assert.Greater(t, n.Out, int64(2*len(first)-8))
+	assert.Positive(t, n.In)
+	assert.Greater(t, n.Bytes, len(first)-4)
+	get(t, c, url+"?after=1&wait_ms=1")
+	assert.EqualValues(t, 1, <-held)
+	x := List([]Endpoint{{"b", "127.0.0.1:2", 2, false}})[0]
+	d.Change(x)
+	assert.Contains(t, get(t, c, url), `"instanceId":"b"`, "an answer of another generation is made anew")
+}
--- /dev/null
+++ b/internal/store/memory_test.go
@@ -0,0 +1,49 @@
+package store
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A journal in memory keeps account of a message as one on disk does.
+func TestMemory(t *testing.T) {
+	disk, _, err := Load(Options{Dir: t.TempDir(), Bytes: 1e6, Log: slog.New(slog.DiscardHandler)})
+	require.NoError(t, err)
+	defer disk.Close()
+	at := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	type journal interface {
+		Room(int) bool
+		Take(*Message) error
+		Sent(*Message, time.Time) error
+		Came(*Message, bool) error
+		Ended(*Message, State, time.Duration, time.Time) error
+		Settle(*Message) error
+	}
+	played := func(j journal) (seen []Message) {
+		for _, id := range []string{"a", "b"} {
+			m := &Message{ID: id, Class: "status", Deadline: at.Add(time.Minute)}
+			require.True(t, j.Room(100))
+			for _, err := range []error{
+				j.Take(m), j.Sent(m, at), j.Came(m, true), j.Sent(m, at.Add(time.Second)), j.Came(m, false),
+				j.Ended(m, Returned, time.Second, at.Add(2*time.Second)), j.Settle(m),
+			} {
+				require.NoError(t, err)
+			}
+			first := m.Seq
+			m.Seq = 0
+			seen = append(seen, *m)
+			assert.Positive(t, first)
+		}
+		return seen
+	}
+	assert.Equal(t, played(disk), played(&Memory{}))
+	a, b := &Message{}, &Message{}
+	j := &Memory{}
+	require.NoError(t, j.Take(a))
+	require.NoError(t, j.Take(b))
+	assert.Less(t, a.Seq, b.Seq)
+}
