--- a/internal/measure/hollow.go
+++ b/internal/measure/hollow.go
@@ -87,6 +87,8 @@
 	each      []string
 	parted    atomic.Int64 // the number of the region that is cut off, and one; 0: none is
 	cut       atomic.Int64 // datagrams that met a cut
+	told      atomic.Int64 // datagrams that hollow couriers have sent
+	greetings atomic.Int64 // of these, with nothing in them but that their sender is there
 }
 
 // cuts tells whether no note passes between two couriers now.
@@ -120,6 +122,7 @@
 	serial int
 	life   int
 	alive  bool
+	flows  bool // messages come, in each life
 	asks   part // as a carrier
 	grants part // as a keeper
 }
@@ -143,7 +146,7 @@
 // begin starts a life.
 func (h *hollow) begin() (err error) {
 	h.life++
-	life, log := h.life, slog.New(slog.DiscardHandler)
+	log := slog.New(slog.DiscardHandler)
 	if h.socket, err = net.Exchange(h.each[h.number], h.peers, notes.Most, h.shard.loop.Post, log, h.noted); err != nil {
 		return err
 	}
@@ -164,7 +167,9 @@
 		return err
 	}
 	h.alive = true
-	h.next(life)
+	if h.flows {
+		h.next()
+	}
 	return nil
 }
 
@@ -186,13 +191,20 @@
 	}
 }
 
-// next has the next message of its traffic come.
-func (h *hollow) next(life int) {
-	after, dest, keyed := h.arrivals.Next()
+// next has the next message of its traffic come, when it is due.
+func (h *hollow) next() {
+	after, _, _ := h.arrivals.Next()
+	h.arrive(after)
+}
+
+// arrive has messages come from then on.
+func (h *hollow) arrive(after time.Duration) {
+	life := h.life
 	h.shard.loop.After(after, func() {
 		if h.life != life {
 			return
 		}
+		next, dest, keyed := h.arrivals.Next()
 		h.serial++
 		m := message(h.number, h.serial, dest, keyed)
 		r := core.Request{
@@ -205,7 +217,7 @@
 		if h.front.Ready() {
 			_ = h.core.TakeIn(r, func(core.Answer, *store.Message) bool { return true }) // it is well-formed
 		}
-		h.next(life)
+		h.arrive(next)
 	})
 }
 
@@ -218,6 +230,10 @@
 			continue
 		}
 		h.socket.Send(peer, b)
+		h.told.Add(1)
+		if len(items) == 0 {
+			h.greetings.Add(1)
+		}
 		h.asks.Sent, h.asks.SentBytes = h.asks.Sent+1-granted, h.asks.SentBytes+(1-granted)*float64(len(b))
 		h.grants.Sent, h.grants.SentBytes = h.grants.Sent+granted, h.grants.SentBytes+granted*float64(len(b))
 	}
--- a/internal/measure/scalerun.go
+++ b/internal/measure/scalerun.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	shardsMost   = 4 // loops that hollow couriers share
+	shardsMost   = 8 // loops that hollow couriers share
 	holdWithin   = 15 * time.Minute
 	realsAtOnce  = 8
 	tellEvery    = 10 * time.Second
@@ -78,7 +78,7 @@
 	if hollow := p.Couriers - p.Real; hollow > 0 {
 		n := min(shardsMost, runtime.GOMAXPROCS(0), hollow)
 		for range n {
-			s, err := newShard(2*hollow + 64)
+			s, err := newShard(t.machine.Files) // its table goes by descriptors, of which the process has others, too
 			if err != nil {
 				return err
 			}
@@ -100,6 +100,7 @@
 			})
 			continue
 		}
+		t.calm()
 		s, held := t.shards[n%len(t.shards)], all.one()
 		h, err := newHollow(&t.wires, s, n, t.member(n), held)
 		if err != nil {
@@ -128,6 +129,13 @@
 	return nil
 }
 
+// calm waits until what couriers have brought up to now has been looked at.
+func (t *fleet) calm() {
+	for _, s := range t.shards {
+		s.on(func() {})
+	}
+}
+
 // follow tells now and then how many couriers hold the list.
 func (t *fleet) follow(ended chan struct{}) {
 	clock := time.NewTicker(tellEvery)
@@ -151,7 +159,7 @@
 	return len(t.force.held)
 }
 
-// startReal starts a process, again if it has been there, and its traffic.
+// startReal starts a process, again if it has been there.
 func (t *fleet) startReal(n int) error {
 	t.mu.Lock()
 	m := t.real[n]
@@ -172,13 +180,34 @@
 	}
 	t.mu.Lock()
 	m.c, m.client = c, load.New(c.Addr, "")
-	first := t.real[n] == nil
 	t.real[n] = m
 	t.mu.Unlock()
-	if first {
+	return nil
+}
+
+// flow has messages come to all couriers, to hollow ones one after another: each greets up to
+// 1,024 others with its first.
+func (t *fleet) flow() {
+	begun, told := time.Now(), time.Now()
+	for n := range t.plan.Couriers {
+		h := t.hollow[n]
+		if h == nil {
+			continue
+		}
+		t.calm()
+		h.shard.on(func() {
+			h.flows = true
+			h.arrive(0)
+		})
+		if time.Since(told) > tellEvery {
+			told = time.Now()
+			fmt.Fprintf(os.Stderr, "%.0f s: messages come up to courier %d, %d datagrams, %d of them greetings\n",
+				time.Since(begun).Seconds(), n, t.told.Load(), t.greetings.Load())
+		}
+	}
+	for _, m := range t.real {
 		t.work.Go(func() { t.traffic(m) })
 	}
-	return nil
 }
 
 // traffic hands a real courier its messages.
@@ -243,6 +272,7 @@
 	realState           float64
 	realHeap, realRSS   float64
 	handed, unread, cut float64
+	greetings           float64
 	dir                 standin.Traffic
 	partners            partner.Counts
 }
@@ -280,7 +310,7 @@
 		}
 	}
 	r.handed += float64(t.handed.Load())
-	r.cut, r.dir = float64(t.cut.Load()), t.directory.Traffic()
+	r.cut, r.greetings, r.dir = float64(t.cut.Load()), float64(t.greetings.Load()), t.directory.Traffic()
 	t.farm.Each(func(_ uint32, p *partner.Partner) { r.partners.Add(p.Counts) })
 	return r, nil
 }
@@ -345,12 +375,11 @@
 	}
 	t.sleep(time.Until(from.at.Add(span(t.plan.Seconds))))
 	events.Wait()
-	select {
-	case err := <-wrong:
+	close(wrong)
+	for err := range wrong {
 		if err != nil {
 			return err
 		}
-	default:
 	}
 	to, err := t.read(true)
 	if err != nil {
@@ -400,6 +429,10 @@
 		f.Lost = max(0, 1-come/gone)
 	}
 	f.Cut = rate(from.cut, to.cut)
+	if f.Hollow != nil {
+		f.Hollow.Greetings = rate(from.greetings, to.greetings) / float64(f.Hollow.Couriers)
+		f.StartGreetings = from.greetings
+	}
 	f.Crowded = both(to, "crowded")
 	f.Dropped = both(to, "strange") + both(to, "oversize") + to.unread
 	f.Messages = rate(from.handed, to.handed)
