The module counts a window from the first byte, not from its decision

Cause: `ended` (courier.go) took the moment of its Send for that of the attempt's first byte. A connection that takes 0.9 s to come up left 0.1 s of a window of 1 s: what still could go was failed. AttemptEnded tells how long the first byte took (`Dialled`, set by internal/core from the moment after the record, so never later than the byte itself).

--- a/api.go
+++ b/api.go
@@ -259,6 +259,7 @@
 		Took     time.Duration
 		Wait     time.Duration // for Full: told wait; 0: none
 		Done     bool          // the request is over
+		Dialled  time.Duration // from its Send until its first byte could leave: its window runs from then
 		Report   []float64     // in the order of Settings.Report
 
 		// Where it is known what the call went on: a new connection, or one
--- a/courier.go
+++ b/courier.go
@@ -520,7 +520,7 @@
 	c.closeCall(b)
 	unsure := ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled
 	if (unsure || ev.Outcome == Error) && !r.ran {
-		r.ran, r.ranAt, r.ranOn = true, b.sent, b.ep
+		r.ran, r.ranAt, r.ranOn = true, b.sent+ev.Dialled, b.ep
 	}
 	if l := c.lines[r.key]; r.key != 0 && l != nil && unsure {
 		l.rest = c.now + c.s.OrderSettle
--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -479,3 +479,25 @@
 		assert.Len(t, b.calls, 1)
 	}
 }
+
+// A connection takes most of a window to come up, and the attempt may have run: its repeats have
+// the window from its bytes, in the same process too, and none leaves past it.
+func TestWindowBeginsWithTheBytes(t *testing.T) {
+	b := newBench(t, func(s *snowjunction.Settings) { s.Classes[0].Window = time.Second })
+	b.dialling = true
+	require.NoError(t, b.c.TakeIn(Request{ID: "m1", Class: "order", IdempotencyKey: "k1", Destination: 7, Left: 20 * time.Second},
+		func(Answer, *store.Message) bool { return true }))
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.step(900 * ms)
+	require.True(t, b.calls[0].opened())
+	left := b.now
+	b.step(50 * ms)
+	b.calls[0].done(Result{Outcome: snowjunction.Reset})
+	b.step(5 * ms)
+	require.Len(t, b.calls, 2)
+	b.now = left.Add(920 * ms)
+	assert.True(t, b.calls[1].may(), "inside")
+	b.now = left.Add(935 * ms)
+	assert.False(t, b.calls[1].may(), "close to its end")
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -64,6 +64,9 @@
 		Request: f.id, Endpoint: a.endpoint, Attempt: a.no, Outcome: r.Outcome,
 		Took: c.Loop.Now().Sub(a.began), Wait: r.Wait, Done: f.ended, Report: r.Report,
 	}
+	if !a.left.IsZero() {
+		ev.Dialled = a.left.Sub(a.began)
+	}
 	if a.call != nil {
 		ev.Kept = a.call.Kept()
 		ev.Fresh = ev.Kept == 0
