Package patience is called backoff, and its methods by what has happened

What grows pauses after failures is backoff everywhere else; "patience" hid that. Backoff tells pauses by event (Disconnected, TimedOut, Refused, Unreadable, Reset) and time-outs by step (ConnectTimeout, AnswerTimeout, AskTimeout, WatchWait).

--- a/internal/patience/patience_test.go
+++ b/internal/backoff/backoff_test.go
@@ -1,4 +1,4 @@
-package patience
+package backoff
 
 import (
 	"slices"
@@ -13,8 +13,8 @@
 // turn taking as long as a refused call does.
 func asks(fleet int, took time.Duration) (n int) {
 	for i := range fleet {
-		p := New(fleet, uint64(i))
-		for at := time.Duration(0); at < time.Minute; at += took + p.Refused(0, took) {
+		b := New(fleet, uint64(i))
+		for at := time.Duration(0); at < time.Minute; at += took + b.Refused(0, took) {
 			n++
 		}
 	}
@@ -26,14 +26,14 @@
 	small := asks(2, 0)
 	for _, fleet := range []int{8, 80, 800} {
 		n := asks(fleet, 0)
-		assert.LessOrEqual(t, n, max(2*small, fleet*(1+int(time.Minute/(Most/2)))), "fleet %d", fleet)
-		assert.GreaterOrEqual(t, n, fleet*int(time.Minute/Most), "fleet %d is still told", fleet)
+		assert.LessOrEqual(t, n, max(2*small, fleet*(1+int(time.Minute/(MaxPause/2)))), "fleet %d", fleet)
+		assert.GreaterOrEqual(t, n, fleet*int(time.Minute/MaxPause), "fleet %d is still told", fleet)
 	}
 }
 
 // What is turned away together does not come back together.
 func TestPausesSpread(t *testing.T) {
-	seen, least, most := map[time.Duration]bool{}, Most, time.Duration(0)
+	seen, least, most := map[time.Duration]bool{}, MaxPause, time.Duration(0)
 	for i := range 80 {
 		d := New(80, uint64(i)).Refused(0, 0)
 		seen[d], least, most = true, min(least, d), max(most, d)
@@ -45,20 +45,20 @@
 }
 
 func TestPausesGrowAndEnd(t *testing.T) {
-	p := New(2, 1).Within(2 * time.Second)
+	b := New(2, 1).Within(2 * time.Second)
 	for i := range 40 {
-		most := min(pause<<min(i, 16), Most)
-		d := p.Refused(0, 0)
+		most := min(pause<<min(i, 16), MaxPause)
+		d := b.Refused(0, 0)
 		assert.GreaterOrEqual(t, d, most/2)
 		assert.LessOrEqual(t, d, most)
 	}
-	p.Served()
-	assert.LessOrEqual(t, p.Refused(0, 0), pause)
+	b.Reset()
+	assert.LessOrEqual(t, b.Refused(0, 0), pause)
 	for range 40 {
-		assert.LessOrEqual(t, p.Lost(0), pause, "a broken connection does not add up")
-		assert.LessOrEqual(t, p.Unread(0), Most)
+		assert.LessOrEqual(t, b.Disconnected(0), pause, "a broken connection does not add up")
+		assert.LessOrEqual(t, b.Unreadable(0), MaxPause)
 	}
-	assert.GreaterOrEqual(t, p.Unread(0), Most/2, "lists that cannot be taken do")
+	assert.GreaterOrEqual(t, b.Unreadable(0), MaxPause/2, "lists that cannot be taken do")
 }
 
 // What an answer tells to wait is kept, and spread, while the bound has room for it.
@@ -87,39 +87,39 @@
 // what is no refusal are within half of the grace.
 func TestPausesGrowInALargeFleet(t *testing.T) {
 	const grace = time.Second
-	for name, again := range map[string]func(*Patience) time.Duration{
-		"broken connections":         func(p *Patience) time.Duration { return p.Lost(0) },
-		"lists that cannot be taken": func(p *Patience) time.Duration { return p.Unread(0) },
+	for name, again := range map[string]func(*Backoff) time.Duration{
+		"broken connections":         func(b *Backoff) time.Duration { return b.Disconnected(0) },
+		"lists that cannot be taken": func(b *Backoff) time.Duration { return b.Unreadable(0) },
 	} {
-		p := New(300, 7).Within(grace)
-		room := p.Bound() - attempt
+		b := New(300, 7).Within(grace)
+		room := b.Bound() - attempt
 		for range 2 {
 			most := grace / 2
 			for range 8 {
-				d := again(p)
+				d := again(b)
 				assert.GreaterOrEqual(t, d, most/2, name)
 				assert.LessOrEqual(t, d, most, name)
 				most = min(2*most, room)
 			}
 			assert.Equal(t, room, most, name)
-			p.Served()
+			b.Reset()
 		}
 	}
-	p := New(300, 7).Within(grace)
+	b := New(300, 7).Within(grace)
 	for range 8 {
-		assert.LessOrEqual(t, p.Silent(Connect), grace/2, "silence is a pause of its own")
-		p.Refused(0, 0)
-		d := p.Silent(Connect)
+		assert.LessOrEqual(t, b.TimedOut(ConnectTimeout), grace/2, "silence is a pause of its own")
+		b.Refused(0, 0)
+		d := b.TimedOut(ConnectTimeout)
 		assert.GreaterOrEqual(t, d, time.Second, "but who is turned away is not asked sooner for it")
-		assert.LessOrEqual(t, d, p.Bound()-attempt-Connect)
-		p.Served()
+		assert.LessOrEqual(t, d, b.Bound()-attempt-ConnectTimeout)
+		b.Reset()
 	}
 }
 
 // outage plays one courier's calls, whatever they meet, until the directory has news and can be
 // reached, and returns how long after that they are heard. A step that begins then or later
 // succeeds, in its time; one that began before may still fail as late as it can.
-func outage(t *rapid.T, p *Patience) time.Duration {
+func outage(t *rapid.T, b *Backoff) time.Duration {
 	upTo := func(name string, most time.Duration) time.Duration {
 		return rapid.OneOf(rapid.Just(time.Duration(0)), rapid.Just(most), rapid.Map(rapid.Int64Range(0, int64(most)),
 			func(n int64) time.Duration { return time.Duration(n) })).Draw(t, name)
@@ -128,7 +128,7 @@
 	now, reach := time.Duration(0), time.Hour
 	begin := func() time.Duration {
 		if steps--; steps < 0 && reach == time.Hour { // most often just as a step has begun
-			reach = now + 1 + upTo("into the step", p.Whole())
+			reach = now + 1 + upTo("into the step", b.AskTimeout())
 		}
 		return now
 	}
@@ -136,45 +136,45 @@
 		begun := begin()
 		if !connected {
 			up := begun >= reach || rapid.Bool().Draw(t, "up")
-			switch took := upTo("connect", Connect); {
+			switch took := upTo("connect", ConnectTimeout); {
 			case up:
 				now += took
 			case rapid.Bool().Draw(t, "refused at the port"):
 				now += took
-				now += p.Lost(now - begun)
+				now += b.Disconnected(now - begun)
 				continue
 			default:
-				now += Connect
-				now += p.Silent(now - begun)
+				now += ConnectTimeout
+				now += b.TimedOut(now - begun)
 				continue
 			}
 			connected, begun = true, begin()
 		}
 		if begun >= reach {
-			return now + upTo("answer", Answer) - reach
+			return now + upTo("answer", AnswerTimeout) - reach
 		}
-		took := upTo("whole", p.Whole())
+		took := upTo("whole", b.AskTimeout())
 		switch rapid.SampledFrom([]string{"served", "error", "broken", "unreadable", "silent", "drips"}).Draw(t, "meets") {
 		case "served":
 			now = min(now+took, reach)
-			p.Served()
+			b.Reset()
 			continue
 		case "error":
 			now += took
-			now += p.Refused(upTo("wait", time.Hour), took)
+			now += b.Refused(upTo("wait", time.Hour), took)
 		case "broken":
 			now += took
-			now += p.Lost(took)
+			now += b.Disconnected(took)
 		case "unreadable":
 			now += took
-			now += p.Unread(took)
+			now += b.Unreadable(took)
 		case "silent":
-			took = min(Answer, p.Whole())
+			took = min(AnswerTimeout, b.AskTimeout())
 			now += took
-			now += p.Silent(took)
+			now += b.TimedOut(took)
 		case "drips":
-			now += p.Whole()
-			now += p.Silent(p.Whole())
+			now += b.AskTimeout()
+			now += b.TimedOut(b.AskTimeout())
 		}
 		connected = false
 	}
@@ -185,8 +185,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		fleet := rapid.OneOf(rapid.IntRange(1, 8), rapid.IntRange(1, 3000)).Draw(t, "fleet")
 		grace := time.Duration(rapid.IntRange(0, 3000).Draw(t, "grace")) * time.Millisecond
-		p := New(fleet, rapid.Uint64().Draw(t, "seed")).Within(grace)
-		if late := outage(t, p); late > 6*time.Second+grace/2 {
+		b := New(fleet, rapid.Uint64().Draw(t, "seed")).Within(grace)
+		if late := outage(t, b); late > 6*time.Second+grace/2 {
 			t.Fatalf("heard %v after the directory could be reached", late)
 		}
 	})
@@ -198,22 +198,22 @@
 func TestOutageOfALargeFleet(t *testing.T) {
 	const fleet, answered = 300, 240
 	for name, kind := range map[string]struct {
-		again func(*Patience) time.Duration
+		again func(*Backoff) time.Duration
 		most  int
 	}{
-		"refused":       {func(p *Patience) time.Duration { return p.Refused(0, 0) }, answered},
-		"told to wait":  {func(p *Patience) time.Duration { return p.Refused(30*time.Second, 0) }, answered},
-		"broken":        {func(p *Patience) time.Duration { return p.Lost(0) }, answered},
-		"unreadable":    {func(p *Patience) time.Duration { return p.Unread(0) }, answered},
-		"silent":        {func(p *Patience) time.Duration { return p.Whole() + p.Silent(p.Whole()) }, fleet},
-		"not connected": {func(p *Patience) time.Duration { return Connect + p.Silent(Connect) }, fleet},
-		"late errors":   {func(p *Patience) time.Duration { return Answer + p.Refused(0, Answer) }, answered},
+		"refused":       {func(b *Backoff) time.Duration { return b.Refused(0, 0) }, answered},
+		"told to wait":  {func(b *Backoff) time.Duration { return b.Refused(30*time.Second, 0) }, answered},
+		"broken":        {func(b *Backoff) time.Duration { return b.Disconnected(0) }, answered},
+		"unreadable":    {func(b *Backoff) time.Duration { return b.Unreadable(0) }, answered},
+		"silent":        {func(b *Backoff) time.Duration { return b.AskTimeout() + b.TimedOut(b.AskTimeout()) }, fleet},
+		"not connected": {func(b *Backoff) time.Duration { return ConnectTimeout + b.TimedOut(ConnectTimeout) }, fleet},
+		"late errors":   {func(b *Backoff) time.Duration { return AnswerTimeout + b.Refused(0, AnswerTimeout) }, answered},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var asks []time.Duration
 			for i := range fleet {
-				p := New(fleet, uint64(i)).Within(time.Second)
-				for at := p.First(); at < 2*time.Minute; at += kind.again(p) {
+				b := New(fleet, uint64(i)).Within(time.Second)
+				for at := b.Initial(); at < 2*time.Minute; at += kind.again(b) {
 					asks = append(asks, at)
 				}
 			}
@@ -235,15 +235,15 @@
 // where that fails again and again are the pauses those of a large fleet.
 func TestLostConnection(t *testing.T) {
 	for within, half := range map[time.Duration]time.Duration{0: firstMost, 400 * time.Millisecond: 200 * time.Millisecond, 3 * time.Second: 1500 * time.Millisecond} {
-		p := New(300, 7).Within(within)
+		b := New(300, 7).Within(within)
 		for range 3 {
-			assert.LessOrEqual(t, max(p.First(), p.Lost(0)), half)
-			assert.GreaterOrEqual(t, p.Lost(0), half/2)
+			assert.LessOrEqual(t, max(b.Initial(), b.Disconnected(0)), half)
+			assert.GreaterOrEqual(t, b.Disconnected(0), half/2)
 			for range 10 {
-				p.Lost(0)
+				b.Disconnected(0)
 			}
-			assert.GreaterOrEqual(t, p.Lost(0), Most/2)
-			p.Served()
+			assert.GreaterOrEqual(t, b.Disconnected(0), MaxPause/2)
+			b.Reset()
 		}
 	}
 }
@@ -251,17 +251,17 @@
 // Settings without a fleet size, or with one that cannot be, are those of a lone courier.
 func TestFleetOfNone(t *testing.T) {
 	for _, fleet := range []int{-3, 0, 1, 2} {
-		assert.LessOrEqual(t, New(fleet, 1).Lost(0), pause)
+		assert.LessOrEqual(t, New(fleet, 1).Disconnected(0), pause)
 	}
-	assert.LessOrEqual(t, New(1<<40, 1).Lost(0), Most)
-	assert.Positive(t, New(1<<40, 1).Lost(0))
+	assert.LessOrEqual(t, New(1<<40, 1).Disconnected(0), MaxPause)
+	assert.Positive(t, New(1<<40, 1).Disconnected(0))
 }
 
 // Couriers that start together ask one after another; a few ask at once.
 func TestFirstAsksSpread(t *testing.T) {
 	early, late := 0, 0
 	for i := range 80 {
-		d := New(80, uint64(i)).First()
+		d := New(80, uint64(i)).Initial()
 		assert.LessOrEqual(t, d, firstMost)
 		if d < firstMost/4 {
 			early++
@@ -272,7 +272,7 @@
 	assert.InDelta(t, 20, early, 12)
 	assert.InDelta(t, 20, late, 12)
 	for fleet := range few + 1 {
-		assert.Zero(t, New(fleet, 1).First())
+		assert.Zero(t, New(fleet, 1).Initial())
 	}
-	assert.Less(t, New(1<<40, 1).First(), firstMost)
+	assert.Less(t, New(1<<40, 1).Initial(), firstMost)
 }
--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -6,10 +6,10 @@
 
 	"github.com/valyala/fastjson"
 
+	"snowjunction/internal/backoff"
 	"snowjunction/internal/core"
 	"snowjunction/internal/groups"
 	"snowjunction/internal/net"
-	"snowjunction/internal/patience"
 	"snowjunction/internal/proto/http1"
 	"snowjunction/internal/proto/listing"
 )
@@ -30,7 +30,7 @@
 	news       *groups.List
 	watching   bool      // the answer that comes is to a watch
 	since      time.Time // the last step began: what the directory had to tell before is held
-	patience   *patience.Patience
+	backoff    *backoff.Backoff
 }
 
 // askNow is the wait of a watch that is to be answered at once.
@@ -46,7 +46,7 @@
 		d.parser = http1.Parser{MaxBody: maxAnswer, Sink: d.piece}
 		d.conn = d.front.Engine.Dial("discovery", d.front.Discovery, d)
 		d.since = d.front.Loop.Now()
-		d.await(patience.Connect, net.DialTimeout)
+		d.await(backoff.ConnectTimeout, net.DialTimeout)
 		return
 	}
 	d.ask()
@@ -59,7 +59,7 @@
 	d.limit.Stop()
 	d.limit = d.front.Loop.After(t, func() {
 		d.heed()
-		d.later(code, d.patience.Silent(d.ago()))
+		d.later(code, d.backoff.TimedOut(d.ago()))
 	})
 }
 
@@ -70,16 +70,16 @@
 	d.expect()
 	path := "/discovery/hosts"
 	d.since = d.front.Loop.Now()
-	d.await(patience.Answer, net.CallTimeout)
+	d.await(backoff.AnswerTimeout, net.CallTimeout)
 	if d.watching = d.known; d.known {
-		wait := d.patience.Wait()
+		wait := d.backoff.WatchWait()
 		if _, _, live := d.front.core.Word(d.front.Number); !live {
 			wait = askNow // an agent that is up says so, though nothing may be new
 		}
 		if again := d.front.core.Recheck(d.front.Number); again > 0 {
 			wait = min(wait, again)
 		}
-		d.await(d.patience.Whole(), net.CallTimeout)
+		d.await(d.backoff.AskTimeout(), net.CallTimeout)
 		path += "?after=" + strconv.FormatUint(d.generation, 10) +
 			"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	}
@@ -93,7 +93,7 @@
 func (d *discovery) Closed(net.Code) {
 	d.conn = nil
 	d.heed()
-	d.later(net.PeerClosed, d.patience.Lost(d.ago()))
+	d.later(net.PeerClosed, d.backoff.Disconnected(d.ago()))
 }
 
 // heed takes from an answer that will not come whole what it has said of endpoints that drain or
@@ -131,7 +131,7 @@
 		return
 	}
 	d.known = false
-	d.patience.Served() // another agent: what the old one refused says nothing of it
+	d.backoff.Reset() // another agent: what the old one refused says nothing of it
 	if d.conn != nil {
 		d.conn.Close(net.Moved)
 		d.conn = nil
@@ -167,7 +167,7 @@
 		return
 	case r == nil:
 		if d.reader.Size() > 0 { // it comes: what is long may take long, but not for ever
-			d.await(min(patience.Answer, d.patience.Whole()-d.ago()), net.CallTimeout)
+			d.await(min(backoff.AnswerTimeout, d.backoff.AskTimeout()-d.ago()), net.CallTimeout)
 		}
 		return
 	}
@@ -176,7 +176,7 @@
 		d.conn = nil
 	}
 	if r.Status != 200 {
-		pause := d.patience.Refused(after(r), d.ago())
+		pause := d.backoff.Refused(after(r), d.ago())
 		d.front.Log.Warn("discovery answers with an error", "status", r.Status, "pause_ms", pause.Milliseconds())
 		d.later(net.Finished, pause)
 		return
@@ -200,7 +200,7 @@
 		d.refuse(err)
 		return
 	}
-	d.patience.Served()
+	d.backoff.Reset()
 	d.news = nil
 	d.generation, d.known, d.held, d.agent = d.reader.Generation, true, true, d.front.Discovery
 	d.front.core.Spoken(d.front.Number)
@@ -218,7 +218,7 @@
 	d.front.Log.Warn("discovery's list cannot be read", "err", err, "entries", d.reader.Entries, "bytes", d.reader.Size())
 	d.front.core.Refused(d.front.Number, d.news, err)
 	d.known = false
-	d.later(net.Protocol, d.patience.Unread(d.ago()))
+	d.later(net.Protocol, d.backoff.Unreadable(d.ago()))
 }
 
 func (d *discovery) close() {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"snowjunction"
+	"snowjunction/internal/backoff"
 	"snowjunction/internal/belief"
 	"snowjunction/internal/config"
 	"snowjunction/internal/core"
 	"snowjunction/internal/net"
-	"snowjunction/internal/patience"
 	"snowjunction/internal/store"
 )
 
@@ -63,7 +63,7 @@
 	}
 	f := &Front{Config: cfg, clients: map[*client]bool{}, targets: map[*target]bool{}}
 	f.discovery.front = f
-	f.discovery.patience = patience.New(cfg.Settings.Fleet, cfg.Settings.Seed).Within(cfg.Settings.DrainGrace)
+	f.discovery.backoff = backoff.New(cfg.Settings.Fleet, cfg.Settings.Seed).Within(cfg.Settings.DrainGrace)
 	f.notices.front = f
 	return f
 }
@@ -107,7 +107,7 @@
 	}
 	f.discovery.generation, f.discovery.known, f.discovery.held = known.Generation, known.Held && known.Watch, known.Held
 	f.discovery.agent = f.Discovery
-	if first := f.discovery.patience.First(); first > 0 && known.Held {
+	if first := f.discovery.backoff.Initial(); first > 0 && known.Held {
 		f.discovery.limit = f.Loop.After(first, f.discovery.watch)
 	} else {
 		f.discovery.watch()
