Scale run: shares of a whole are not called linear; datagrams a message are printed

A sum that falls with the fleet's size, as all of one courier do at a fixed number of messages, passed for a line: with five points a square beside it was not sure. A power law that leaves a quarter of the squares now tells it. Lists start to come to one courier a loop: three long ones at once took each other's time.

--- a/internal/measure/hollow.go
+++ b/internal/measure/hollow.go
@@ -402,7 +402,7 @@
 	wg   sync.WaitGroup
 }
 
-const startsAtOnce = 24
+const startsAtOnce = shardsMost // a long list keeps a loop busy, and has to come within its time
 
 func newStarts() *starts { return &starts{room: make(chan struct{}, startsAtOnce)} }
 
--- a/internal/measure/scale.go
+++ b/internal/measure/scale.go
@@ -49,7 +49,9 @@
 	Directory DirectoryTraffic `json:"directory"`
 	Force     ForceFigures     `json:"in_force"`
 
-	Messages       float64 `json:"messages_per_s"`  // handed in
+	Messages       float64 `json:"messages_per_s"`        // handed in
+	Notes          float64 `json:"datagrams_per_message"` // greetings of hollow couriers left out
+	NoteBytes      float64 `json:"datagram_bytes_per_message"`
 	Delivered      float64 `json:"delivered_per_s"` // by the partners
 	Refused        float64 `json:"refused_per_s"`   // calls, by the partners
 	Lost           float64 `json:"lost_share"`      // of the datagrams sent, but for those that met a cut
@@ -347,6 +349,7 @@
 	w.Flush()
 	fmt.Fprintf(out, "a change is in force after (ms): mean %.1f, 0.9 %.1f, 0.99 %.1f, last %.1f; %d of %d heard\n",
 		f.Force.MeanMs, f.Force.P90Ms, f.Force.P99Ms, f.Force.LastMs, f.Force.Heard, f.Force.Expect)
+	fmt.Fprintf(out, "datagrams a message: %.2f of %.1f bytes in all, hollow couriers' greetings left out\n", f.Notes, f.NoteBytes)
 	fmt.Fprintf(out, "delivered %.4g, refused %.4g a second; datagrams: %.4f lost, %.4g a second met a cut, %.0f dropped as no peer's or of no sense, %.0f for want of time\n",
 		f.Delivered, f.Refused, f.Lost, f.Cut, f.Dropped, f.Crowded)
 	if f.Hollow != nil {
--- a/internal/measure/scalerun.go
+++ b/internal/measure/scalerun.go
@@ -436,6 +436,11 @@
 	f.Crowded = both(to, "crowded")
 	f.Dropped = both(to, "strange") + both(to, "oversize") + to.unread
 	f.Messages = rate(from.handed, to.handed)
+	if f.Messages > 0 {
+		hello := to.greetings - from.greetings // each is a byte
+		f.Notes = (gone - hello) / f.Seconds / f.Messages
+		f.NoteBytes = (both(to, "sent_bytes") - both(from, "sent_bytes") - hello) / f.Seconds / f.Messages
+	}
 	f.Delivered = rate(float64(from.partners.Delivered), float64(to.partners.Delivered))
 	f.Refused = rate(float64(from.partners.Refused), float64(to.partners.Refused))
 	t.force.mu.Lock()
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -22,11 +22,15 @@
 	// PointsLeast are the sizes over which a sum is fitted.
 	PointsLeast = 5
 	confidence  = 0.95
+	offLeast    = 0.01 // of the mean: what the line leaves, over which another curve is looked at
+	bySquares   = 4    // times less than that, in squares, a power law has to leave
+	powerLeast  = 0.05 // of its exponent, off 1
 	bendMost    = 0.05 // share of the rise that a bend may have and still count as none: a root over fifths bends by 0.09
 )
 
 // Fit fits y against x, of PointsLeast points at least. A sum is not linear if the square
-// that is put beside the line is sure at 95% and bends it by over a twentieth of its rise.
+// that is put beside the line is sure at 95% and bends it by over a twentieth of its rise, or if a power
+// law leaves a quarter of what the line does, in squares.
 func Fit(x, y []float64) Line {
 	n := float64(len(x))
 	l := Line{Linear: true}
@@ -39,7 +43,10 @@
 		rest += d * d
 	}
 	l.Error = quantile(n-2) * math.Sqrt(rest/(n-2)/spread)
-	l.Power = power(x, y)
+	curved := 0.0
+	l.Power, curved = power(x, y)
+	off := offLeast * stat.Mean(y, nil)
+	powered := rest > n*off*off && curved < rest/bySquares && math.Abs(l.Power-1) > powerLeast
 	least, most := x[0], x[0]
 	for _, v := range x {
 		least, most = math.Min(least, v), math.Max(most, v)
@@ -50,7 +57,8 @@
 		return l
 	}
 	l.Bend = c * (most - least) * (most - least) / 4 / rise
-	l.Linear = math.Abs(c) <= half || math.Abs(l.Bend) <= bendMost
+	bent := math.Abs(c) > half && math.Abs(l.Bend) > bendMost
+	l.Linear = !bent && !powered
 	return l
 }
 
@@ -87,17 +95,22 @@
 	return fit.AtVec(2) / scale / scale, half / scale / scale, true
 }
 
-// power is the exponent; 0 where a value is not over 0.
-func power(x, y []float64) float64 {
+// power is the exponent of a power law, and the squares that it leaves; 0 where a value is
+// not over 0.
+func power(x, y []float64) (exponent, rest float64) {
 	lx, ly := make([]float64, len(x)), make([]float64, len(y))
 	for i := range x {
 		if x[i] <= 0 || y[i] <= 0 {
-			return 0
+			return 0, math.Inf(1)
 		}
 		lx[i], ly[i] = math.Log(x[i]), math.Log(y[i])
 	}
-	_, slope := stat.LinearRegression(lx, ly, nil, false)
-	return slope
+	factor, exponent := stat.LinearRegression(lx, ly, nil, false)
+	for i := range x {
+		d := y[i] - math.Exp(factor+exponent*lx[i])
+		rest += d * d
+	}
+	return exponent, rest
 }
 
 // Sizes are those that a fit plays, up to the one that is wanted: fifths of it.
