--- a/cmd/snowjunction/scale_test.go
+++ b/cmd/snowjunction/scale_test.go
@@ -17,14 +17,16 @@
 func TestScaleBadInput(t *testing.T) {
 	for args, want := range map[string]string{
 		"--couriers=0": "--couriers: 0 is not over 0", "--events=-1": "--events: -1 is not over 0", "--bogus": "unknown flag --bogus",
-		"--couriers=301 --real=301":           "302 processes are more than 300",
-		"--couriers=301 --real=1 --agree":     "302 processes are more than 300",
-		"--destinations=999999999":            "memory",
-		"--destinations=many":                 "--destinations",
-		"--cuts=1":                            "--cuts: 1 need two regions at least",
-		"--fit=moon":                          "--fit must be one of",
-		"--couriers=1 --real=1 --real=2":      "--real: 2 is not between",
-		"--couriers=10 --regions=4 --real=10": "the first region's 3 couriers",
+		"--couriers=301 --real=301":       "302 processes are more than 300",
+		"--couriers=301 --real=1 --agree": "302 processes are more than 300",
+		"--destinations=999999999":        "memory",
+		"--destinations=many":             "--destinations",
+		"--cuts=1":                        "--cuts: 1 need two regions at least",
+		"--fit=moon":                      "--fit must be one of",
+		"--fit=couriers --couriers=10 --regions=4 --real=1": "--fit couriers, of 2: --regions: 4",
+		"--agree --couriers=4 --real=1 --regions=2":         "--agree: real couriers are all in one region",
+		"--couriers=1 --real=1 --real=2":                    "--real: 2 is not between",
+		"--couriers=10 --regions=4 --real=10":               "the first region's 3 couriers",
 	} {
 		out, code := command(t, nil, append([]string{"measure", "scale"}, strings.Fields(args)...)...)
 		assert.Equal(t, exitUsage, code, args)
--- a/internal/measure/scale.go
+++ b/internal/measure/scale.go
@@ -136,7 +136,15 @@
 	}
 	p := o.Plan
 	if o.Agree {
-		p.Real, p.Regions, p.Cuts = p.Couriers, 1, 0
+		if p.Cuts > 0 || p.Regions > 1 {
+			return fmt.Errorf("--agree: real couriers are all in one region: --regions and --cuts cannot be with it")
+		}
+		p.Real = p.Couriers
+	}
+	for _, v := range o.sizes() {
+		if err := o.sized(v).Check(); err != nil {
+			return fmt.Errorf("--fit %s, of %g: %w", o.Fit, v, err)
+		}
 	}
 	return p.Fits(m)
 }
--- a/internal/measure/scalefit.go
+++ b/internal/measure/scalefit.go
@@ -76,6 +76,15 @@
 	Runs    []*ScaleFigures       `json:"runs"`
 }
 
+// sizes are those that a fit plays; none without one.
+func (o Scale) sizes() []float64 {
+	most, fits := map[string]float64{"couriers": float64(o.Couriers), "destinations": float64(o.Destinations), "events": o.Events}[o.Fit]
+	if !fits {
+		return nil
+	}
+	return scale.Sizes(most)
+}
+
 // sized is a plan at another size of what a fit goes against.
 func (o Scale) sized(v float64) scale.Plan {
 	p := o.Plan
@@ -94,13 +103,8 @@
 // fit plays five sizes and prints a line for each sum.
 func (o Scale) fit(out io.Writer) error {
 	f := Fitted{Against: o.Fit, Lines: map[string]scale.Line{}}
-	most := map[string]float64{"couriers": float64(o.Couriers), "destinations": float64(o.Destinations), "events": o.Events}[o.Fit]
-	for _, v := range scale.Sizes(most) {
-		p := o.sized(v)
-		if err := p.Check(); err != nil {
-			return err
-		}
-		x, err := o.play(p)
+	for _, v := range o.sizes() {
+		x, err := o.play(o.sized(v))
 		if err != nil {
 			return err
 		}
@@ -157,9 +161,6 @@
 		if p.Real = 0; all {
 			p.Real = p.Couriers
 		}
-		if err := p.Check(); err != nil {
-			return err
-		}
 		f, err := o.play(p)
 		if err != nil {
 			return err
