Directory's traffic is counted before it can be read

TestDirectoryTraffic failed in one of two runs: the client had read an answer before its bytes were counted. They are counted before they leave; 200 runs under -race pass.

--- a/internal/standin/traffic.go
+++ b/internal/standin/traffic.go
@@ -49,10 +49,11 @@
 	return n, err
 }
 
-// Write counts what goes.
+// Write counts what goes, before whoever reads it can ask.
 func (c countedConn) Write(b []byte) (int, error) {
+	c.t.out.Add(int64(len(b)))
 	n, err := c.Conn.Write(b)
-	c.t.out.Add(int64(n))
+	c.t.out.Add(int64(n - len(b)))
 	return n, err
 }
 
