--- a/internal/measure/scalerun.go
+++ b/internal/measure/scalerun.go
@@ -21,6 +21,9 @@
 	holdWithin   = 15 * time.Minute
 	realsAtOnce  = 8
 	tellEvery    = 10 * time.Second
+	greetWithin  = 2 * time.Minute
+	lookAgain    = 200 * time.Millisecond
+	tellNotes    = 500_000
 	downFor      = time.Second // a courier that is restarted, at least
 	realSockets  = 1024
 	realMemoryMB = 128 // as the fleet to come allows
@@ -129,6 +132,23 @@
 	return nil
 }
 
+// greeted waits until hardly a datagram goes any more.
+func (t *fleet) greeted() {
+	begun := time.Now()
+	for last := int64(-1); time.Since(begun) < greetWithin; {
+		t.sleep(lookAgain)
+		t.calm()
+		told := t.told.Load()
+		if last >= 0 && told-last <= int64(t.plan.Couriers)/10 {
+			return
+		}
+		if last/tellNotes != told/tellNotes {
+			fmt.Fprintf(os.Stderr, "%.0f s: %d datagrams, %d of them greetings\n", time.Since(begun).Seconds(), told, t.greetings.Load())
+		}
+		last = told
+	}
+}
+
 // calm waits until what couriers have brought up to now has been looked at.
 func (t *fleet) calm() {
 	for _, s := range t.shards {
@@ -185,25 +205,28 @@
 	return nil
 }
 
-// flow has messages come to all couriers, to hollow ones one after another: each greets up to
-// 1,024 others with its first.
+// flow has messages come to all couriers. The first has all greet up to 1,024 others each:
+// that is over before the rest come, or what it takes of the loops' time would have couriers
+// hear late, and greet again.
 func (t *fleet) flow() {
-	begun, told := time.Now(), time.Now()
+	first := true
 	for n := range t.plan.Couriers {
 		h := t.hollow[n]
 		if h == nil {
 			continue
 		}
-		t.calm()
 		h.shard.on(func() {
 			h.flows = true
-			h.arrive(0)
+			if first {
+				h.arrive(0)
+			} else {
+				h.next()
+			}
 		})
-		if time.Since(told) > tellEvery {
-			told = time.Now()
-			fmt.Fprintf(os.Stderr, "%.0f s: messages come up to courier %d, %d datagrams, %d of them greetings\n",
-				time.Since(begun).Seconds(), n, t.told.Load(), t.greetings.Load())
+		if first {
+			t.greeted()
 		}
+		first = false
 	}
 	for _, m := range t.real {
 		t.work.Go(func() { t.traffic(m) })
