A long list goes on past the bound while it comes at a megabyte a second

A whole list of the most entries, 10 MB, or of the fleet to come, 193 MB, can take longer on a courier with a part of a core: it would be given up and asked for anew each time, and never be taken.

Change: `backoff.RestOfAnswer` gives what is past 64 KB its time at 1 MB a second. A short list, and one that drips, has the time of the bound as before.

TestLongListGoesOn fails without (`call_timeout` at its asking + 3.3 s) and passes with it; go test -race of backoff and of the front's tests of lists passes.

--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -35,6 +35,10 @@
 	spread = 250 * time.Millisecond
 	// slack is how late the answer to a watch may be.
 	slack = 750 * time.Millisecond
+	// shortList is the size in bytes up to which an answer has AskTimeout alone.
+	shortList = 64 << 10
+	// longListRate is in bytes a second: what is longer goes on while it comes as fast.
+	longListRate = 1 << 20
 	// waitMost bounds what a watch asks to wait.
 	waitMost = 20 * time.Second
 	// pause is that of a courier of a fleet of two, or alone.
@@ -87,6 +91,14 @@
 	return min(b.Bound()-attempt-spread, waitMost+slack)
 }
 
+// RestOfAnswer is how much longer an answer may take that was asked for so long ago and of which
+// so many bytes have come. A list that takes longer than the bound cannot be heard within it; it
+// is not given up for that while it comes fast, or it would never be taken.
+func (b *Backoff) RestOfAnswer(ago time.Duration, size int) time.Duration {
+	long := time.Duration(max(0, size-shortList)) * time.Second / longListRate
+	return min(AnswerTimeout, b.AskTimeout()+long-ago)
+}
+
 // WatchWait is how long a watch asks the directory to wait for news.
 func (b *Backoff) WatchWait() time.Duration { return b.AskTimeout() - slack }
 
--- a/internal/backoff/backoff_test.go
+++ b/internal/backoff/backoff_test.go
@@ -276,3 +276,15 @@
 	}
 	assert.Less(t, New(1<<40, 1).Initial(), firstMost)
 }
+
+// An answer that is short or comes slowly has the time of the bound; one that is long goes on
+// while it comes fast, and may pause no longer than any.
+func TestRestOfAnswer(t *testing.T) {
+	b := New(300, 1).Within(time.Second)
+	for _, size := range []int{0, 1, shortList} {
+		assert.Equal(t, b.AskTimeout()-3*time.Second, b.RestOfAnswer(3*time.Second, size))
+	}
+	assert.Equal(t, AnswerTimeout, b.RestOfAnswer(0, 1))
+	assert.Equal(t, AnswerTimeout, b.RestOfAnswer(10*time.Second, 200<<20), "20 MB a second")
+	assert.Negative(t, b.RestOfAnswer(15*time.Second, 10<<20), "under 1 MB a second")
+}
--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -167,7 +167,7 @@
 		return
 	case r == nil:
 		if d.reader.Size() > 0 { // it comes: what is long may take long, but not for ever
-			d.await(min(backoff.AnswerTimeout, d.backoff.AskTimeout()-d.ago()), net.CallTimeout)
+			d.await(d.backoff.RestOfAnswer(d.ago(), d.reader.Size()), net.CallTimeout)
 		}
 		return
 	}
--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -383,6 +383,27 @@
 	s.until("it is given up 3.25 s from its asking", func() bool { return s.discovery.ended(0) })
 }
 
+// A long list that comes at a megabyte a second and more is taken, though that is later than the
+// bound: it would never be, if it were asked for anew each time.
+func TestLongListGoesOn(t *testing.T) {
+	const steps, step, piece = 40, 110 * time.Millisecond, 128 << 10
+	s := newSite(t)
+	s.until("the list is asked for", func() bool { return s.discovery.took(0, ask, 1) })
+	const list = `{"generation":2,"reset":false,"instances":[]}`
+	e := s.discovery.at(0)
+	e.say(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", steps*piece+len(list)))
+	for range steps {
+		for range 2 {
+			e.say(t, strings.Repeat(" ", piece/2))
+			s.settle()
+		}
+		s.after(step)
+		require.Empty(t, s.ends, "it is not given up")
+	}
+	e.say(t, list)
+	s.until("the next watch", func() bool { return s.discovery.took(0, "after=2", 1) })
+}
+
 // A notice goes again in time, though the connection it went on has fallen silent.
 func TestNoticeOnASilentConnection(t *testing.T) {
 	s := newSite(t)
