--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -171,6 +171,18 @@
 	return next
 }
 
+// newDialling is a bench whose one call has waited 900 ms for its connection.
+func newDialling(t *testing.T, change func(*snowjunction.Settings)) *bench {
+	b := newBench(t, change)
+	b.dialling = true
+	require.NoError(t, b.c.TakeIn(Request{ID: "m1", Class: "order", IdempotencyKey: "k1", Destination: 7, Left: 20 * time.Second},
+		func(Answer, *store.Message) bool { return true }))
+	b.step(5 * ms)
+	require.Len(t, b.calls, 1)
+	b.step(900 * ms)
+	return b
+}
+
 // A connection takes most of a window to come up. Until it is up the attempt has not run,
 // whatever its class; then its window is counted from its bytes, over a kill and in a row of
 // repeats.
@@ -189,13 +201,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			change := func(s *snowjunction.Settings) { s.Classes[0].Window, s.Classes[0].Effect = time.Second, at.effect }
-			b := newBench(t, change)
-			b.dialling = true
-			require.NoError(t, b.c.TakeIn(Request{ID: "m1", Class: "order", IdempotencyKey: "k1", Destination: 7, Left: 20 * time.Second},
-				func(Answer, *store.Message) bool { return true }))
-			b.step(5 * ms)
-			require.Len(t, b.calls, 1)
-			b.step(900 * ms)
+			b := newDialling(t, change)
 			if at.opened {
 				require.True(t, b.calls[0].opened())
 			}
@@ -483,13 +489,7 @@
 // A connection takes most of a window to come up, and the attempt may have run: its repeats have
 // the window from its bytes, in the same process too, and none leaves past it.
 func TestWindowBeginsWithTheBytes(t *testing.T) {
-	b := newBench(t, func(s *snowjunction.Settings) { s.Classes[0].Window = time.Second })
-	b.dialling = true
-	require.NoError(t, b.c.TakeIn(Request{ID: "m1", Class: "order", IdempotencyKey: "k1", Destination: 7, Left: 20 * time.Second},
-		func(Answer, *store.Message) bool { return true }))
-	b.step(5 * ms)
-	require.Len(t, b.calls, 1)
-	b.step(900 * ms)
+	b := newDialling(t, func(s *snowjunction.Settings) { s.Classes[0].Window = time.Second })
 	require.True(t, b.calls[0].opened())
 	left := b.now
 	b.step(50 * ms)
