--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fastjson"
 
 	"snowjunction"
 )
@@ -179,3 +180,23 @@
 		assert.Equal(t, want, f.Notes)
 	}
 }
+
+// Whatever comes, the cut neither fails nor changes what a sound configuration says but for the list.
+func FuzzCutKnown(f *testing.F) {
+	for _, text := range []string{good, `{"known":{}}`, `{"known":{"a":"}\""},"b":[{"known":{}}]}`, `{"a":"known","known" : {`, `]}{"known":{}`} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		rest, known := cutKnown(b)
+		if fastjson.ValidateBytes(b) != nil || known == nil {
+			return
+		}
+		require.NoError(t, fastjson.ValidateBytes(rest))
+		list, err := fastjson.ParseBytes(known)
+		require.NoError(t, err)
+		require.Equal(t, fastjson.TypeObject, list.Type())
+		whole, err := fastjson.ParseBytes(b)
+		require.NoError(t, err)
+		require.Equal(t, string(whole.Get("known").MarshalTo(nil)), string(list.MarshalTo(nil)))
+	})
+}
