--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -13,6 +13,7 @@
 	"snowjunction/internal/config"
 	"snowjunction/internal/core"
 	"snowjunction/internal/net"
+	"snowjunction/internal/partition"
 	"snowjunction/internal/store"
 )
 
@@ -29,6 +30,8 @@
 	Settings  snowjunction.Settings
 	Lists     ListLimits
 	Started   func(Step) // nil: nobody asks
+	// Router divides the destinations among couriers; nil: this one lists and calls all.
+	Router *partition.Router
 }
 
 // Step is one of a front's start.
@@ -62,8 +65,12 @@
 	discovery discovery
 	notices   notices
 	requests  uint64 // handed in by clients
+	begun     time.Time
 }
 
+// since is the time on the router's clock.
+func (f *Front) since() time.Duration { return f.Loop.Now().Sub(f.begun) }
+
 // Ready tells whether messages are taken.
 func (f *Front) Ready() bool { return f.ready && !f.draining }
 
@@ -72,7 +79,7 @@
 	if cfg.Lists == (ListLimits{}) {
 		cfg.Lists = DefaultLists
 	}
-	f := &Front{Config: cfg, clients: map[*client]bool{}, targets: map[*target]bool{}}
+	f := &Front{Config: cfg, clients: map[*client]bool{}, targets: map[*target]bool{}, begun: cfg.Loop.Now()}
 	f.discovery.front = f
 	f.discovery.backoff = backoff.New(cfg.Settings.Fleet, cfg.Settings.Seed).Within(cfg.Settings.DrainGrace)
 	f.notices.front = f
