A stand-in ends a call before it breaks its connection: TestDemo counted the next as beside it

Cause: over HTTP/1.1 the stand-in partner reset the connection first and booked the call's end behind that. On a busy machine the handler stood still between the two for longer than the courier rests a key (100 ms), so that the next message of the key, which the courier sent as it should, was counted as one beside another: 'out of order' where connections are reset. The courier is right.

Change: the end is booked before the reset, as with every other answer. The rule that the partner checks stays as it is.

--- a/internal/standin/farm.go
+++ b/internal/standin/farm.go
@@ -253,6 +253,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	if a.Reset {
+		end(false) // before its caller can know: what the caller does next comes after it
+		end = func(bool) {}
 		f.reset(w)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/farm_test.go
+++ b/internal/standin/farm_test.go
@@ -1,9 +1,12 @@
 package standin
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -81,6 +84,43 @@
 	assert.NotEmpty(t, f.Obey(Order{Do: "dance"}).Error)
 }
 
+// answering is an answer over HTTP/1.1, connected its connection, which tells when it is closed.
+type (
+	answering struct {
+		http.ResponseWriter
+		connected
+	}
+	connected struct {
+		net.Conn
+		closed func()
+	}
+)
+
+func (a answering) Write([]byte) (int, error)                    { return 0, net.ErrClosed }
+func (a answering) Hijack() (net.Conn, *bufio.ReadWriter, error) { return a.connected, nil, nil }
+func (c connected) Close() error                                 { c.closed(); return nil }
+
+// A call is over before its caller can know that its connection is broken: the next of its
+// key, sent once it knows, runs beside nothing.
+func TestFarmEndsCallsBeforeItBreaks(t *testing.T) {
+	f := farm(t, Spec{Destination: 1, Endpoints: 1})
+	f.Obey(Order{Do: "fault", From: 1, Fault: partner.Reset, For: time.Hour})
+	addr, err := net.ResolveTCPAddr("tcp", f.Endpoints()[0].Addr)
+	require.NoError(t, err)
+	r := httptest.NewRequestWithContext(context.WithValue(t.Context(), http.LocalAddrContextKey, addr), http.MethodPost, "/inbox", nil)
+	r.Header.Set("X-Request-ID", "a")
+	under := func() (n int) {
+		require.NoError(t, f.With(1, func(p *partner.Partner) { n = p.Under() }))
+		return n
+	}
+	breaks := 0
+	assert.PanicsWithValue(t, http.ErrAbortHandler, func() {
+		f.serve(answering{connected: connected{closed: func() { breaks++; assert.Zero(t, under()) }}}, r)
+	})
+	assert.Equal(t, 1, breaks)
+	assert.Zero(t, under(), "and it has ended once")
+}
+
 // A partner that is silent holds the call until its caller gives up.
 func TestFarmIsSilent(t *testing.T) {
 	f := farm(t, Spec{Destination: 1, Endpoints: 1})
