Partitions: what is worked out from a change is what is worked out anew, with zones too

A member in a zone of its own that came next to owners who share one was passed over by With where its score was the lowest, while New took it: couriers that had started at different times did not agree on owners (seen: the property test fails without the mend). keep now looks at zones.

Elections skip most logarithms; the draw has one bit less, so that it is never 1.

--- a/internal/partition/membership.go
+++ b/internal/partition/membership.go
@@ -49,9 +49,10 @@
 type Membership struct {
 	partitions int
 	copies     int
-	members    []Member // by name
-	names      []uint64 // hashes, as members
-	regions    []region // by name
+	members    []Member  // by name
+	names      []uint64  // hashes, as members
+	weights    []float64 // as members
+	regions    []region  // by name
 }
 
 type region struct {
@@ -99,6 +100,7 @@
 		}
 		addrs[x.Addr] = x.Name
 		n.names = append(n.names, xxhash.Sum64String(x.Name))
+		n.weights = append(n.weights, x.weight())
 	}
 	for i, x := range n.members {
 		at, found := slices.BinarySearchFunc(n.regions, x.Region, func(r region, name string) int { return cmp.Compare(r.name, name) })
@@ -150,26 +152,38 @@
 	}
 }
 
-// keep takes a partition's owners over from the old region, and tells whether they stay the same.
+// keep takes a partition's owners over from the old region, and tells whether they stay the same:
+// none has gone, and none that came has a higher score or, where owners share a zone, another zone.
 func (m *Membership) keep(r, old *region, p int, number map[int32]int32, came []int32) bool {
 	own := r.owners[p*m.copies : (p+1)*m.copies]
-	least := math.Inf(1)
 	for i, was := range old.owners[p*m.copies : (p+1)*m.copies] {
 		is, stays := number[was]
 		if was < 0 || !stays {
 			return false
 		}
 		own[i] = is
-		least = min(least, m.score(is, p))
+	}
+	if len(came) == 0 {
+		return true
+	}
+	least, shared := math.Inf(1), false
+	for i, o := range own {
+		least = min(least, m.score(o, p))
+		shared = shared || !m.alone(o, own[:i])
 	}
 	for _, i := range came {
-		if m.score(i, p) >= least {
+		if m.score(i, p) >= least || shared && m.alone(i, own) {
 			return false
 		}
 	}
 	return true
 }
 
+// alone tells whether none of the owners stands in a member's zone.
+func (m *Membership) alone(i int32, owners []int32) bool {
+	return !slices.ContainsFunc(owners, func(o int32) bool { return o >= 0 && m.members[o].Zone == m.members[i].Zone })
+}
+
 // elect finds a partition's owners among all members of a region: the highest scores, first those
 // of zones that have none of them yet.
 func (m *Membership) elect(r *region, p int) {
@@ -177,11 +191,15 @@
 	for n := range own {
 		best, high, apart := int32(-1), 0.0, false
 		for _, i := range r.members {
+			u := m.draw(i, p)
+			if apart && m.weights[i] < high*(1-u)*notLess { // -ln u is at least 1-u: most need no logarithm
+				continue
+			}
 			if slices.Contains(own[:n], i) {
 				continue
 			}
-			alone := !slices.ContainsFunc(own[:n], func(o int32) bool { return o >= 0 && m.members[o].Zone == m.members[i].Zone })
-			s := m.score(i, p)
+			alone := m.alone(i, own[:n])
+			s := -m.weights[i] / math.Log(u)
 			if best < 0 || alone && !apart || alone == apart && s > high {
 				best, high, apart = i, s, alone
 			}
@@ -190,14 +208,20 @@
 	}
 }
 
+// notLess is room for the rounding of a logarithm.
+const notLess = 1 - 1e-9
+
 // score is a member's for a partition, by weighted rendezvous hashing (Schindelhauer and
-// Schomaker, 2005): -w / ln u, with u drawn evenly from between 0 and 1 by the hash of both.
-func (m *Membership) score(i int32, p int) float64 {
+// Schomaker, 2005): -w / ln u.
+func (m *Membership) score(i int32, p int) float64 { return -m.weights[i] / math.Log(m.draw(i, p)) }
+
+// draw is u, drawn evenly from between 0 and 1, neither of them, by the hash of a member's name
+// and a partition.
+func (m *Membership) draw(i int32, p int) float64 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:], m.names[i])
 	binary.LittleEndian.PutUint64(b[8:], uint64(p))
-	u := (float64(xxhash.Sum64(b[:])>>11) + 0.5) / (1 << 53)
-	return -m.members[i].weight() / math.Log(u)
+	return (float64(xxhash.Sum64(b[:])>>12) + 0.5) / (1 << 52)
 }
 
 // Partitions is how many there are.
@@ -228,24 +252,33 @@
 
 // Owners are the owners of a partition as a courier of a region turns to them: its own region's
 // first, then the others', whose order is another for each partition.
-func (m *Membership) Owners(p int, near string) []Member {
-	var out []Member
-	n := len(m.regions)
-	add := func(r *region) {
-		for _, i := range r.owners[p*m.copies : (p+1)*m.copies] {
-			if i >= 0 {
-				out = append(out, m.members[i])
-			}
-		}
+func (m *Membership) Owners(p int, near string) (out []Member) {
+	for _, i := range m.owners(nil, p, near) {
+		out = append(out, m.members[i])
 	}
+	return out
+}
+
+// owners appends their numbers to out.
+func (m *Membership) owners(out []int32, p int, near string) []int32 {
 	for i := range m.regions {
 		if m.regions[i].name == near {
-			add(&m.regions[i])
+			out = m.regions[i].of(out, p, m.copies)
 		}
 	}
-	for k := range n {
-		if r := &m.regions[(p+k)%n]; r.name != near {
-			add(r)
+	for k := range m.regions {
+		if r := &m.regions[(p+k)%len(m.regions)]; r.name != near {
+			out = r.of(out, p, m.copies)
+		}
+	}
+	return out
+}
+
+// of appends a partition's owners in the region to out.
+func (r *region) of(out []int32, p, copies int) []int32 {
+	for _, i := range r.owners[p*copies : (p+1)*copies] {
+		if i >= 0 {
+			out = append(out, i)
 		}
 	}
 	return out
@@ -273,7 +306,7 @@
 // Bytes is about what the membership takes.
 func (m *Membership) Bytes() (n int) {
 	for _, x := range m.members {
-		n += len(x.Name) + len(x.Addr) + len(x.Region) + len(x.Zone) + 80
+		n += len(x.Name) + len(x.Addr) + len(x.Region) + len(x.Zone) + 96
 	}
 	for _, r := range m.regions {
 		n += 4*len(r.owners) + 4*len(r.members)
--- a/internal/partition/router.go
+++ b/internal/partition/router.go
@@ -11,6 +11,7 @@
 	Region   string        // where this courier stands, if it is no member itself
 	Linger   time.Duration // that what is no longer owned is served on, for those that do not know yet
 	Longest  time.Duration // the longest deadline of a class that keeps order
+	Rest     time.Duration // after a message's time: that it is on its way, and that a key rests after an attempt
 	PinsMost int           // keys that are remembered with the courier that has their last message; 0: pinsMost
 }
 
@@ -59,7 +60,9 @@
 	down   map[string]*down
 	pins   [2]map[uint64]pin // of the present and of the last span
 	turned time.Duration
+	lost   time.Duration // until then a courier may have a message whose key is not among the pins: no room
 	rev    int
+	owners [2][]int32 // of the message at hand, in both memberships
 }
 
 // part is a partition that is owned, or was.
@@ -111,12 +114,16 @@
 	for p, x := range r.parts {
 		if _, still := slices.BinarySearch(owned, p); x.owned && !still {
 			x.owned, x.until = false, now+r.o.Linger
-			if !x.held {
-				delete(r.parts, p)
-			}
 		}
 	}
 	r.adopt(m)
+	for name := range r.down {
+		if _, is := m.find(name); !is {
+			if _, was := r.before.find(name); !was {
+				delete(r.down, name)
+			}
+		}
+	}
 }
 
 // Expire forgets what has lingered for long enough, unless used says of a partition that it is
@@ -193,40 +200,50 @@
 		}
 		return Route{Way: Moved}
 	}
+	mayFailOver := true
 	if m.Key != 0 {
-		if to, pinned := r.pinned(m.Key, now); pinned {
+		// Nothing is held of a partition that this courier lists no more: a pin to it is over.
+		if to, pinned := r.pinned(m.Key, now); pinned && (here || to != r.o.Self) {
 			return r.only(to, tried, now)
 		}
-	}
-	owners := r.m.Owners(p, r.region)
-	if m.Key != 0 && !r.mayFailOver(now) {
-		owners = owners[:min(1, len(owners))]
+		mayFailOver = r.mayFailOver(now)
 	}
 	if here && mine.owned {
 		return Route{Way: Here}
 	}
-	if r.before != nil { // who has owned it serves it on, where the new owners are not there yet
-		for _, o := range r.before.Owners(p, r.region) {
-			if !slices.ContainsFunc(owners, func(x Member) bool { return x.Name == o.Name }) {
-				owners = append(owners, o)
-			}
-		}
+	owners := r.m.owners(r.owners[0][:0], p, r.region)
+	r.owners[0] = owners
+	var former []int32
+	switch {
+	case !mayFailOver && mine != nil && mine.owned: // its own list is on its way
+		return Route{Way: Busy, After: downFirst}
+	case !mayFailOver:
+		owners = owners[:min(1, len(owners))]
+	case r.before != nil: // who has owned it serves it on, where the new owners are not there yet
+		former = r.before.owners(r.owners[1][:0], p, r.region)
+		r.owners[1] = former
 	}
-	after := downMost
-	for _, o := range owners {
+	after := downFirst
+	for k := range len(owners) + len(former) {
+		var o *Member
+		if k < len(owners) {
+			o = &r.m.members[owners[k]]
+		} else {
+			o = &r.before.members[former[k-len(owners)]]
+		}
 		switch d := r.down[o.Name]; {
-		case slices.Contains(tried, o.Name):
 		case o.Name == r.o.Self:
 			if here {
 				return Route{Way: Here}
 			}
+		case slices.Contains(tried, o.Name):
 		case d != nil && now < d.until:
 			after = min(after, d.until-now)
 		default:
-			return Route{Way: Forward, To: o}
+			return Route{Way: Forward, To: *o}
 		}
 	}
-	return Route{Way: Busy, After: min(after, downFirst)}
+	return Route{Way: Busy, After: after}
 }
 
 // only is the way of a message of a key whose last one may still be with a courier: to any other
@@ -247,9 +264,9 @@
 
 // mayFailOver tells whether a message that keeps order may go to another than its first owner:
 // not while an earlier life of this courier may have left one of its key there, nor while there
-// is no room to remember where it goes.
+// may be one there that there was no room to remember.
 func (r *Router) mayFailOver(now time.Duration) bool {
-	return now-r.begun >= r.o.Longest && len(r.pins[0])+len(r.pins[1]) < r.o.PinsMost
+	return now-r.begun >= r.o.Longest+r.o.Rest && now >= r.lost && len(r.pins[0])+len(r.pins[1]) < r.o.PinsMost
 }
 
 func (r *Router) pinned(key uint64, now time.Duration) (string, bool) {
@@ -261,30 +278,40 @@
 	return "", false
 }
 
-// turn begins a new span of pins: what is in the last but one is over.
+// turn begins a new span of pins. What is in the last but one is over but for what lasts longer
+// than a span.
 func (r *Router) turn(now time.Duration) {
-	if span := max(r.o.Longest, time.Second); now-r.turned >= span {
-		if now-r.turned >= 2*span {
-			clear(r.pins[0])
+	if now-r.turned < max(r.o.Longest+r.o.Rest, time.Second) {
+		return
+	}
+	next := map[uint64]pin{}
+	for key, x := range r.pins[1] {
+		if _, newer := r.pins[0][key]; !newer && now < x.until {
+			next[key] = x
 		}
-		r.pins = [2]map[uint64]pin{{}, r.pins[0]}
-		r.turned = now
 	}
+	r.pins, r.turned = [2]map[uint64]pin{next, r.pins[0]}, now
 }
 
 // Took tells that a courier, or this one, may have taken a message on: the next of its key
 // follows it there.
 func (r *Router) Took(m Message, by string, now time.Duration) {
+	if m.Key == 0 || m.Forwarded {
+		return
+	}
 	r.turn(now)
-	if m.Key != 0 && !m.Forwarded && len(r.pins[0])+len(r.pins[1]) < r.o.PinsMost {
-		until := now + m.Left
-		for _, pins := range r.pins { // an earlier one may be held for longer
-			if x, ok := pins[m.Key]; ok && x.to == by {
-				until = max(until, x.until)
-			}
+	until := now + m.Left + r.o.Rest
+	for _, pins := range r.pins { // an earlier one may be held for longer
+		if x, ok := pins[m.Key]; ok && x.to == by {
+			until = max(until, x.until)
 		}
-		r.pins[0][m.Key] = pin{by, until}
 	}
+	delete(r.pins[1], m.Key)
+	if _, known := r.pins[0][m.Key]; !known && len(r.pins[0])+len(r.pins[1]) >= r.o.PinsMost {
+		r.lost = max(r.lost, until)
+		return
+	}
+	r.pins[0][m.Key] = pin{by, until}
 }
 
 // Reached tells that a courier has answered.
