--- a/internal/partition/membership.go
+++ b/internal/partition/membership.go
@@ -52,6 +52,7 @@
 	members    []Member  // by name
 	names      []uint64  // hashes, as members
 	weights    []float64 // as members
+	places     []uint64  // hashes of the partitions
 	regions    []region  // by name
 }
 
@@ -102,6 +103,14 @@
 		n.names = append(n.names, xxhash.Sum64String(x.Name))
 		n.weights = append(n.weights, x.weight())
 	}
+	if m != nil && m.partitions == partitions {
+		n.places = m.places
+	} else {
+		n.places = make([]uint64, partitions)
+		for p := range n.places {
+			n.places[p] = xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(p)))
+		}
+	}
 	for i, x := range n.members {
 		at, found := slices.BinarySearchFunc(n.regions, x.Region, func(r region, name string) int { return cmp.Compare(r.name, name) })
 		if !found {
@@ -216,12 +225,12 @@
 func (m *Membership) score(i int32, p int) float64 { return -m.weights[i] / math.Log(m.draw(i, p)) }
 
 // draw is u, drawn evenly from between 0 and 1, neither of them, by the hash of a member's name
-// and a partition.
+// and that of a partition, mixed as in SplitMix64 (Steele, Lea and Flood, 2014).
 func (m *Membership) draw(i int32, p int) float64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:], m.names[i])
-	binary.LittleEndian.PutUint64(b[8:], uint64(p))
-	return (float64(xxhash.Sum64(b[:])>>12) + 0.5) / (1 << 52)
+	x := m.names[i] ^ m.places[p]
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return (float64((x^x>>31)>>12) + 0.5) / (1 << 52)
 }
 
 // Partitions is how many there are.
@@ -308,6 +317,7 @@
 	for _, x := range m.members {
 		n += len(x.Name) + len(x.Addr) + len(x.Region) + len(x.Zone) + 96
 	}
+	n += 8 * len(m.places)
 	for _, r := range m.regions {
 		n += 4*len(r.owners) + 4*len(r.members)
 	}
