Router of partitions: what an earlier life left keeps its partitions listed

Messages of a partition that moved while the courier was down had no list to go by, and the next of their key went to the new owner. In place of keeping all that is lost before its list came.

--- a/internal/partition/router.go
+++ b/internal/partition/router.go
@@ -68,6 +68,7 @@
 // part is a partition that is owned, or was.
 type part struct {
 	owned, held bool
+	kept        bool          // messages of it were left by an earlier life
 	until       time.Duration // not owned: it lingers
 }
 
@@ -114,6 +115,9 @@
 	for p, x := range r.parts {
 		if _, still := slices.BinarySearch(owned, p); x.owned && !still {
 			x.owned, x.until = false, now+r.o.Linger
+			if !x.held && !x.kept {
+				delete(r.parts, p)
+			}
 		}
 	}
 	r.adopt(m)
@@ -126,6 +130,16 @@
 	}
 }
 
+// Keep tells that an earlier life of this courier left messages of a partition: whoever owns it,
+// its list is read until Expire finds it unused.
+func (r *Router) Keep(p int) {
+	if r.parts[p] == nil {
+		r.parts[p] = &part{}
+		r.rev++
+	}
+	r.parts[p].kept = true
+}
+
 // Expire forgets what has lingered for long enough, unless used says of a partition that it is
 // still needed, and returns it. It is then no longer among Listed.
 func (r *Router) Expire(now time.Duration, used func(p int) bool) (gone []int) {
@@ -202,10 +216,15 @@
 	}
 	mayFailOver := true
 	if m.Key != 0 {
-		// Nothing is held of a partition that this courier lists no more: a pin to it is over.
-		if to, pinned := r.pinned(m.Key, now); pinned && (here || to != r.o.Self) {
+		switch to, pinned := r.pinned(m.Key, now); {
+		case !pinned:
+		case to != r.o.Self:
 			return r.only(to, tried, now)
-		}
+		case here:
+			return Route{Way: Here}
+		case mine != nil: // it waits for its list, as the last one does
+			return Route{Way: Busy, After: downFirst}
+		} // nothing is held of a partition that is not listed any more
 		mayFailOver = r.mayFailOver(now)
 	}
 	if here && mine.owned {
@@ -246,12 +265,9 @@
 	return Route{Way: Busy, After: after}
 }
 
-// only is the way of a message of a key whose last one may still be with a courier: to any other
-// it could come out of order.
+// only is the way of a message of a key whose last one may still be with another courier: to any
+// other it could come out of order.
 func (r *Router) only(to string, tried []string, now time.Duration) Route {
-	if to == r.o.Self {
-		return Route{Way: Here}
-	}
 	x, member := r.m.Member(to)
 	if !member && r.before != nil {
 		x, member = r.before.Member(to)
--- a/internal/partition/router_test.go
+++ b/internal/partition/router_test.go
@@ -162,18 +162,32 @@
 	assert.Empty(t, again.Expire(late+2*linger, none))
 }
 
-// Messages of a partition that is lost before its list has come may be held, of an earlier life:
-// the list is still read.
-func TestLostBeforeItsList(t *testing.T) {
+// What is lost before its list has come goes at once, unless an earlier life of this courier left
+// messages of it: these wait for the list, and the next of their key with them, whoever owns it.
+func TestLeftByAnEarlierLife(t *testing.T) {
 	all := fleet(8, 1, 2)
 	m := membership(t, parts, 1, all)
-	r := NewRouter(Options{Self: "n3", Linger: linger, Longest: longest}, m, 0)
+	r := NewRouter(Options{Self: "n3", Linger: linger, Longest: longest}, m, late)
 	lost := r.Wanted()
-	require.NotEmpty(t, lost)
-	r.Adopt(membership(t, parts, 1, slices.Delete(slices.Clone(all), 3, 4)), 1)
-	assert.Equal(t, lost, r.Wanted())
-	assert.Equal(t, Moved, r.Route(Message{Destination: of(lost[0], parts), Forwarded: true}, nil, 1).Way)
-	assert.Equal(t, lost, r.Expire(1+linger, none))
+	require.GreaterOrEqual(t, len(lost), 2)
+	other := slices.DeleteFunc([]int{0, 1, 2, 3, 4, 5, 6, 7}, func(p int) bool { return slices.Contains(lost, p) })[0]
+	kept := []int{min(other, lost[0]), max(other, lost[0])}
+	rev := r.Revision()
+	r.Keep(other)
+	assert.NotEqual(t, rev, r.Revision())
+	r.Keep(lost[0])
+	k := Message{Destination: of(other, parts), Key: 7, Left: time.Second}
+	r.Took(k, "n3", late)
+	r.Adopt(membership(t, parts, 1, slices.Delete(slices.Clone(all), 3, 4)), late)
+	assert.Equal(t, kept, r.Listed())
+	assert.Equal(t, kept, r.Wanted())
+	assert.Equal(t, Busy, r.Route(k, nil, late).Way)
+	assert.Equal(t, Moved, r.Route(Message{Destination: k.Destination, Forwarded: true}, nil, late).Way)
+	r.Held(r.Wanted())
+	assert.Equal(t, Here, r.Route(k, nil, late).Way)
+	assert.Equal(t, Forward, r.Route(k, nil, late+time.Second).Way)
+	assert.Empty(t, r.Expire(late+linger, func(int) bool { return true }))
+	assert.Equal(t, kept, r.Expire(late+linger, none))
 }
 
 // Two couriers whose views differ: one forwards by an old view, the other owns it no more, and the
