--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -77,13 +77,16 @@
 func (checkCommand) Run(g *globals) error {
 	o := g.options()
 	o.LogLevel = slog.LevelError
-	mistakes := daemon.Check(o)
+	mistakes, notes := daemon.Check(o)
 	for _, m := range mistakes {
 		fmt.Println(m)
 	}
 	if len(mistakes) > 0 {
 		return exit(exitMistake)
 	}
+	for _, n := range notes {
+		fmt.Println(n)
+	}
 	fmt.Println("no mistakes")
 	return nil
 }
--- a/internal/daemon/check.go
+++ b/internal/daemon/check.go
@@ -2,15 +2,17 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"snowjunction/internal/plugin"
 	"snowjunction/internal/schema"
 )
 
 // Check reads everything that a start would read and returns a line for each
-// mistake; none: a start would not fail for what it is told. It opens no
-// socket and leaves the folder that lasts alone.
-func Check(o Options) (mistakes []string) {
+// mistake; none: a start would not fail for what it is told. Notes are lines on what
+// this courier's part follows from. It opens no socket and leaves the folder that
+// lasts alone.
+func Check(o Options) (mistakes, notes []string) {
 	add := func(file string, err error) {
 		var m schema.Mistakes
 		if errors.As(err, &m) {
@@ -21,7 +23,7 @@
 			mistakes = append(mistakes, err.Error())
 		}
 	}
-	f := readFiles(o.Env, nil, add)
+	f := readFiles(o.Env, nil, nil, add)
 	if f.push != nil {
 		_, _, err := descriptions(f.push)
 		add("", err)
@@ -31,5 +33,9 @@
 			mistakes = append(mistakes, m.Dir+": "+why)
 		}
 	}
-	return mistakes
+	if m := f.membership; m != nil {
+		notes = append(notes, fmt.Sprintf("%s: members=%d regions=%d partitions=%d copies=%d; %s owns %d",
+			partitionsPath(o.Env), len(m.Members()), m.Regions(), m.Partitions(), m.Copies(), f.cfg.Name, len(m.Owned(f.cfg.Name))))
+	}
+	return mistakes, notes
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -162,6 +162,7 @@
 		Loop: c.loop, Engine: c.engine, Log: c.log, Number: platformFront, Listen: cfg.Listen,
 		Discovery: cfg.Discovery, Names: cfg.Names, Columns: cfg.Columns, Settings: cfg.Settings,
 		Lists: platform.ListLimits{Bytes: c.idle.ListBytes, Entries: c.idle.ListEntries}, Started: c.started,
+		Router: c.divide(left),
 	})
 	c.push = push.New(push.Config{
 		Loop: c.loop, Engine: c.engine, Log: c.log, Number: pushFront, Push: pushCfg, API: c.process.api, Life: c.process.life,
@@ -339,8 +340,8 @@
 }
 
 // reload reads the files anew. The platform may have moved to another address,
-// and the push front's targets and the plug-ins may be others; what else differs
-// waits for a restart. Where one is wrong, none changes anything. Reading takes a
+// and the push front's targets, the plug-ins and the members that own partitions
+// may be others; what else differs waits for a restart. Where one is wrong, none changes anything. Reading takes a
 // while, schemas and modules among it, and is not the loop's to do: what comes
 // meanwhile is read after that.
 func (c *courier) reload(done func(why string)) {
@@ -354,8 +355,9 @@
 	c.reading = true
 	asked := c.reloads
 	c.reloads = nil
+	holds := c.membership()
 	go func() {
-		f, err := readAll(c.env, &c.cfg.Names)
+		f, err := readAll(c.env, &c.cfg.Names, holds)
 		c.loop.Post(func() {
 			c.reread(f, err, func(why string) {
 				c.reading = false
@@ -390,10 +392,14 @@
 	if *f.idle != *c.idle {
 		later = append(later, "idle destinations")
 	}
+	if c.process.files.partitions.Differs(f.partitions) {
+		later = append(later, "partitions")
+	}
 	if len(later) > 0 {
 		c.log.Warn("these wait for a restart", "values", later)
 	}
 	c.platform.Move(f.cfg.Discovery)
+	c.adopt(f.membership)
 	c.plugins.AllowBodies(f.plugins.Bodies)
 	c.log.Info("configuration read again", "discovery", f.cfg.Discovery, "targets", len(f.push.Targets))
 	c.plugins.Replace(f.manifests, func(why string) {
--- a/internal/daemon/files.go
+++ b/internal/daemon/files.go
@@ -5,27 +5,31 @@
 
 	"snowjunction"
 	"snowjunction/internal/config"
+	"snowjunction/internal/partition"
 	"snowjunction/internal/plugin/manifest"
 )
 
 // The operator files, where no variable names others.
 const (
-	pushFile      = "deploy/push.json"
-	idleFile      = "deploy/idle.json"
-	pluginsFile   = "deploy/plugins.json"
-	directoryFile = "deploy/directory.json"
-	fleetFile     = "deploy/fleet.json"
+	pushFile       = "deploy/push.json"
+	idleFile       = "deploy/idle.json"
+	pluginsFile    = "deploy/plugins.json"
+	directoryFile  = "deploy/directory.json"
+	fleetFile      = "deploy/fleet.json"
+	partitionsFile = "deploy/partitions.json"
 )
 
 // files are what the courier is told, as start, SIGHUP and check read it.
 type files struct {
-	cfg       *config.Config
-	push      *config.Push
-	idle      *config.Idle
-	plugins   *config.Plugins
-	directory *config.Directory
-	fleet     *config.Fleet
-	manifests []*manifest.Manifest
+	cfg        *config.Config
+	push       *config.Push
+	idle       *config.Idle
+	plugins    *config.Plugins
+	directory  *config.Directory
+	fleet      *config.Fleet
+	manifests  []*manifest.Manifest
+	partitions *config.Partitions
+	membership *partition.Membership // nil: destinations are not divided
 }
 
 // named is what a variable names, or the other.
@@ -41,10 +45,15 @@
 	return named(env, "SNOWJUNCTION_DIRECTORY", directoryFile)
 }
 
+// partitionsPath is the path of the operator file for partitions.
+func partitionsPath(env func(string) string) string {
+	return named(env, "SNOWJUNCTION_PARTITIONS", partitionsFile)
+}
+
 // readFiles reads all files. What is wrong with one is told with its name; the
 // others are read all the same. Lists are read by names, those of the
-// configuration if that is nil.
-func readFiles(env func(string) string, names *config.Names, wrong func(file string, err error)) (f files) {
+// configuration if that is nil; the membership is made of the one that holds, if any.
+func readFiles(env func(string) string, names *config.Names, holds *partition.Membership, wrong func(file string, err error)) (f files) {
 	tell := func(file string, err error) {
 		if err != nil {
 			wrong(file, err)
@@ -82,6 +91,14 @@
 	file = path("SNOWJUNCTION_FLEET", fleetFile)
 	f.fleet, err = config.LoadFleet(file)
 	tell(file, err)
+	file = partitionsPath(env)
+	f.partitions, err = config.LoadPartitions(file)
+	if err == nil && f.cfg != nil {
+		if f.membership, err = f.partitions.Membership(f.cfg.Name, holds); err != nil {
+			err = fmt.Errorf("%s: %w", file, err)
+		}
+	}
+	tell(file, err)
 	file = path("SNOWJUNCTION_PLUGINS", pluginsFile)
 	f.plugins, err = config.LoadPlugins(file)
 	tell(file, err)
@@ -94,8 +111,8 @@
 
 // readAll is readFiles for whoever needs all of them right: the first mistake is
 // the error.
-func readAll(env func(string) string, names *config.Names) (f files, err error) {
-	f = readFiles(env, names, func(_ string, e error) {
+func readAll(env func(string) string, names *config.Names, holds *partition.Membership) (f files, err error) {
+	f = readFiles(env, names, holds, func(_ string, e error) {
 		if err == nil {
 			err = e
 		}
--- /dev/null
+++ b/internal/daemon/partitions.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"snowjunction/internal/config"
+	"snowjunction/internal/partition"
+	"snowjunction/internal/store"
+)
+
+// forwardMost is how long a message may be on its way from courier to courier: a client's own
+// patience.
+const forwardMost = 400 * time.Millisecond
+
+// divide makes the router of messages, where the operator file divides the destinations among
+// couriers: nil else. What an earlier process left in the journal stays this courier's.
+func (c *courier) divide(left []*store.Message) *partition.Router {
+	p, m := c.process.files.partitions, c.process.files.membership
+	if m == nil {
+		return nil
+	}
+	inOrder := map[string]bool{}
+	for _, class := range c.cfg.Settings.Classes {
+		inOrder[class.Name] = class.InOrder
+	}
+	r := partition.NewRouter(c.routing(p), m, 0)
+	for _, msg := range left {
+		if msg.State != store.Open {
+			continue
+		}
+		r.Keep(partition.Of(msg.Destination, m.Partitions()))
+		if inOrder[msg.Class] {
+			r.Took(partition.Message{Destination: msg.Destination, Key: msg.Key, Left: msg.Deadline.Sub(c.loop.Now())}, c.cfg.Name, 0)
+		}
+	}
+	c.owns(m)
+	return r
+}
+
+// routing is what the router goes by, of the operator file and the settings.
+func (c *courier) routing(p *config.Partitions) partition.Options {
+	o := partition.Options{Self: c.cfg.Name, Region: p.Region, Linger: p.Linger, Rest: forwardMost + c.cfg.Settings.OrderSettle}
+	for _, class := range c.cfg.Settings.Classes {
+		if class.InOrder {
+			o.Longest = max(o.Longest, class.Deadline)
+		}
+	}
+	return o
+}
+
+// membership is the one that holds; nil: destinations are not divided.
+func (c *courier) membership() *partition.Membership {
+	if r := c.platform.Router; r != nil {
+		return r.Membership()
+	}
+	return nil
+}
+
+// adopt takes another membership, where one holds and it divides as that one does: else it waits
+// for a restart.
+func (c *courier) adopt(m *partition.Membership) {
+	holds := c.membership()
+	if m == nil || holds == nil || m.Partitions() != holds.Partitions() || m.Copies() != holds.Copies() ||
+		slices.Equal(m.Members(), holds.Members()) {
+		return
+	}
+	c.platform.Adopt(m)
+	c.process.files.membership = m // for the next courier of this process
+	c.owns(m)
+}
+
+// owns tells what this courier's part of a membership is.
+func (c *courier) owns(m *partition.Membership) {
+	if _, member := m.Member(c.cfg.Name); !member {
+		c.log.Warn("no member of the partitions: it owns none and forwards all", "members", len(m.Members()))
+		return
+	}
+	c.log.Info("partitions", "members", len(m.Members()), "partitions", m.Partitions(), "copies", m.Copies(),
+		"own", len(m.Owned(c.cfg.Name)))
+}
--- /dev/null
+++ b/internal/daemon/partitions_test.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"bytes"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction"
+	"snowjunction/internal/config"
+	"snowjunction/internal/core"
+	"snowjunction/internal/front/platform"
+	"snowjunction/internal/net"
+	"snowjunction/internal/partition"
+	"snowjunction/internal/store"
+)
+
+// divided is a courier of two members that has what it needs to divide and to adopt.
+func divided(t *testing.T, log *bytes.Buffer) *courier {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	p := &config.Partitions{Enabled: true, Partitions: 32, Copies: 1, Linger: 30 * time.Second, Members: []partition.Member{
+		{Name: "n0", Addr: "127.0.0.1:1"}, {Name: "n1", Addr: "127.0.0.1:2"},
+	}}
+	m, err := p.Membership("n0", nil)
+	require.NoError(t, err)
+	return &courier{
+		log: slog.New(slog.NewTextHandler(log, nil)), loop: core.NewLoop(func() time.Time { return now }),
+		process: &process{files: files{partitions: p, membership: m}},
+		cfg: &config.Config{Name: "n0", Settings: snowjunction.Settings{OrderSettle: 100 * time.Millisecond, Classes: []snowjunction.Class{
+			{Name: "order", InOrder: true, Deadline: 4 * time.Second}, {Name: "long", InOrder: true, Deadline: 9 * time.Second},
+			{Name: "any", Deadline: time.Hour},
+		}}},
+	}
+}
+
+// What an earlier process left in the journal stays this courier's: its partitions are listed,
+// whoever owns them, and the next of its keys waits here, while one of another key goes to its owner.
+func TestLeftMessagesStay(t *testing.T) {
+	var log bytes.Buffer
+	c := divided(t, &log)
+	m := c.process.files.membership
+	var theirs []uint32 // destinations of partitions apart
+	for _, p := range m.Owned("n1") {
+		for d := uint32(0); ; d++ {
+			if partition.Of(d, 32) == p {
+				theirs = append(theirs, d)
+				break
+			}
+		}
+	}
+	require.GreaterOrEqual(t, len(theirs), 3)
+	msg := func(d uint32, class string, key uint64, state store.State) *store.Message {
+		return &store.Message{Destination: d, Class: class, Key: key, Deadline: c.loop.Now().Add(2 * time.Second), State: state}
+	}
+	assert.Equal(t, partition.Options{Self: "n0", Linger: 30 * time.Second, Longest: 9 * time.Second, Rest: 500 * time.Millisecond},
+		c.routing(c.process.files.partitions))
+	r := c.divide([]*store.Message{
+		msg(theirs[0], "order", 7, store.Open), msg(theirs[1], "any", 8, store.Open), msg(theirs[2], "order", 9, store.Failed),
+	})
+	assert.Equal(t, "n0", r.Membership().Members()[0].Name)
+	assert.True(t, r.Lists(theirs[0]))
+	assert.True(t, r.Lists(theirs[1]))
+	assert.False(t, r.Lists(theirs[2]), "it has ended")
+	way := func(d uint32, key uint64, now time.Duration) partition.Way {
+		return r.Route(partition.Message{Destination: d, Key: key}, nil, now).Way
+	}
+	assert.Equal(t, partition.Busy, way(theirs[0], 7, 2499*time.Millisecond), "with its way and the key's rest")
+	assert.Equal(t, partition.Forward, way(theirs[0], 7, 2500*time.Millisecond))
+	assert.Equal(t, partition.Forward, way(theirs[1], 8, 0), "that class keeps no order")
+	assert.Equal(t, partition.Forward, way(theirs[2], 9, 0))
+	assert.Contains(t, log.String(), "msg=partitions members=2 partitions=32 copies=1 own=")
+}
+
+// Another membership is taken up while it divides alike; what this courier becomes is told.
+func TestAdopt(t *testing.T) {
+	var log bytes.Buffer
+	c := divided(t, &log)
+	var err error
+	c.engine, err = net.New(net.Config{Post: c.loop.Post, Log: c.log, MaxConns: 8})
+	require.NoError(t, err)
+	t.Cleanup(c.engine.Stop)
+	c.platform = platform.New(platform.Config{Loop: c.loop, Engine: c.engine, Log: c.log})
+	assert.Nil(t, c.membership())
+	c.adopt(c.process.files.membership)
+	assert.Nil(t, c.membership(), "it is off until a restart")
+	c.platform.Router = c.divide(nil)
+	first := c.membership()
+	require.NotNil(t, first)
+	again := *c.process.files.partitions
+	same, err := again.Membership("n0", first)
+	require.NoError(t, err)
+	c.adopt(same)
+	assert.Same(t, first, c.membership(), "nothing is new")
+	c.adopt(nil)
+	assert.Same(t, first, c.membership(), "it is on until a restart")
+	again.Partitions = 64
+	other, err := again.Membership("n0", first)
+	require.NoError(t, err)
+	c.adopt(other)
+	assert.Same(t, first, c.membership(), "it waits for a restart")
+	again.Partitions, again.Members = 32, again.Members[1:]
+	without, err := again.Membership("n0", first)
+	require.NoError(t, err)
+	c.adopt(without)
+	assert.Same(t, without, c.membership())
+	assert.Same(t, without, c.process.files.membership)
+	assert.Contains(t, log.String(), `level=WARN msg="no member of the partitions: it owns none and forwards all" members=1`)
+}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -63,7 +63,7 @@
 		signals = own
 	}
 	steps := newStart(time.Now())
-	f, err := readAll(o.Env, nil)
+	f, err := readAll(o.Env, nil, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/partition/membership.go
+++ b/internal/partition/membership.go
@@ -236,6 +236,12 @@
 // Partitions is how many there are.
 func (m *Membership) Partitions() int { return m.partitions }
 
+// Copies is how many owners a partition has in each region, as far as there are members.
+func (m *Membership) Copies() int { return m.copies }
+
+// Regions is in how many the members stand.
+func (m *Membership) Regions() int { return len(m.regions) }
+
 // Of is the partition of a destination.
 func Of(destination uint32, partitions int) int {
 	var b [4]byte
