--- a/cmd/snowjunction/partitions_test.go
+++ b/cmd/snowjunction/partitions_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -40,6 +41,8 @@
 	write(members(t, 64, "n0", "n1"))
 	require.NoError(t, c.Start())
 	assert.Contains(t, c.Log(), "msg=partitions courier=n0 members=2 partitions=64 copies=1 own=64")
+	require.NoError(t, c.Signal(syscall.SIGUSR1))
+	await(`msg=counters .* partitions.owned=64 partitions.listed=64 partitions.wanted=[0-9]+ partitions.pins=0 partitions.unreached=0`)
 
 	write(members(t, 64, "n0", "n1", "n2", "n3"))
 	c.Play.Run(`courier wait hup`)
@@ -72,6 +75,9 @@
 		courier wait hup
 		courier wait "configuration read again"
 	`)
+	require.NoError(t, c.Signal(syscall.SIGUSR1))
+	_, err := c.Await(`msg=counters .*\n`)
+	require.NoError(t, err)
 	assert.NotContains(t, c.Log(), "partition")
 	require.NoError(t, os.WriteFile(path, members(t, 64, "n0"), 0o600))
 	c.Play.Run(`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -441,10 +441,14 @@
 
 func (c *courier) count(why string) {
 	t := c.loop.Turns()
-	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(), "kinds", c.engine.Kinds(),
+	values := []any{"n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(), "kinds", c.engine.Kinds(),
 		"journal", c.journal.Size(), "plugins", c.plugins, "idle", c.core.Dormant(), "learnt", c.core.Learning(), "directory", c.directory(),
 		"datagrams", c.exchanged(), "state", c.core.Footprint(), "heap", heap(),
-		"turns", t.Count, "longest_turn_us", t.Longest.Microseconds())
+		"turns", t.Count, "longest_turn_us", t.Longest.Microseconds()}
+	if f, divided := c.platform.Divided(); divided {
+		values = append(values, slog.Group("partitions", "owned", f.Owned, "listed", f.Listed, "wanted", f.Wanted, "pins", f.Pins, "unreached", f.Unreached))
+	}
+	c.log.Info(why, values...)
 }
 
 // heap is the bytes that were in use after the last collection of garbage.
--- a/internal/partition/router.go
+++ b/internal/partition/router.go
@@ -196,6 +196,33 @@
 	}
 }
 
+// Figures are how things stand with a router.
+type Figures struct {
+	Owned, Listed int // partitions
+	Wanted        int // of the listed ones, without a list
+	Pins          int // keys that are remembered
+	Unreached     int // couriers that are passed over
+}
+
+// Figures counts them.
+func (r *Router) Figures(now time.Duration) Figures {
+	f := Figures{Listed: len(r.parts), Pins: len(r.pins[0]) + len(r.pins[1])}
+	for _, x := range r.parts {
+		if x.owned {
+			f.Owned++
+		}
+		if !x.held {
+			f.Wanted++
+		}
+	}
+	for _, d := range r.down {
+		if now < d.until {
+			f.Unreached++
+		}
+	}
+	return f
+}
+
 // Share is the part of all destinations that this courier lists, over 0.
 func (r *Router) Share() float64 {
 	return max(1, float64(len(r.parts))) / float64(r.m.partitions)
