--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -71,6 +71,14 @@
 // since is the time on the router's clock.
 func (f *Front) since() time.Duration { return f.Loop.Now().Sub(f.begun) }
 
+// Divided is how things stand with the partitions; false: destinations are not divided.
+func (f *Front) Divided() (partition.Figures, bool) {
+	if f.Router == nil {
+		return partition.Figures{}, false
+	}
+	return f.Router.Figures(f.since()), true
+}
+
 // Ready tells whether messages are taken.
 func (f *Front) Ready() bool { return f.ready && !f.draining }
 
