--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -162,6 +162,7 @@
 		Loop: c.loop, Engine: c.engine, Log: c.log, Number: platformFront, Listen: cfg.Listen,
 		Discovery: cfg.Discovery, Names: cfg.Names, Columns: cfg.Columns, Settings: cfg.Settings,
 		Lists: platform.ListLimits{Bytes: c.idle.ListBytes, Entries: c.idle.ListEntries}, Started: c.started,
+		Router: c.divide(left),
 	})
 	c.push = push.New(push.Config{
 		Loop: c.loop, Engine: c.engine, Log: c.log, Number: pushFront, Push: pushCfg, API: c.process.api, Life: c.process.life,
@@ -339,8 +340,8 @@
 }
 
 // reload reads the files anew. The platform may have moved to another address,
-// and the push front's targets and the plug-ins may be others; what else differs
-// waits for a restart. Where one is wrong, none changes anything. Reading takes a
+// and the push front's targets, the plug-ins and the members that own partitions
+// may be others; what else differs waits for a restart. Where one is wrong, none changes anything. Reading takes a
 // while, schemas and modules among it, and is not the loop's to do: what comes
 // meanwhile is read after that.
 func (c *courier) reload(done func(why string)) {
@@ -354,8 +355,9 @@
 	c.reading = true
 	asked := c.reloads
 	c.reloads = nil
+	holds := c.membership()
 	go func() {
-		f, err := readAll(c.env, &c.cfg.Names)
+		f, err := readAll(c.env, &c.cfg.Names, holds)
 		c.loop.Post(func() {
 			c.reread(f, err, func(why string) {
 				c.reading = false
@@ -390,10 +392,14 @@
 	if *f.idle != *c.idle {
 		later = append(later, "idle destinations")
 	}
+	if c.process.files.partitions.Differs(f.partitions) {
+		later = append(later, "partitions")
+	}
 	if len(later) > 0 {
 		c.log.Warn("these wait for a restart", "values", later)
 	}
 	c.platform.Move(f.cfg.Discovery)
+	c.adopt(f.membership)
 	c.plugins.AllowBodies(f.plugins.Bodies)
 	c.log.Info("configuration read again", "discovery", f.cfg.Discovery, "targets", len(f.push.Targets))
 	c.plugins.Replace(f.manifests, func(why string) {
@@ -435,10 +441,14 @@
 
 func (c *courier) count(why string) {
 	t := c.loop.Turns()
-	c.log.Info(why, "n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(), "kinds", c.engine.Kinds(),
+	values := []any{"n", &c.core.Counters, "held", c.core.Held(), "connections", c.engine.Open(), "kinds", c.engine.Kinds(),
 		"journal", c.journal.Size(), "plugins", c.plugins, "idle", c.core.Dormant(), "learnt", c.core.Learning(), "directory", c.directory(),
 		"datagrams", c.exchanged(), "state", c.core.Footprint(), "heap", heap(),
-		"turns", t.Count, "longest_turn_us", t.Longest.Microseconds())
+		"turns", t.Count, "longest_turn_us", t.Longest.Microseconds()}
+	if f, divided := c.platform.Divided(); divided {
+		values = append(values, slog.Group("partitions", "owned", f.Owned, "listed", f.Listed, "wanted", f.Wanted, "pins", f.Pins, "unreached", f.Unreached))
+	}
+	c.log.Info(why, values...)
 }
 
 // heap is the bytes that were in use after the last collection of garbage.
