The stand-in directory tells parts of its list, by partitions

Need: a courier that owns 15 of 16,384 partitions reads their part of the list, not all of it.

partitions=N&of=a,b,c restricts whole answers and watches; an index by partition, made when a first ask names N, finds what is listed and what has changed without a walk of the list. Answers that are kept are keyed by the partitions too, and bounded by 16 MB besides the whole list. KnowPartitions(false) has it ignore the parameters. What is malformed is answered with 400.

--- a/internal/standin/capacity_test.go
+++ b/internal/standin/capacity_test.go
@@ -14,14 +14,14 @@
 		}
 	}
 	const n = 130_000
-	d := &Directory{generation: 41, changes: []change{{42, entry(1_300_000)}}}
+	d := &Directory{generation: 41, changes: []change{{generation: 42, instance: entry(1_300_000)}}}
 	for i := range n {
 		d.list = append(d.list, entry(1_200_000+i))
 	}
 	whole, one := 0, 0
 	for b.Loop() {
-		whole = len(d.answer(0, false))
-		one = len(d.answer(41, true))
+		whole = len(d.answer(0, false, parts{}))
+		one = len(d.answer(41, true, parts{}))
 	}
 	b.ReportMetric(float64(whole)/n, "B/entry")
 	b.ReportMetric(float64(one), "B/change")
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -47,6 +47,9 @@
 	list       []Instance
 	at         map[string]int // place in list by name
 	changes    []change       // the youngest at the end
+	dropped    int            // changes before those
+	indexes    []*index       // by number of partitions, the last used first
+	ignores    bool           // parameters that name partitions
 	floor      uint64         // changes since then are known
 	grown      chan struct{}  // closed at each change
 	raw        []byte         // what is answered instead, if anything
@@ -58,6 +61,7 @@
 	watched    func(from string, generation uint64)
 	texts      map[textKey][]byte // answers at textsAt
 	textsAt    uint64
+	textsSize  int // bytes of those that are not the whole list
 	traffic    traffic
 }
 
@@ -65,11 +69,17 @@
 type textKey struct {
 	full  bool
 	after uint64
+	parts string // of which partitions; empty: of all
 }
 
+// textsMost bounds the bytes of answers that are kept besides the whole list.
+const textsMost = 16 << 20
+
 type change struct {
 	generation uint64
 	instance   Instance
+	was        uint32 // the cell that its entry had
+	had        bool   // it was listed
 }
 
 // Notice is an end that is no delivery.
@@ -113,6 +123,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.list, d.at, d.changes = append([]Instance(nil), list...), map[string]int{}, nil
+	d.dropped, d.indexes = 0, nil
 	for i, x := range d.list {
 		d.at[x.InstanceID] = i
 	}
@@ -129,25 +140,46 @@
 	d.generation++
 	for _, x := range entries {
 		i, ok := d.at[x.InstanceID]
+		c := change{generation: d.generation, instance: x, had: ok}
+		if ok {
+			c.was = d.list[i].Cell
+		}
 		switch {
 		case x.Lifecycle == "Gone" && ok:
 			last := len(d.list) - 1
+			for _, n := range d.indexes {
+				n.take(c.was, i, d.list[last].Cell)
+			}
 			d.list[i] = d.list[last]
 			d.at[d.list[i].InstanceID] = i
 			d.list = d.list[:last]
 			delete(d.at, x.InstanceID)
 		case x.Lifecycle == "Gone":
 		case ok:
+			for _, n := range d.indexes {
+				n.move(c.was, x.Cell, i)
+			}
 			d.list[i] = x
 		default:
+			for _, n := range d.indexes {
+				n.add(x.Cell, len(d.list))
+			}
 			d.at[x.InstanceID] = len(d.list)
 			d.list = append(d.list, x)
 		}
-		d.changes = append(d.changes, change{d.generation, x})
+		for _, n := range d.indexes {
+			n.change(c, d.dropped+len(d.changes))
+		}
+		d.changes = append(d.changes, c)
 	}
 	if over := len(d.changes) - changesMost; over > 0 {
 		d.floor = d.changes[over-1].generation
-		d.changes = append([]change(nil), d.changes[over:]...)
+		for _, c := range d.changes[:over] {
+			for _, n := range d.indexes {
+				n.drop(c)
+			}
+		}
+		d.changes, d.dropped = append([]change(nil), d.changes[over:]...), d.dropped+over
 	}
 	d.wake()
 	return d.generation
@@ -194,6 +226,17 @@
 
 func (d *Directory) hosts(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
+	d.mu.Lock()
+	ignores := d.ignores
+	d.mu.Unlock()
+	var of parts
+	if !ignores {
+		var err error
+		if of, err = askedParts(q); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
 	after, watching := uint64(0), q.Has("after")
 	var timeout <-chan time.Time
 	if watching {
@@ -213,11 +256,11 @@
 	d.traffic.calls.Add(1)
 	for late := false; ; {
 		d.mu.Lock()
-		grown, down, raw, current := d.grown, d.down, d.raw, d.generation
+		grown, down, raw := d.grown, d.down, d.raw
 		var text []byte
-		if !down && raw == nil && (!watching || after != current || late) {
+		if !down && raw == nil && (!watching || late || d.differs(after, of)) {
 			begun := time.Now()
-			text = d.answer(after, watching)
+			text = d.answer(after, watching, of)
 			d.traffic.answering.Add(int64(time.Since(begun)))
 		}
 		d.mu.Unlock()
@@ -242,23 +285,36 @@
 	}
 }
 
+// differs tells whether a watch from a generation on is answered at once.
+func (d *Directory) differs(after uint64, of parts) bool {
+	if of.partitions == 0 || after < d.floor || after > d.generation {
+		return after != d.generation
+	}
+	return d.news(of, after)
+}
+
 // answer is what is newer than a generation, or everything.
-func (d *Directory) answer(after uint64, watching bool) []byte {
+func (d *Directory) answer(after uint64, watching bool, of parts) []byte {
 	full := !watching || after < d.floor || after > d.generation
-	key := textKey{full: full}
+	key := textKey{full: full, parts: of.text}
 	if !full {
 		key.after = after
 	}
 	if d.textsAt != d.generation {
-		d.texts, d.textsAt = map[textKey][]byte{}, d.generation
+		d.texts, d.textsAt, d.textsSize = map[textKey][]byte{}, d.generation, 0
 	}
 	if b, ok := d.texts[key]; ok {
 		return b
 	}
 	list := []Instance{}
-	if full {
+	switch {
+	case full && of.partitions > 0:
+		list = d.part(of)
+	case full:
 		list = d.list
-	} else {
+	case of.partitions > 0:
+		list = youngest(d.changesOf(of, after))
+	default:
 		for _, c := range d.changes {
 			if c.generation > after {
 				list = append(list, c.instance)
@@ -266,7 +322,21 @@
 		}
 		list = youngest(list)
 	}
-	b, _ := json.Marshal(map[string]any{"generation": d.generation, "reset": full, "instances": list})
+	said := map[string]any{"generation": d.generation, "reset": full, "instances": list}
+	if of.partitions > 0 {
+		said["partitions"] = of.partitions
+	}
+	b, _ := json.Marshal(said)
+	whole := textKey{full: true}
+	if key != whole {
+		if d.textsSize += len(b); d.textsSize > textsMost {
+			kept, ok := d.texts[whole]
+			d.texts, d.textsSize = map[textKey][]byte{}, len(b)
+			if ok {
+				d.texts[whole] = kept
+			}
+		}
+	}
 	d.texts[key] = b
 	return b
 }
--- /dev/null
+++ b/internal/standin/partitions_test.go
@@ -0,0 +1,259 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"snowjunction/internal/partition"
+)
+
+type told struct {
+	Generation uint64     `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Partitions int        `json:"partitions"`
+	Instances  []Instance `json:"instances"`
+}
+
+func read(t require.TestingT, text []byte) (a told) {
+	require.NoError(t, json.Unmarshal(text, &a))
+	return a
+}
+
+func parameters(t require.TestingT, partitions int, of []int) parts {
+	var text []string
+	for _, p := range of {
+		text = append(text, fmt.Sprint(p))
+	}
+	p, err := askedParts(url.Values{"partitions": {fmt.Sprint(partitions)}, "of": {strings.Join(text, ",")}})
+	require.NoError(t, err)
+	return p
+}
+
+// Whatever changes, an ask for partitions is told what a walk of the whole list and of all changes
+// finds; an index made before the changes says the same as one made after them.
+func TestPartsAreThoseOfTheWhole(t *testing.T) {
+	const partitions = 5
+	rapid.Check(t, func(t *rapid.T) {
+		d := &Directory{grown: make(chan struct{})}
+		instance := func(t *rapid.T) Instance {
+			return Instance{
+				InstanceID: rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}).Draw(t, "name"),
+				Cell:       rapid.Uint32Range(0, 12).Draw(t, "cell"), Lifecycle: rapid.SampledFrom([]string{"Ready", "Terminating", "Gone"}).Draw(t, "lifecycle"),
+			}
+		}
+		d.Replace(nil)
+		cells := []map[string]uint32{{}, {}} // by generation, and then by name
+		var changes []change
+		for range rapid.IntRange(0, 30).Draw(t, "changes") {
+			if rapid.IntRange(0, 9).Draw(t, "asks") == 0 {
+				d.news(parameters(t, partitions, nil), 0) // an index is made
+			}
+			x, at := instance(t), map[string]uint32{}
+			for name, cell := range cells[len(cells)-1] {
+				at[name] = cell
+			}
+			was, had := at[x.InstanceID]
+			if at[x.InstanceID] = x.Cell; x.Lifecycle == "Gone" {
+				delete(at, x.InstanceID)
+			}
+			cells = append(cells, at)
+			changes = append(changes, change{d.Change(x), x, was, had})
+		}
+		of := rapid.SliceOfNDistinct(rapid.IntRange(0, partitions-1), 0, partitions, rapid.ID).Draw(t, "of")
+		in := func(cell uint32) bool { return slices.Contains(of, partition.Of(cell, partitions)) }
+		p := parameters(t, partitions, of)
+		whole := read(t, d.answer(0, false, p))
+		assert.Equal(t, [3]any{d.generation, true, partitions}, [3]any{whole.Generation, whole.Reset, whole.Partitions})
+		var want []Instance
+		for _, x := range d.list {
+			if in(x.Cell) {
+				want = append(want, x)
+			}
+		}
+		assert.ElementsMatch(t, want, whole.Instances)
+		after := rapid.Uint64Range(1, d.generation).Draw(t, "after")
+		var heard []Instance
+		for _, c := range changes {
+			gone := c.instance.Lifecycle == "Gone"
+			if c.generation > after && (c.had && in(c.was) || !(c.had && gone) && in(c.instance.Cell)) {
+				heard = append(heard, c.instance)
+			}
+		}
+		assert.Equal(t, len(heard) > 0, d.differs(after, p))
+		assert.Equal(t, youngest(heard), read(t, d.answer(after, true, p)).Instances)
+	})
+}
+
+// Changes beyond those that are kept are forgotten in the indexes too.
+func TestOldChangesAreForgotten(t *testing.T) {
+	d := &Directory{grown: make(chan struct{})}
+	d.Replace(nil)
+	p := parameters(t, 2, []int{0, 1})
+	d.news(p, 0)
+	var all []Instance
+	for i := range changesMost {
+		all = append(all, Instance{InstanceID: "a", Cell: uint32(i % 3), Lifecycle: "Ready"})
+	}
+	d.Change(all...)
+	d.Change(all[:3]...)
+	kept := 0
+	for _, n := range d.indexes[0].changed {
+		kept += len(n)
+	}
+	assert.LessOrEqual(t, kept, 2*changesMost, "a change concerns two partitions at the most")
+	assert.Equal(t, slices.Min([]int{d.indexes[0].changed[0][0], d.indexes[0].changed[1][0]}), d.dropped)
+	assert.Len(t, read(t, d.answer(2, true, p)).Instances, 1)
+	assert.True(t, read(t, d.answer(1, true, p)).Reset)
+}
+
+// A watch of partitions is answered once something in them has changed, and at its wait's end.
+func TestWatchOfPartitions(t *testing.T) {
+	const partitions = 64
+	own, other := uint32(1), uint32(2)
+	require.NotEqual(t, partition.Of(own, partitions), partition.Of(other, partitions))
+	list := List([]Endpoint{{"a", "127.0.0.1:1", own, false}, {"b", "127.0.0.1:2", other, false}})
+	d, err := NewDirectory(list)
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	base := "http://" + d.Addr() + "/discovery/hosts"
+	of := fmt.Sprintf("partitions=%d&of=%d", partitions, partition.Of(own, partitions))
+	c := client(t, false)
+	assert.NotContains(t, get(t, c, base+"?"+of), `"instanceId":"b"`)
+	assert.Contains(t, get(t, c, base+"?"+of), `"partitions":64`)
+	assert.NotContains(t, get(t, c, base), `"partitions"`)
+	assert.Contains(t, get(t, c, base+"?partitions=64&of="), `"instances":[]`, "who owns nothing asks for nothing")
+
+	waiting := make(chan string, 1)
+	go func() { waiting <- get(t, client(t, false), base+"?after=1&wait_ms=20000&"+of) }()
+	for d.Heard() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	list[1].Lifecycle = "Terminating"
+	d.Change(list[1])
+	assert.Contains(t, get(t, c, base+"?after=1&wait_ms=1&"+of), `"generation":2,"instances":[],"partitions":64`, "at its wait's end")
+	select {
+	case text := <-waiting:
+		t.Fatalf("answered by another partition's change: %s", text)
+	default:
+	}
+	list[0].Cell = other // it leaves the partition, which has to hear of it
+	d.Change(list[0])
+	assert.Contains(t, <-waiting, `"instanceId":"a"`)
+
+	assert.Contains(t, get(t, c, base+"?after=9&wait_ms=20000&"+of), `"reset":true`, "another directory's generation")
+	d.KnowPartitions(false)
+	assert.Contains(t, get(t, c, base+"?"+of), `"instanceId":"b"`)
+	assert.NotContains(t, get(t, c, base+"?"+of), `"partitions"`)
+	assert.Contains(t, get(t, c, base+"?partitions=x&of=y"), "200 ", "it does not look")
+	d.KnowPartitions(true)
+	for _, bad := range []string{
+		"partitions=64", "of=1", "partitions=0&of=", "partitions=65537&of=1", "partitions=x&of=1", "partitions=64&of=64",
+		"partitions=64&of=1,,2", "partitions=64&of=-1", "partitions=64&of=1&of=2", "partitions=64&partitions=64&of=1",
+	} {
+		assert.Contains(t, get(t, c, base+"?"+bad), "400 ", bad)
+		assert.Contains(t, get(t, c, base+"?after=1&wait_ms=1&"+bad), "400 ", bad)
+	}
+}
+
+// Answers that are kept are told apart by what was asked, and are bounded.
+func TestAnswersKeptAreBounded(t *testing.T) {
+	d := &Directory{grown: make(chan struct{})}
+	var list []Instance
+	for i := range 2000 {
+		list = append(list, Instance{InstanceID: fmt.Sprint(i), HostPort: strings.Repeat("x", 1000), Cell: uint32(i), Lifecycle: "Ready"})
+	}
+	d.Replace(list)
+	whole := d.answer(0, false, parts{})
+	for n := range 40 {
+		a := read(t, d.answer(0, false, parameters(t, 40, []int{n, (n + 1) % 40})))
+		for _, x := range a.Instances {
+			require.Contains(t, []int{n, (n + 1) % 40}, partition.Of(x.Cell, 40))
+		}
+		d.answer(0, false, parameters(t, 50+n, []int{n})) // other numbers of partitions
+		d.answer(uint64(n), true, parts{})
+		size := -len(whole)
+		for _, b := range d.texts {
+			size += len(b)
+		}
+		require.LessOrEqual(t, size, textsMost)
+		require.LessOrEqual(t, len(d.indexes), indexesMost)
+	}
+	assert.Same(t, &whole[0], &d.answer(0, false, parts{})[0], "the whole list stays")
+}
+
+// The bytes of one courier's part at a start, and of what it is told when it starts again ten
+// minutes later, as they come with their head over a connection.
+func BenchmarkPartOnTheWire(b *testing.B) {
+	const (
+		couriers, regions, copies = 3400, 3, 1
+		destinations, each        = 1_300_000, 2
+		partitions                = 16384
+		changes                   = 3300 * 10 / (24 * 60) // in ten minutes
+		sampled                   = 200
+	)
+	var members []partition.Member
+	for i := range couriers {
+		members = append(members, partition.Member{Name: fmt.Sprintf("c%d", i), Addr: fmt.Sprintf("10.0.%d.%d:6379", i>>8, i&255), Region: fmt.Sprintf("r%d", i%regions)})
+	}
+	m, err := partition.New(partitions, copies, members)
+	require.NoError(b, err)
+	entry := func(i int) Instance {
+		return Instance{
+			InstanceID: fmt.Sprintf("s-%08x", uint32(i)*0x9e3779b1), HostPort: fmt.Sprintf("10.%d.%d.%d:6379", i>>16&255, i>>8&255, i&255),
+			Zone: "a", MachineType: "m2", Cell: uint32(i / each), Lifecycle: "Ready", Weight: 1,
+		}
+	}
+	var list []Instance
+	for i := range destinations * each {
+		list = append(list, entry(i))
+	}
+	d, err := NewDirectory(list)
+	require.NoError(b, err)
+	b.Cleanup(d.Close)
+	c := &http.Client{}
+	ask := func(courier int, watch string) (out, in int) {
+		var of []string
+		for _, p := range m.Owned(members[courier].Name) {
+			of = append(of, fmt.Sprint(p))
+		}
+		sent, got := d.traffic.out.Load(), d.traffic.in.Load()
+		a, err := c.Get(fmt.Sprintf("http://%s/discovery/hosts?%spartitions=%d&of=%s", d.Addr(), watch, partitions, strings.Join(of, ",")))
+		require.NoError(b, err)
+		require.NoError(b, json.NewDecoder(a.Body).Decode(&told{}))
+		_ = a.Body.Close()
+		return int(d.traffic.out.Load() - sent), int(d.traffic.in.Load() - got)
+	}
+	ask(0, "")
+	var whole, most, again, asked int
+	for b.Loop() {
+		whole, most, again, asked = 0, 0, 0, 0
+		for i := range sampled {
+			n, in := ask(i*couriers/sampled, "")
+			whole, most, asked = whole+n, max(most, n), asked+in
+		}
+		before := d.generation
+		for i := range changes {
+			x := entry(i * 104729 % len(list))
+			x.Lifecycle = "Terminating"
+			d.Change(x)
+		}
+		for i := range sampled {
+			n, _ := ask(i*couriers/sampled, fmt.Sprintf("after=%d&wait_ms=1&", before))
+			again += n
+		}
+	}
+	b.ReportMetric(float64(whole)/sampled, "B/part")
+	b.ReportMetric(float64(most), "B/part-most")
+	b.ReportMetric(float64(again)/sampled, "B/restart")
+	b.ReportMetric(float64(asked)/sampled, "B/ask")
+}
