--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,6 +100,8 @@
 	// Directories are those of the fronts, by number, whose lists may be old or wrong;
 	// what another front lists is true.
 	Directories map[int]Directory
+	// ListedShare is which part of all destinations a front lists, over 0; nil: each lists all.
+	ListedShare func(front int) float64
 	Fleet       Fleet           // nil: there is none, or nothing can be told to it
 	Exclusions  Exclusions      // nil: no endpoint can be taken out by hand
 	Heard       func(front int) // nil, or called after news of a front's list, and when its directory has vouched for it
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"iter"
+	"math"
 	"slices"
 	"time"
 
@@ -123,6 +125,29 @@
 	return n
 }
 
+// destinations is about how many there are, those included that other couriers list.
+func (c *Core) destinations() int {
+	if c.ListedShare == nil {
+		return c.routes.destinations()
+	}
+	n := 0.0
+	for front, t := range c.routes.tables {
+		n += math.Round(float64(t.Destinations()) / c.ListedShare(front))
+	}
+	return int(n)
+}
+
+// Calling yields the destinations for which the module holds flows, or flows wait.
+func (c *Core) Calling() iter.Seq[snowjunction.DestinationID] {
+	return func(yield func(snowjunction.DestinationID) bool) {
+		for d, g := range c.routes.awake {
+			if (g.flows > 0 || len(g.parked) > 0) && !yield(d) {
+				return
+			}
+		}
+	}
+}
+
 // Listed takes news of a front's target group: what changed, or the full list.
 // Only what concerns destinations that are awake goes further than the table.
 // An error says why the news cannot be taken: what it says of endpoints that
@@ -176,7 +201,7 @@
 func (c *Core) changed(news []snowjunction.Endpoint) {
 	if len(news) > 0 {
 		c.feed(snowjunction.List{
-			Kind: snowjunction.ListDelta, Endpoints: news, Destinations: c.routes.destinations(),
+			Kind: snowjunction.ListDelta, Endpoints: news, Destinations: c.destinations(),
 		})
 	}
 }
--- a/internal/core/sleep.go
+++ b/internal/core/sleep.go
@@ -74,7 +74,7 @@
 // waken tells the module of a destination, with what was kept of it.
 func (c *Core) waken(g *group, w dormancy.Woken) {
 	ev := snowjunction.Wake{
-		Destination: g.dest, Slept: w.Slept, Caution: w.Caution, Destinations: c.routes.destinations(),
+		Destination: g.dest, Slept: w.Slept, Caution: w.Caution, Destinations: c.destinations(),
 	}
 	names := map[memento.Name]snowjunction.EndpointID{}
 	for front, t := range c.routes.tables {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,6 +172,14 @@
 		Fronts:   []core.Front{platformFront: c.platform, pushFront: c.push},
 		Dormancy: &c.idle.Dormancy, Directories: map[int]core.Directory{platformFront: c.dir.Directory},
 	}
+	if r := c.platform.Router; r != nil {
+		coreCfg.ListedShare = func(front int) float64 {
+			if front == platformFront {
+				return r.Share()
+			}
+			return 1
+		}
+	}
 	c.keep(&coreCfg, e)
 	c.excluded = exclusions.Open(cfg.State, c.log)
 	coreCfg.Exclusions = c.excluded
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -34,6 +34,7 @@
 	return platform.Begin{
 		List:   config.List{Held: true, Generation: kept.Generation, Full: true, Targets: kept.Entries},
 		Source: belief.Cached, Age: age, Watch: !kept.Partial && kept.Agent == agent,
+		Partitions: kept.Partitions, Of: kept.Of,
 	}
 }
 
@@ -98,8 +99,10 @@
 		}
 		told = told.Add(-age)
 	}
+	partitions, of := k.front.Holds()
 	w := dircache.NewWriter(dircache.Head{
 		Told: told, Generation: gen, Agent: agent, Zones: dircache.Names(k.names.Zones), Kinds: dircache.Names(k.names.Kinds),
+		Partitions: partitions, Of: of,
 	}, k.most)
 	// Those in use come first, where not all have room.
 	at, second, spent := 0, false, time.Duration(0)
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -185,8 +185,10 @@
 	if _, age, live := c.core.Word(platformFront); !live {
 		told = told.Add(-age)
 	}
+	partitions, of := c.platform.Holds()
 	w := dircache.NewWriter(dircache.Head{
 		Told: told, Generation: gen, Agent: agent, Zones: dircache.Names(c.cfg.Names.Zones), Kinds: dircache.Names(c.cfg.Names.Kinds),
+		Partitions: partitions, Of: of,
 	}, listMost)
 	for e := range c.core.Table(platformFront).From(0) {
 		w.Add(e)
--- a/internal/dircache/dircache_test.go
+++ b/internal/dircache/dircache_test.go
@@ -5,9 +5,11 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -42,6 +44,12 @@
 			Generation: rapid.Uint64().Draw(t, "generation"), Agent: rapid.StringN(0, 20, 60).Draw(t, "agent"),
 			Zones: rapid.SliceOfN(rapid.StringN(0, 9, 30), 1, 4).Draw(t, "zones"), Kinds: rapid.SliceOfN(rapid.StringN(0, 9, 30), 1, 4).Draw(t, "kinds"),
 		}
+		if h.Partitions = rapid.SampledFrom([]int{0, 1, 9, 1 << 16}).Draw(t, "partitions"); h.Partitions > 0 {
+			h.Of = rapid.SliceOfNDistinct(rapid.IntRange(0, h.Partitions-1), 0, min(h.Partitions, 30), rapid.ID).Draw(t, "of")
+			if slices.Sort(h.Of); len(h.Of) == 0 {
+				h.Of = nil
+			}
+		}
 		w := NewWriter(h, 1<<20)
 		var want []groups.Entry
 		for i := range rapid.IntRange(0, 40).Draw(t, "n") {
@@ -71,6 +79,33 @@
 	assert.Greater(t, len(s.Entries), 80)
 }
 
+// A list of all destinations is written as it always was: an earlier program reads it.
+func TestListOfAllKeepsItsForm(t *testing.T) {
+	assert.Equal(t, "e8f49d54a9e626f5", fmt.Sprintf("%x", xxhash.Sum64(snapshot(3, 1<<20))))
+	s, err := Decode(snapshot(3, 1<<20))
+	require.NoError(t, err)
+	assert.Zero(t, s.Partitions)
+}
+
+// What a list says of its partitions is bounded by how many there are, and in order.
+func TestPartitionsThatAreSpoilt(t *testing.T) {
+	h := head()
+	at := len(NewWriter(h, 1<<20).b) - 5
+	h.Partitions = 9
+	for name, of := range map[string][]byte{
+		"none at all": {0, 0}, "more than there are": {9, 10}, "beyond the last": {9, 1, 9}, "beyond, added up": {9, 2, 8, 0},
+		"too many": {0x81, 0x80, 4, 0}, "cut short": {9, 3, 1},
+	} {
+		b := NewWriter(h, 1<<20).b
+		b = append(append(b[:at:at], of...), 0, 0, 0, 0, 0)
+		if name == "cut short" {
+			b = b[:len(b)-5]
+		}
+		_, err := Decode(seal(b))
+		assert.ErrorIs(t, err, ErrForm, name)
+	}
+}
+
 func TestRename(t *testing.T) {
 	s, err := Decode(snapshot(6, 1<<20))
 	require.NoError(t, err)
@@ -146,6 +181,9 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(snapshot(3, 1<<20), true)
 	f.Add([]byte{}, false)
+	h := head()
+	h.Partitions, h.Of = 16384, []int{0, 3, 77, 16383}
+	f.Add(NewWriter(h, 1<<20).Bytes(), true)
 	f.Fuzz(func(t *testing.T, b []byte, sealed bool) {
 		if sealed && len(b) > sumLen { // past the checksum
 			b = seal(b[: len(b)-sumLen : len(b)-sumLen])
@@ -162,5 +200,7 @@
 		again, err := Decode(w.Bytes())
 		require.NoError(t, err)
 		assert.Equal(t, s.Entries, again.Entries)
+		assert.Equal(t, s.Partitions, again.Partitions)
+		assert.Equal(t, s.Of, again.Of)
 	})
 }
--- a/internal/dircache/form.go
+++ b/internal/dircache/form.go
@@ -15,11 +15,16 @@
 
 	"snowjunction"
 	"snowjunction/internal/groups"
+	"snowjunction/internal/partition"
 	"snowjunction/internal/record"
 )
 
-// Version is the one that Writer writes and Decode reads.
-const Version = 1
+// The versions of a snapshot. Writer writes the first for a list of all destinations, the second
+// for one of some partitions; Decode reads both.
+const (
+	Version      = 1
+	VersionParts = 2 // it names the partitions
+)
 
 // ErrForm wraps what is wrong with a snapshot.
 var ErrForm = errors.New("no directory snapshot")
@@ -44,6 +49,9 @@
 	Partial    bool     // not all of the list had room
 	Zones      []string // their names, by number
 	Kinds      []string
+	// Of these of so many partitions the list is whole; 0 partitions: it is of all destinations.
+	Partitions int
+	Of         []int // in order, each once
 }
 
 // Writer makes a snapshot, entry by entry.
@@ -68,6 +76,16 @@
 			w.text(n)
 		}
 	}
+	if h.Partitions > 0 {
+		w.b[len(magic)] = VersionParts
+		w.b = binary.AppendUvarint(w.b, uint64(h.Partitions))
+		w.b = binary.AppendUvarint(w.b, uint64(len(h.Of)))
+		next := 0
+		for _, p := range h.Of { // each by how many are left out before it
+			w.b = binary.AppendUvarint(w.b, uint64(p-next))
+			next = p + 1
+		}
+	}
 	w.flags = len(w.b)
 	w.b = append(w.b, 0)
 	w.count = len(w.b)
@@ -127,6 +145,23 @@
 	return out
 }
 
+// parts reads which partitions a list is whole of.
+func (r *reader) parts() (partitions int, of []int) {
+	partitions = int(r.Uint(partition.Most))
+	next := 0
+	for n := r.Uint(uint64(partitions)); n > 0 && !r.Bad; n-- {
+		p := next + int(r.Uint(partition.Most))
+		if r.Bad = r.Bad || p >= partitions; !r.Bad {
+			of = append(of, p)
+		}
+		next = p + 1
+	}
+	if partitions == 0 {
+		r.Bad = true
+	}
+	return partitions, of
+}
+
 // Decode reads a snapshot. Its errors wrap ErrForm.
 func Decode(b []byte) (*Snapshot, error) {
 	bad := func(what string) (*Snapshot, error) { return nil, fmt.Errorf("%w: %s", ErrForm, what) }
@@ -135,7 +170,7 @@
 		return bad("it is empty")
 	case len(b) < len(magic)+1+sumLen || [5]byte(b) != magic:
 		return bad("it begins otherwise")
-	case b[5] != Version:
+	case b[5] != Version && b[5] != VersionParts:
 		return bad(fmt.Sprintf("version %d is not known", b[5]))
 	}
 	body := b[:len(b)-sumLen]
@@ -146,6 +181,9 @@
 	s.Told = time.UnixMilli(r.Int())
 	s.Generation, s.Agent = r.Uint(math.MaxUint64), r.text()
 	s.Zones, s.Kinds = r.names(), r.names()
+	if b[5] == VersionParts {
+		s.Partitions, s.Of = r.parts()
+	}
 	s.Partial = r.Byte() == 1
 	count := r.Take(4)
 	if r.Bad || binary.BigEndian.Uint32(count) > entriesMost {
--- a/internal/dirtool/dirtool.go
+++ b/internal/dirtool/dirtool.go
@@ -22,6 +22,7 @@
 	"snowjunction/internal/groups"
 	"snowjunction/internal/learnt"
 	"snowjunction/internal/memento"
+	"snowjunction/internal/partition"
 )
 
 // Instance is an entry in the directory's form.
@@ -42,6 +43,8 @@
 	Agent      string     `json:"agent,omitempty"`
 	ToldAtMs   int64      `json:"toldAtMs,omitempty"` // Unix time
 	Partial    bool       `json:"partial,omitempty"`
+	Partitions int        `json:"partitions,omitempty"` // of so many the list is of some, which Of names
+	Of         []int      `json:"of,omitempty"`
 	Instances  []Instance `json:"instances"`
 }
 
@@ -94,6 +97,17 @@
 	s := &dircache.Snapshot{Head: dircache.Head{
 		Generation: v.GetUint64("generation"), Agent: string(v.GetStringBytes("agent")), Partial: v.GetBool("partial"),
 	}}
+	if v.Exists("partitions") {
+		if s.Partitions = v.GetInt("partitions"); s.Partitions < 1 || s.Partitions > partition.Most {
+			return nil, errors.New("/partitions: not a number of partitions")
+		}
+		for _, x := range v.GetArray("of") {
+			s.Of = append(s.Of, x.GetInt())
+		}
+		if n := len(s.Of); !slices.IsSorted(s.Of) || len(slices.Compact(slices.Clone(s.Of))) < n || n > 0 && (s.Of[0] < 0 || s.Of[n-1] >= s.Partitions) {
+			return nil, errors.New("/of: not partitions, in order, each once")
+		}
+	}
 	if ms := v.GetInt64("toldAtMs"); ms != 0 {
 		s.Told = time.UnixMilli(ms)
 	}
@@ -121,7 +135,7 @@
 
 // Export puts a list in the directory's form.
 func Export(s *dircache.Snapshot) *List {
-	l := &List{Generation: s.Generation, Reset: true, Agent: s.Agent, Partial: s.Partial, Instances: []Instance{}}
+	l := &List{Generation: s.Generation, Reset: true, Agent: s.Agent, Partial: s.Partial, Partitions: s.Partitions, Of: s.Of, Instances: []Instance{}}
 	if !s.Told.IsZero() {
 		l.ToldAtMs = s.Told.UnixMilli()
 	}
--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -31,6 +31,7 @@
 	watching   bool      // the answer that comes is to a watch
 	since      time.Time // the last step began: what the directory had to tell before is held
 	backoff    *backoff.Backoff
+	parts      partitions
 }
 
 // askNow is the wait of a watch that is to be answered at once.
@@ -45,7 +46,9 @@
 	if d.conn == nil {
 		d.parser = http1.Parser{MaxBody: maxAnswer, Sink: d.piece}
 		d.conn = d.front.Engine.Dial(WatchKind, d.front.Discovery, d)
-		d.since = d.front.Loop.Now()
+		if d.parts.mayGain = false; !d.parts.gained {
+			d.since = d.front.Loop.Now()
+		}
 		d.await(backoff.ConnectTimeout, net.DialTimeout)
 		return
 	}
@@ -69,9 +72,17 @@
 func (d *discovery) ask() {
 	d.expect()
 	path := "/discovery/hosts"
-	d.since = d.front.Loop.Now()
-	d.await(backoff.AnswerTimeout, net.CallTimeout)
-	if d.watching = d.known; d.known {
+	of := d.next()
+	limit := d.backoff.AskTimeout()
+	if d.parts.gained { // one step with the ask before: what is news has waited since then
+		limit -= d.ago()
+	} else {
+		d.since = d.front.Loop.Now()
+	}
+	d.await(min(backoff.AnswerTimeout, limit), net.CallTimeout)
+	d.watching = d.known && !d.parts.gaining
+	switch {
+	case d.watching:
 		wait := d.backoff.WatchWait()
 		if _, _, live := d.front.core.Word(d.front.Number); !live {
 			wait = askNow // an agent that is up says so, though nothing may be new
@@ -79,10 +90,19 @@
 		if again := d.front.core.Recheck(d.front.Number); again > 0 {
 			wait = min(wait, again)
 		}
-		d.await(d.backoff.AskTimeout(), net.CallTimeout)
+		if d.hurries() {
+			wait = askNow
+		}
+		d.await(limit, net.CallTimeout)
 		path += "?after=" + strconv.FormatUint(d.generation, 10) +
 			"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+		if of != "" {
+			path += "&" + of
+		}
+	case of != "":
+		path += "?" + of
 	}
+	d.parts.gained = false
 	d.conn.Write(http1.Request("GET", path, d.front.Discovery, nil))
 }
 
@@ -110,7 +130,7 @@
 		d.conn.Close(code)
 		d.conn = nil
 	}
-	d.news = nil
+	d.news, d.parts.gained = nil, false
 	d.limit.Stop()
 	d.limit = d.front.Loop.After(pause, d.watch)
 }
@@ -130,7 +150,7 @@
 	if d.closed {
 		return
 	}
-	d.known = false
+	d.known, d.parts.gained = false, false
 	d.backoff.Reset() // another agent: what the old one refused says nothing of it
 	if d.conn != nil {
 		d.conn.Close(net.Moved)
@@ -142,11 +162,15 @@
 
 // expect makes ready for an answer.
 func (d *discovery) expect() {
-	news, limits := groups.NewList(false), d.front.Lists
+	news := groups.NewList(false)
+	size, entries := d.bounds()
 	d.news = news
-	d.reader = &listing.Reader{MaxSize: limits.Bytes, MaxList: limits.Entries, Entry: func(v *fastjson.Value) error {
+	d.reader = &listing.Reader{MaxSize: size, MaxList: entries, Entry: func(v *fastjson.Value) error {
 		e, err := d.front.Names.Target(v)
-		if err != nil {
+		if err != nil || !d.lists(&e, news) {
+			return err
+		}
+		if err := d.room(news); err != nil {
 			return err
 		}
 		return news.Add(e)
@@ -182,24 +206,36 @@
 		return
 	}
 	d.front.Log.Debug("discovery answers", "generation", d.reader.Generation, "full", d.reader.Full, "entries", d.reader.Entries)
-	if err := d.reader.End(); err != nil {
+	err = d.reader.End()
+	if err == nil {
+		err = d.fits()
+	}
+	if err != nil {
 		d.refuse(err)
 		return
 	}
 	d.news.Full = d.reader.Full
-	if !d.news.Full && d.watching && d.reader.Generation < d.generation {
+	if (!d.news.Full && d.watching || d.parts.gaining) && d.reader.Generation < d.generation {
 		// Changes to an older list than the one held: what they name as leaving is
 		// heeded, and the whole list is asked for.
 		d.front.Log.Warn("discovery's list goes back", "generation", d.reader.Generation, "held", d.generation)
 		d.front.core.Heed(d.front.Number, d.news)
-		d.known = false
+		d.known, d.parts.gained = false, d.parts.gaining
 		d.watch()
 		return
 	}
+	if d.parts.gaining {
+		d.gain()
+		return
+	}
+	if d.news.Full && d.front.sweeping != nil {
+		d.front.sweepNow()
+	}
 	if err := d.front.core.Listed(d.front.Number, d.news); err != nil {
 		d.refuse(err)
 		return
 	}
+	d.came(d.news.Full || !d.watching)
 	d.backoff.Reset()
 	d.news = nil
 	d.generation, d.known, d.held, d.agent = d.reader.Generation, true, true, d.front.Discovery
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -66,6 +66,8 @@
 	notices   notices
 	requests  uint64 // handed in by clients
 	begun     time.Time
+	sweeping  *sweep      // nil: nothing has to leave the table
+	lingers   *core.Timer // runs while partitions that are no longer owned are served on
 }
 
 // since is the time on the router's clock.
@@ -103,6 +105,9 @@
 	Source belief.Source
 	Age    time.Duration // since the directory vouched for it; under 0: not known
 	Watch  bool          // what is newer than its generation may be asked for
+	// The list has all of these of so many partitions, in order; of 0: all of everything.
+	Partitions int
+	Of         []int
 }
 
 // Start listens, takes the target group as last known and watches it.
@@ -117,6 +122,7 @@
 		f.did(Listening)
 		f.sweep()
 	}
+	known, held := f.listed(known)
 	if known.Held {
 		news, err := known.News()
 		if err == nil {
@@ -125,9 +131,12 @@
 		}
 		if err != nil { // it costs what is known, not the start
 			f.Log.Warn("the known list cannot be taken", "err", err)
-			known = Begin{}
+			known, held = Begin{}, nil
 		}
 	}
+	if f.Router != nil {
+		f.Router.Held(held)
+	}
 	f.did(Listed)
 	if known.Held {
 		f.becomeReady()
@@ -215,6 +224,7 @@
 
 // Close ends all connections.
 func (f *Front) Close() {
+	f.lingers.Stop()
 	for c := range f.clients {
 		c.conn.Close(net.Shutdown)
 	}
--- a/internal/partition/router.go
+++ b/internal/partition/router.go
@@ -138,6 +138,16 @@
 	return gone
 }
 
+// Lingers tells whether something waits for Expire.
+func (r *Router) Lingers() bool {
+	for _, x := range r.parts {
+		if !x.owned {
+			return true
+		}
+	}
+	return r.before != nil
+}
+
 // Revision is another number after each change of Listed.
 func (r *Router) Revision() int { return r.rev }
 
--- a/internal/proto/listing/listing.go
+++ b/internal/proto/listing/listing.go
@@ -36,6 +36,9 @@
 	Generation uint64
 	Full       bool
 	Entries    int
+	// Partitions is of how many the list's writer has picked those that were asked for; 0: it has
+	// told all, -1: what it says of them cannot be read.
+	Partitions int
 
 	size   int
 	at     place
@@ -240,6 +243,11 @@
 				return fmt.Errorf("generation: %w", ErrSyntax)
 			}
 			r.known = true
+		case "partitions":
+			n, err := strconv.ParseUint(string(r.buf), 10, 31)
+			if r.Partitions = int(n); err != nil || n == 0 {
+				r.Partitions = -1
+			}
 		case "reset":
 			r.Full = v.Type() == fastjson.TypeTrue
 		case "instances":
--- a/internal/proto/listing/listing_test.go
+++ b/internal/proto/listing/listing_test.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// What a list says of partitions does not spoil it: who has asked for some judges that.
+func TestPartitions(t *testing.T) {
+	for text, want := range map[string]int{"": 0, `,"partitions":16384`: 16384, `,"partitions":"7"`: -1, `,"partitions":0`: -1, `,"partitions":-7`: -1, `,"partitions":null`: -1} {
+		r := reader(&[]string{})
+		require.NoError(t, r.Feed([]byte(`{"generation":1`+text+`,"instances":[]}`)))
+		require.NoError(t, r.End())
+		assert.Equal(t, want, r.Partitions, text)
+	}
+}
+
 // The error of an entry tells which one it was.
 func TestEntryRefused(t *testing.T) {
 	r := &Reader{MaxSize: 1000, MaxList: 9, Entry: func(v *fastjson.Value) error {
