Tests of discovery by partitions on real connections

Need: the claims of discovery by partitions had no test.

A watch that gains wait for asks for an answer at once, also while entries are swept out. go test -run 'Part|Gain|Loss|Adopt|Starts|Requests' ./internal/front: ok.

--- a/internal/front/platform/partitions.go
+++ b/internal/front/platform/partitions.go
@@ -80,7 +80,7 @@
 
 // hurries tells that a watch need not wait for news: others wait behind it, or have waited.
 func (d *discovery) hurries() bool {
-	return d.front.Router != nil && (d.parts.gained || len(d.front.Router.Wanted()) > 0 && d.front.sweeping == nil)
+	return d.front.Router != nil && (d.parts.gained || len(d.front.Router.Wanted()) > 0)
 }
 
 // lists tells whether an entry that is read is to be kept. One of a destination that is not listed
--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -21,10 +21,12 @@
 
 	"snowjunction"
 	"snowjunction/internal/belief"
+	"snowjunction/internal/config"
 	"snowjunction/internal/core"
 	"snowjunction/internal/distrust"
 	"snowjunction/internal/front/platform"
 	"snowjunction/internal/net"
+	"snowjunction/internal/partition"
 	"snowjunction/internal/store"
 )
 
@@ -237,6 +239,23 @@
 
 // newSiteOf is one with so many connections.
 func newSiteOf(t *testing.T, limits net.Config, change ...func(*snowjunction.Settings)) *site {
+	s := prepared(t, limits, nil, change...)
+	s.start(platform.Begin{Watch: true, List: config.List{Held: true, Full: true, Generation: 1, Targets: s.known()}})
+	return s
+}
+
+// known is the one entry of the list that a site starts with.
+func (s *site) known() []core.Entry {
+	return []core.Entry{{Name: "s-1", Addr: s.target.l.Addr().String(), Destination: 7, Weight: 1, Phase: snowjunction.Ready}}
+}
+
+func (s *site) start(known platform.Begin) {
+	require.NoError(s.t, s.front.Start(s.core, known))
+	s.t.Cleanup(s.front.Close)
+}
+
+// prepared is one that has not started yet, perhaps with a router.
+func prepared(t *testing.T, limits net.Config, router *partition.Router, change ...func(*snowjunction.Settings)) *site {
 	s := &site{t: t, discovery: newPeer(t), target: newPeer(t)}
 	journal := s.begin(limits)
 	settings := snowjunction.Settings{
@@ -252,7 +271,7 @@
 		c(&settings)
 	}
 	s.front = platform.New(platform.Config{
-		Loop: s.loop, Engine: s.engine, Log: log, Listen: "127.0.0.1:0", Discovery: s.discovery.l.Addr().String(), Settings: settings,
+		Loop: s.loop, Engine: s.engine, Log: log, Listen: "127.0.0.1:0", Discovery: s.discovery.l.Addr().String(), Settings: settings, Router: router,
 	})
 	var err error
 	s.core, err = core.New(core.Config{
@@ -260,11 +279,6 @@
 		Directories: map[int]core.Directory{0: {Belief: belief.Default(), Trust: distrust.Default()}},
 	})
 	require.NoError(t, err)
-	known := platform.Begin{Watch: true}
-	known.Held, known.Full, known.Generation = true, true, 1
-	known.Targets = []core.Entry{{Name: "s-1", Addr: s.target.l.Addr().String(), Destination: 7, Weight: 1, Phase: snowjunction.Ready}}
-	require.NoError(t, s.front.Start(s.core, known))
-	t.Cleanup(s.front.Close)
 	return s
 }
 
