--- /dev/null
+++ b/internal/daemon/partitions_test.go
@@ -0,0 +1,186 @@
+package daemon
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction"
+	"snowjunction/internal/belief"
+	"snowjunction/internal/config"
+	"snowjunction/internal/core"
+	"snowjunction/internal/dircache"
+	"snowjunction/internal/distrust"
+	"snowjunction/internal/front/platform"
+	"snowjunction/internal/net"
+	"snowjunction/internal/partition"
+	"snowjunction/internal/standin"
+	"snowjunction/internal/store"
+)
+
+// life is one of a courier's lives: its list, with a directory that is really there.
+type life struct {
+	t      *testing.T
+	loop   *core.Loop
+	core   *core.Core
+	front  *platform.Front
+	router *partition.Router
+	cache  *dircache.Cache
+	end    func()
+}
+
+// live begins a life on a folder.
+func live(t *testing.T, dir, discovery string, m *partition.Membership) *life {
+	log := slog.New(slog.DiscardHandler)
+	l := &life{t: t, loop: core.NewLoop(time.Now), router: partition.NewRouter(partition.Options{Self: "c0", Linger: time.Second}, m, 0)}
+	engine, err := net.New(net.Config{Post: l.loop.Post, Log: log, MaxConns: 64})
+	require.NoError(t, err)
+	journal, _, err := store.Load(store.Options{Dir: t.TempDir(), Bytes: 3e6, Log: log})
+	require.NoError(t, err)
+	settings := snowjunction.Settings{
+		Seed: 1, Fleet: 1, Tick: 5 * time.Millisecond, Slots: 8, MaxHeld: 10, MaxAttempts: 6, MaxRetry: 3 * time.Second,
+		ConnectTimeout: time.Second, DrainGrace: time.Second, Kinds: []snowjunction.Kind{{BundleMax: 1}},
+		Classes: []snowjunction.Class{{Name: "status", Aim: time.Second, Deadline: 20 * time.Second, Worth: 2}},
+	}
+	names := config.Names{Zones: map[string]int{"a": 0}, Kinds: map[string]int{"k": 0}}
+	l.front = platform.New(platform.Config{Loop: l.loop, Engine: engine, Log: log, Discovery: discovery, Names: names, Settings: settings, Router: l.router})
+	kept := dircache.Load(dir, func(file string, err error) { t.Error(file, err) })
+	if kept != nil {
+		kept.Rename(names.Zones, names.Kinds)
+	}
+	l.cache, err = dircache.Open(dircache.Options{Dir: dir, Bytes: 1 << 20, Generations: 1, Log: log})
+	require.NoError(t, err)
+	k := &keeper{loop: l.loop, front: l.front, cache: l.cache, names: names, most: 1 << 20, fresh: time.Hour, every: time.Hour}
+	l.core, err = core.New(core.Config{
+		Loop: l.loop, Log: log, Journal: journal, Settings: settings, Fronts: []core.Front{platformFront: l.front},
+		Directories: map[int]core.Directory{platformFront: {Belief: belief.Default(), Trust: distrust.Default()}},
+		Heard:       func(int) { k.core = l.core; k.heard() },
+		ListedShare: func(int) float64 { return l.router.Share() },
+	})
+	require.NoError(t, err)
+	require.NoError(t, l.front.Start(l.core, startList(kept, config.List{}, discovery, time.Now())))
+	l.end = func() {
+		l.front.Close()
+		engine.Stop()
+		l.cache.Close()
+		journal.Close()
+	}
+	return l
+}
+
+func (l *life) until(what string, come func() bool) {
+	l.t.Helper()
+	limit := time.Now().Add(20 * time.Second)
+	l.loop.RunUntil(func() bool { return come() || time.Now().After(limit) })
+	require.True(l.t, come(), what)
+}
+
+// has waits until the list of a generation is held, whole and on disk, and ends the life.
+func (l *life) has(dir string, generation uint64) {
+	l.t.Helper()
+	l.until("the list", func() bool {
+		g, _, held := l.front.Told()
+		return held && g == generation && len(l.router.Wanted()) == 0
+	})
+	l.until("the list on disk", func() bool {
+		files, err := dircache.Files(dir)
+		if err != nil || len(files) == 0 {
+			return false
+		}
+		s, err := dircache.Read(files[0])
+		return err == nil && s.Generation == generation && slices.Equal(s.Of, l.router.Listed())
+	})
+	l.end()
+}
+
+func (l *life) holds() (out []string) {
+	for e := range l.core.Table(platformFront).From(0) {
+		out = append(out, e.Name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// A courier that starts again with its folder asks for what has changed in its partitions, and for
+// the list of those that it has gained meanwhile. What it has lost is not in its list any more.
+func TestStartsAgainWithItsPart(t *testing.T) {
+	const (
+		partitions   = 64
+		destinations = 4000
+		short        = 1000 // bytes of answers to some watches, with their heads
+	)
+	fleet := func(n int, without ...int) *partition.Membership {
+		var all []partition.Member
+		for i := range n {
+			if !slices.Contains(without, i) {
+				all = append(all, partition.Member{Name: fmt.Sprintf("c%d", i), Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Region: "r"})
+			}
+		}
+		m, err := partition.New(partitions, 1, all)
+		require.NoError(t, err)
+		return m
+	}
+	var ends []standin.Endpoint
+	for i := range destinations {
+		ends = append(ends, standin.Endpoint{Name: fmt.Sprintf("e%d", i), Addr: fmt.Sprintf("127.1.%d.%d:1", i>>8, i&255), Destination: uint32(i + 1)})
+	}
+	list := standin.List(ends)
+	d, err := standin.NewDirectory(list)
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	dir := t.TempDir()
+	all := fleet(8)
+	part := func(m *partition.Membership) (want []string) {
+		for _, x := range list {
+			if slices.Contains(m.Owned("c0"), partition.Of(x.Cell, partitions)) && x.Lifecycle != "Gone" {
+				want = append(want, x.InstanceID)
+			}
+		}
+		slices.Sort(want)
+		return want
+	}
+	said := func() int64 { return d.Traffic().Out }
+	l := live(t, dir, d.Addr(), all)
+	l.has(dir, 1)
+	assert.Equal(t, part(all), l.holds())
+	whole := said()
+	require.Greater(t, whole, int64(len(part(all))*100))
+
+	before := said()
+	own := slices.IndexFunc(list, func(x standin.Instance) bool { return slices.Contains(part(all), x.InstanceID) })
+	other := slices.IndexFunc(list, func(x standin.Instance) bool { return !slices.Contains(part(all), x.InstanceID) })
+	list[own].Lifecycle, list[other].Lifecycle = "Gone", "Gone"
+	d.Change(list[own])
+	generation := d.Change(list[other])
+	l = live(t, dir, d.Addr(), all)
+	assert.Empty(t, l.router.Wanted())
+	l.has(dir, generation)
+	assert.Equal(t, part(all), l.holds())
+	again := said() - before
+	assert.Less(t, again, int64(short), "its changes, and no list")
+
+	before = said()
+	fewer := fleet(8, 1, 2) // two have gone meanwhile: it gains
+	l = live(t, dir, d.Addr(), fewer)
+	gained := len(part(fewer)) - len(part(all))
+	require.Positive(t, gained)
+	l.has(dir, generation)
+	assert.Equal(t, part(fewer), l.holds())
+	gains := said() - before
+	assert.Less(t, gains, int64(gained*200+10*short), "what it has gained, not what it had")
+
+	before = said()
+	more := fleet(24) // many have come: it loses
+	l = live(t, dir, d.Addr(), more)
+	require.Subset(t, fewer.Owned("c0"), more.Owned("c0"))
+	l.has(dir, generation)
+	assert.Equal(t, part(more), l.holds())
+	loses := said() - before
+	assert.Less(t, loses, int64(short))
+	t.Logf("bytes of the directory: first start %d, again %d, with %d destinations gained %d, with some lost %d", whole, again, gained, gains, loses)
+}
