--- a/internal/front/partitions_test.go
+++ b/internal/front/partitions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -101,14 +102,19 @@
 func (s *site) asked(conn, n int) string {
 	s.t.Helper()
 	s.until("the ask comes", func() bool { return s.discovery.took(conn, "\r\n\r\n", n) })
-	s.discovery.mu.Lock()
-	defer s.discovery.mu.Unlock()
-	head, _, _ := strings.Cut(strings.Split(string(s.discovery.conns[conn].got), "\r\n\r\n")[n-1], " HTTP/1.1\r\n")
+	head, _, _ := strings.Cut(strings.Split(s.discovery.sent(conn), "\r\n\r\n")[n-1], " HTTP/1.1\r\n")
 	rest, is := strings.CutPrefix(head, "GET /discovery/hosts")
 	require.True(s.t, is, head)
 	return rest
 }
 
+// sent is what has come on the connection of that number.
+func (p *peer) sent(i int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return string(p.conns[i].got)
+}
+
 // holds are the names in the table.
 func (s *site) holds() (out []string) {
 	for e := range s.core.Table(0).From(0) {
@@ -273,6 +279,27 @@
 	assert.Empty(t, d.core.Conditions(0), "what is merged is not judged as a full list")
 }
 
+// The first ask on a connection is a watch: what is news has waited.
+func TestGainAfterTheWatch(t *testing.T) {
+	for name, end := range map[string]func(d *divided){
+		"broken": func(d *divided) { d.discovery.at(0).finish(t) },
+		"the last on its connection": func(d *divided) {
+			d.discovery.at(0).say(t, strings.Replace(told(1, false, true), "OK\r\n", "OK\r\nConnection: close\r\n", 1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := started(t)
+			d.front.Adopt(d.alone(d.mine))
+			end(d)
+			d.until("the connection ends", func() bool { return len(d.ends) > 0 })
+			d.after(time.Second / 2)
+			require.Equal(t, "?after=1&wait_ms=1&"+of(d.router.Listed()), d.asked(1, 1))
+			d.discovery.at(1).say(t, told(1, false, true))
+			require.Equal(t, "?"+of(d.alien[:1]), d.asked(1, 2))
+		})
+	}
+}
+
 // A gain that cannot be taken as changes has the whole list asked for.
 func TestGainThatDoesNotFit(t *testing.T) {
 	for name, say := range map[string]func(d *divided) string{
@@ -430,6 +457,34 @@
 	assert.Equal(t, []string{"young"}, d.holds())
 }
 
+// A full list that comes while entries are swept out is not judged by those that it rightly has not.
+func TestFullListWhileItIsSwept(t *testing.T) {
+	d := started(t)
+	d.front.Adopt(d.alone(d.alien))
+	came := false
+	d.loop.After(linger, func() { // before the look that ends the lingering, which the list comes right behind
+		d.now = d.now.Add(1)
+		posted := d.posted.Load()
+		d.discovery.at(0).say(t, told(2, true, true))
+		for d.posted.Load() == posted {
+			runtime.Gosched()
+		}
+		came = true
+	})
+	asks := 2
+	for range linger / time.Second {
+		d.after(time.Second)
+		if !came {
+			d.discovery.at(0).say(t, told(1, false, true))
+		}
+		asks++
+		d.asked(0, asks)
+	}
+	require.True(t, came)
+	assert.Empty(t, d.holds())
+	assert.Empty(t, d.core.Conditions(0))
+}
+
 // A directory that counts anew tells its whole list of all partitions.
 func TestGenerationGoesBack(t *testing.T) {
 	for _, reset := range []bool{true, false} {
@@ -514,7 +569,7 @@
 	s.asked(0, 2)
 	s.discovery.at(0).say(t, answer("200 OK", `{"generation":6,"reset":false,"instances":[]}`))
 	s.asked(0, 3)
-	assert.Equal(t, want("")+want("?after=5&wait_ms=2500")+want("?after=6&wait_ms=2500"), string(s.discovery.at(0).got))
+	assert.Equal(t, want("")+want("?after=5&wait_ms=2500")+want("?after=6&wait_ms=2500"), s.discovery.sent(0))
 	assert.Equal(t, []string{"a"}, s.holds())
 }
 
@@ -590,7 +645,7 @@
 				require.False(t, o.open())
 				reach := o.now
 				next := o.outage.asked()
-				assert.Contains(t, string(next.got), "?after=1&", "a watch comes first")
+				assert.Contains(t, o.discovery.sent(o.conn-1), "?after=1&", "a watch comes first")
 				o.after(lateAnswer)
 				next.say(t, told(3, false, true, instanceAt("s-1", 7, "Terminating", o.target.l.Addr().String())))
 				o.until("the change is heard", func() bool { e, _ := o.core.Table(0).Get("s-1"); return e.Phase == snowjunction.Draining })
