--- a/internal/front/partitions_test.go
+++ b/internal/front/partitions_test.go
@@ -279,6 +279,22 @@
 	assert.Empty(t, d.core.Conditions(0), "what is merged is not judged as a full list")
 }
 
+// A directory that ignores the parameters has told of all that is wanted with the first answer.
+func TestGainFromADirectoryThatTellsAll(t *testing.T) {
+	d := started(t)
+	d.front.Adopt(d.alone(d.mine))
+	d.discovery.at(0).say(t, told(1, false, false))
+	require.Equal(t, "?"+of(d.alien[:1]), d.asked(0, 3))
+	var entries []string
+	for p := range partitionsOf {
+		entries = append(entries, instance(fmt.Sprintf("p%d", p), in(p, 0), "Ready"))
+	}
+	d.discovery.at(0).say(t, told(2, true, false, entries...))
+	assert.Contains(t, d.asked(0, 4), "?after=1&wait_ms=1&")
+	assert.Empty(t, d.router.Wanted())
+	assert.Len(t, d.holds(), partitionsOf)
+}
+
 // The first ask on a connection is a watch: what is news has waited.
 func TestGainAfterTheWatch(t *testing.T) {
 	for name, end := range map[string]func(d *divided){
@@ -395,7 +411,7 @@
 			for range linger/time.Second - 1 {
 				goes(time.Second)
 			}
-			assert.Len(t, d.holds(), len(known.Targets))
+			assert.Equal(t, len(known.Targets), d.core.Table(0).Len())
 			if used {
 				d.flow() // takes 5 ms
 				goes(995 * time.Millisecond)
@@ -405,9 +421,11 @@
 				d.target.at(0).say(t, answer("200 OK", ""))
 				d.until("it is delivered", func() bool { return d.core.Held() == 0 })
 			}
-			goes(time.Second)
+			d.after(time.Second)
+			assert.Zero(t, d.core.Table(0).Len(), "whatever the directory says")
+			goes(0)
 			assert.Contains(t, goes(0), "&"+of(nil))
-			assert.Empty(t, d.holds())
+			assert.Zero(t, d.core.Table(0).Len())
 			assert.Equal(t, partition.Moved, d.way(7))
 			assert.False(t, d.router.Lingers())
 			assert.Empty(t, d.core.Conditions(0))
