--- a/internal/front/partitions_test.go
+++ b/internal/front/partitions_test.go
@@ -234,6 +234,23 @@
 
 func (d *divided) name(i int) string { return fmt.Sprintf("p%d", d.mine[i]) }
 
+// An answer that names an endpoint twice, the second time as one that is gone or of others, is
+// refused as it always was.
+func TestNamedTwice(t *testing.T) {
+	for name, second := range map[string]func(d *divided) string{
+		"gone":      func(*divided) string { return `{"instanceId":"new","lifecycle":"Gone"}` },
+		"of others": func(d *divided) string { return instance("new", in(d.alien[0], 0), "Ready") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := started(t)
+			held := d.holds()
+			d.discovery.at(0).say(t, told(2, false, false, instance("new", in(d.mine[0], 1), "Ready"), second(d)))
+			d.until("it is refused", func() bool { return len(d.ends) > 0 })
+			assert.Equal(t, held, d.holds())
+		})
+	}
+}
+
 // An endpoint that has moved to a destination of others is no endpoint that a full list has lost.
 func TestFullListAfterMoves(t *testing.T) {
 	d := started(t)
