--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -40,6 +41,25 @@
 	}
 }
 
+// Something lingers from an Adopt until Expire has looked behind it.
+func TestLingers(t *testing.T) {
+	both, err := New(8, 1, fleet(2, 1, 1))
+	require.NoError(t, err)
+	other, err := both.With(fleet(2, 1, 1)[1:])
+	require.NoError(t, err)
+	r := NewRouter(Options{Self: "n0", Linger: time.Second}, both, 0)
+	assert.False(t, r.Lingers())
+	r.Held(r.Listed())
+	r.Adopt(other, 0)
+	assert.True(t, r.Lingers())
+	r.Expire(time.Second, func(int) bool { return true })
+	assert.True(t, r.Lingers(), "it is used")
+	r.Expire(time.Second, func(int) bool { return false })
+	assert.False(t, r.Lingers())
+	r.Adopt(both, time.Second)
+	assert.True(t, r.Lingers(), "the membership before still counts")
+}
+
 func contains(all []Member, name string) bool {
 	for _, x := range all {
 		if x.Name == name {
