Messages are forwarded to the courier that owns their partition

Need: with a router, a client's message goes to an owner of its destination's partition, by the clients' own command with fwd=1. A handover waits for what is out; what is not goes along, with the mark of another courier's. Without a router nothing changes but five counters at 0.

--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -34,6 +34,11 @@
 	Told      uint64 // notes to the fleet
 	Noted     uint64 // notes of other couriers
 	Unread    uint64 // those that could not be read
+	Forwarded uint64 // messages that another courier has answered
+	Moved     uint64 // messages of other couriers, of which no list is held here
+	Vain      uint64 // tries to forward a message that surely came to nothing
+	Unknown   uint64 // forwarded messages of which it is not known what became
+	Unrouted  uint64 // messages refused as no courier that may have them could be reached
 	Results   [snowjunction.Moot + 1]uint64
 
 	serial uint32
@@ -57,6 +62,8 @@
 		slog.Uint64("withdrawn", n.Withdrawn), slog.Uint64("failed", n.Failed),
 		slog.Uint64("returned", n.Returned), slog.Uint64("told", n.Told), slog.Uint64("noted", n.Noted), slog.Uint64("unread", n.Unread),
 		slog.Uint64("overdue", n.Overdue),
+		slog.Uint64("forwarded", n.Forwarded), slog.Uint64("moved", n.Moved), slog.Uint64("in_vain", n.Vain),
+		slog.Uint64("unknown", n.Unknown), slog.Uint64("unrouted", n.Unrouted),
 		slog.Uint64("untried", n.Untried), slog.Uint64("tried", n.Tried), slog.Uint64("given_up", n.GivenUp),
 	}
 	for o, count := range n.Results {
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -21,6 +21,7 @@
 	Destination    uint32
 	Left           time.Duration // of its time
 	Again          bool
+	Forwarded      bool // by another courier; the core takes it as any
 	Body           []byte
 }
 
@@ -150,6 +151,12 @@
 	}
 }
 
+// Check tells the class of a request, or what is wrong with it.
+func (c *Core) Check(r Request) (*snowjunction.Class, error) { return c.check(r) }
+
+// Taking tells whether messages may be taken in: else all are refused.
+func (c *Core) Taking() bool { return !c.draining && !c.frozen }
+
 func (c *Core) check(r Request) (*snowjunction.Class, error) {
 	bad := func(format string, args ...any) (*snowjunction.Class, error) {
 		return nil, fmt.Errorf("%w: %s", ErrRequest, fmt.Sprintf(format, args...))
--- a/internal/front/platform/handover.go
+++ b/internal/front/platform/handover.go
@@ -15,20 +15,22 @@
 // ListenerKind is the front's listener, in a handover.
 const ListenerKind = "client"
 
-// Hush begins no further request to discovery for notices. Hushed tells that none is out.
-func (f *Front) Hush() { f.notices.held = true }
+// Hush begins no further request to discovery for notices, and forwards no further message: those
+// that come from now on are handed over. Hushed tells that none is out.
+func (f *Front) Hush() { f.notices.held, f.forwards.held = true, true }
 
-// Hushed tells that no notice waits for its answer.
-func (f *Front) Hushed() bool { return f.notices.out == 0 }
+// Hushed tells that no notice and no message that is being forwarded waits for its answer.
+func (f *Front) Hushed() bool { return f.notices.out == 0 && f.forwards.out == 0 }
 
 // Hand takes the clients' connections from the engine. What they have sent and not been
-// answered goes along. One that cannot be handed over is ended with the front. The function
+// answered goes along. One that cannot be handed over is ended with the front, as is one of which
+// a message is being forwarded: to be taken in anew it must have no other end. The function
 // returned adds what the engine had read meanwhile, once that has come to a halt.
 func (f *Front) Hand() func() []handover.Client {
 	var handed []*client
 	var out []handover.Client
 	for c := range f.clients {
-		if c.quit {
+		if c.quit || c.forwarding() {
 			continue
 		}
 		conn, ok := c.conn.Detach()
@@ -42,7 +44,7 @@
 			if r := a.asked; a.text == nil {
 				d.Request = &handover.Request{
 					ID: r.ID, IdempotencyKey: r.IdempotencyKey, Key: r.Key, Class: r.Class, Tenant: r.Tenant,
-					Destination: r.Destination, Deadline: a.until, Again: r.Again, Order: a.no, Body: r.Body,
+					Destination: r.Destination, Deadline: a.until, Again: r.Again, Forwarded: r.Forwarded, Order: a.no, Body: r.Body,
 				}
 			}
 			x.Due = append(x.Due, d)
@@ -92,7 +94,7 @@
 		}
 		x.c.take(x.a, core.Request{
 			Origin: f.Number, ID: x.r.ID, IdempotencyKey: x.r.IdempotencyKey, Key: x.r.Key, Class: x.r.Class, Tenant: x.r.Tenant,
-			Destination: x.r.Destination, Left: left, Again: x.r.Again, Body: x.r.Body,
+			Destination: x.r.Destination, Left: left, Again: x.r.Again, Forwarded: x.r.Forwarded, Body: x.r.Body,
 		})
 	}
 	for i, c := range taken {
--- a/internal/front/platform/listener.go
+++ b/internal/front/platform/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,7 +12,6 @@
 	"snowjunction/internal/core"
 	"snowjunction/internal/net"
 	"snowjunction/internal/proto/resp"
-	"snowjunction/internal/store"
 )
 
 // client is a listener's connection. Answers go out in the order of requests,
@@ -34,6 +34,7 @@
 	asked core.Request // until then
 	until time.Time    // its deadline
 	no    uint64       // of the front's requests
+	way   *forward     // of the request, where a router finds it
 }
 
 // pipelineMost bounds the answers one connection may be waiting for.
@@ -123,7 +124,27 @@
 
 func (c *client) Opened() {}
 
-func (c *client) Closed(net.Code) { delete(c.front.clients, c) }
+func (c *client) Closed(net.Code) {
+	delete(c.front.clients, c)
+	c.abandon()
+}
+
+// abandon ends the ways of the requests that nobody waits for any more, the last first: an
+// earlier one that ends has the next of its key go on.
+func (c *client) abandon() {
+	due := c.due
+	c.due = nil
+	for _, a := range slices.Backward(due) {
+		if a.way != nil {
+			a.way.abandon()
+		}
+	}
+}
+
+// forwarding tells that a request of it is being forwarded.
+func (c *client) forwarding() bool {
+	return slices.ContainsFunc(c.due, func(a *answer) bool { return a.way != nil && a.way.begun })
+}
 
 func (c *client) Data(b []byte) {
 	if c.parser.Idle() {
@@ -192,8 +213,13 @@
 	a.asked, a.until, a.no = r, c.front.Loop.Now().Add(r.Left), c.front.requests
 	served, handed := c.served, c.handed
 	c.served, c.handed = true, true // already: what it has to make room for may be decided within
-	err := c.front.core.TakeIn(r, func(x core.Answer, _ *store.Message) bool {
-		a.text, a.asked = render(x), core.Request{}
+	var err error
+	a.way, err = c.front.handIn(r, func(text []byte) bool {
+		if text == nil { // as at a courier that has died
+			c.end(net.Unknown)
+			return false
+		}
+		a.text, a.asked = text, core.Request{}
 		return c.conn.Up() && c.flush()
 	})
 	if err != nil {
@@ -258,6 +284,7 @@
 func (c *client) end(code net.Code) {
 	c.conn.Close(code)
 	delete(c.front.clients, c)
+	c.abandon()
 }
 
 var errAdd = errors.New("OUT.ADD wants a key, an id, names and values, and a body")
@@ -298,6 +325,8 @@
 			r.IdempotencyKey = value
 		case "r", "again":
 			r.Again = r.Again || value == "1"
+		case "fwd":
+			r.Forwarded = value == "1"
 		}
 	}
 	if !seen.class || !seen.left || !seen.dest {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -64,6 +64,7 @@
 	targets   map[*target]bool
 	discovery discovery
 	notices   notices
+	forwards  forwards
 	requests  uint64 // handed in by clients
 	begun     time.Time
 }
@@ -83,7 +84,9 @@
 	f.discovery.front = f
 	f.discovery.backoff = backoff.New(cfg.Settings.Fleet, cfg.Settings.Seed).Within(cfg.Settings.DrainGrace)
 	f.notices.front = f
+	f.forwards = newForwards(f)
 	f.Engine.SpareIdle(f.spareTarget)
+	f.Engine.SpareIdle(f.forwards.spare)
 	return f
 }
 
@@ -220,6 +223,7 @@
 	}
 	f.discovery.close()
 	f.notices.close()
+	f.forwards.close()
 }
 
 // Quiet tells that no notice is on its way.
--- a/internal/handover/estate.go
+++ b/internal/handover/estate.go
@@ -53,6 +53,7 @@
 	Destination        uint32
 	Deadline           time.Time
 	Again              bool
+	Forwarded          bool   // by another courier
 	Order              uint64 // in which they came, over all clients
 	Body               []byte
 }
--- a/internal/handover/frame.go
+++ b/internal/handover/frame.go
@@ -181,6 +181,12 @@
 	}
 }
 
+// Flags of a request. Before there were forwarded ones their byte was Again alone.
+const (
+	again = 1 << iota
+	forwarded
+)
+
 func (d Due) append(b []byte) []byte {
 	if b = appendFlag(b, d.Request != nil); d.Request == nil {
 		return append(b, d.Text...)
@@ -190,7 +196,15 @@
 		b = record.AppendText(b, s)
 	}
 	b = binary.AppendUvarint(binary.AppendUvarint(b, q.Key), uint64(q.Destination))
-	b = binary.AppendUvarint(appendFlag(appendTime(b, q.Deadline), q.Again), q.Order)
+	b = appendTime(b, q.Deadline)
+	flags := byte(0)
+	if q.Again {
+		flags |= again
+	}
+	if q.Forwarded {
+		flags |= forwarded
+	}
+	b = binary.AppendUvarint(append(b, flags), q.Order)
 	return append(b, q.Body...)
 }
 
@@ -269,7 +283,9 @@
 	}
 	q := &Request{ID: r.Text(nameMost), IdempotencyKey: r.Text(nameMost), Class: r.Text(nameMost), Tenant: r.Text(nameMost)}
 	q.Key, q.Destination = r.Uint(math.MaxUint64), uint32(r.Uint(math.MaxUint32))
-	q.Deadline, q.Again, q.Order = r.time(), r.flag(), r.Uint(math.MaxUint64)
+	q.Deadline = r.time()
+	flags := r.Byte()
+	q.Again, q.Forwarded, q.Order = flags&again != 0, flags&forwarded != 0, r.Uint(math.MaxUint64)
 	q.Body = append([]byte(nil), r.B...)
 	return Due{Request: q}
 }
--- a/internal/handover/frame_test.go
+++ b/internal/handover/frame_test.go
@@ -35,7 +35,7 @@
 		Listeners: []Listener{{"client", fd()}},
 		Clients: []Client{
 			{Conn: conn("*5\r\n$7\r\nOUT"), Served: true, Changed: noon, Due: []Due{
-				{Request: &Request{ID: "m1", IdempotencyKey: "k", Key: 9, Class: "order", Tenant: "town", Destination: 7, Deadline: noon, Again: true, Order: 3, Body: []byte("x\x00y")}},
+				{Request: &Request{ID: "m1", IdempotencyKey: "k", Key: 9, Class: "order", Tenant: "town", Destination: 7, Deadline: noon, Again: true, Forwarded: true, Order: 3, Body: []byte("x\x00y")}},
 				{Text: []byte("+OK\r\n")},
 			}},
 			{Conn: conn(strings.Repeat("long", pieceMost/3))},
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -45,6 +45,8 @@
 	Slow        Code = "slow"         // the other side does not read what it is sent
 	Abuse       Code = "abuse"        // too much of what costs only this side
 	Shutdown    Code = "shutdown"     // the courier ends
+	Unknown     Code = "unknown"      // a message from it was forwarded, and what became of that is not known
+	ClientGone  Code = "client_gone"  // who handed in the message that was forwarded on it has gone
 	HandedOver  Code = "handed_over"  // another process of this courier goes on with it
 )
 
--- a/internal/partition/router.go
+++ b/internal/partition/router.go
@@ -141,6 +141,9 @@
 // Revision is another number after each change of Listed.
 func (r *Router) Revision() int { return r.rev }
 
+// Self is this courier's name.
+func (r *Router) Self() string { return r.o.Self }
+
 // Membership is the one that holds.
 func (r *Router) Membership() *Membership { return r.m }
 
--- /dev/null
+++ b/internal/proto/resp/reply.go
@@ -0,0 +1,105 @@
+package resp
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+// Bounds of a reply: more is an error.
+const (
+	MaxReplyLine = 512 // bytes of a simple string or an error, with its mark and without its end
+	MaxReplyBulk = 4 << 10
+)
+
+// Errors that end a connection whose replies are read.
+var (
+	ErrReply    = errors.New("protocol error: no reply that is awaited")
+	ErrReplyBig = errors.New("protocol error: the reply is too big")
+)
+
+// ReplyParser takes replies out of a stream: simple strings, errors and bulk strings. Any other
+// kind, a null bulk string among them, is an error.
+type ReplyParser struct {
+	buf  []byte
+	seen int // of buf, where no line ends
+	err  error
+}
+
+// Feed adds what has come.
+func (p *ReplyParser) Feed(b []byte) { p.buf = append(p.buf, b...) }
+
+// Idle tells that no reply has begun.
+func (p *ReplyParser) Idle() bool { return len(p.buf) == 0 }
+
+// Next returns the next whole reply as it came, with its marks and line ends, or nil until there
+// is one. After an error the stream is of no use. The reply is the caller's to keep.
+func (p *ReplyParser) Next() ([]byte, error) {
+	if p.err != nil || len(p.buf) == 0 {
+		return nil, p.err
+	}
+	n, err := p.whole()
+	if p.err = err; n == 0 || err != nil {
+		return nil, err
+	}
+	reply := append([]byte(nil), p.buf[:n]...)
+	p.buf, p.seen = append(p.buf[:0], p.buf[n:]...), 0
+	return reply, nil
+}
+
+// whole is the length of the first reply; 0: it is not whole yet.
+func (p *ReplyParser) whole() (int, error) {
+	most := MaxReplyLine
+	switch p.buf[0] {
+	case '+', '-':
+	case '$':
+		most = maxLine
+	default:
+		return 0, ErrReply
+	}
+	at := bytes.IndexByte(p.buf[p.seen:], '\n')
+	switch {
+	case at < 0 && len(p.buf) > most+1: // a \r may be the last
+		return 0, ErrReplyBig
+	case at < 0:
+		p.seen = len(p.buf)
+		return 0, nil
+	}
+	end := p.seen + at + 1
+	switch line := p.buf[:end]; {
+	case end-2 > most:
+		return 0, ErrReplyBig
+	case line[end-2] != '\r' || bytes.IndexByte(line[:end-2], '\r') >= 0:
+		return 0, ErrReply
+	case line[0] != '$':
+		return end, nil
+	}
+	size, err := strconv.ParseUint(string(p.buf[1:end-2]), 10, 31)
+	switch {
+	case err != nil:
+		return 0, ErrLength
+	case size > MaxReplyBulk:
+		return 0, ErrReplyBig
+	case len(p.buf) < end+int(size)+2:
+		return 0, nil
+	}
+	if end += int(size); p.buf[end] != '\r' || p.buf[end+1] != '\n' {
+		return 0, ErrReply
+	}
+	return end + 2, nil
+}
+
+// Command is a command as a client sends it.
+func Command(args ...[]byte) []byte {
+	n := 16
+	for _, a := range args {
+		n += len(a) + 16
+	}
+	b := make([]byte, 0, n)
+	b = append(strconv.AppendInt(append(b, '*'), int64(len(args)), 10), '\r', '\n')
+	for _, a := range args {
+		b = append(strconv.AppendInt(append(b, '$'), int64(len(a)), 10), '\r', '\n')
+		b = append(append(b, a...), '\r', '\n')
+	}
+	return b
+}
