Forwarding: a silent owner is passed over; any mixture of views; what may come between

Need: an owner that hangs would swallow each message of its partitions, and dials of 120 ms would never reach owners farther than that. Change: an owner that does not answer in 400 ms counts as not reached; a dial has 200 ms; no more messages wait behind others of their key than may be out.

--- a/internal/front/forward_test.go
+++ b/internal/front/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -10,10 +11,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"snowjunction"
 	"snowjunction/internal/core"
 	"snowjunction/internal/front/console"
 	"snowjunction/internal/front/platform"
 	"snowjunction/internal/handover"
+	"snowjunction/internal/net"
 	"snowjunction/internal/partition"
 	"snowjunction/internal/proto/resp"
 )
@@ -131,11 +134,11 @@
 	f.owners[0].shut(t)
 	c, d := f.client(), f.client()
 	c.say(t, add("m1", "debit", time.Second))
-	d.say(t, add("m2", "debit", 120*time.Millisecond))
+	d.say(t, add("m2", "debit", 200*time.Millisecond))
 	f.until("both are on their way", func() bool { return f.engine.Kinds()[platform.ForwardKind] == 2 })
-	f.after(121 * time.Millisecond)
+	f.after(201 * time.Millisecond)
 	e := f.goes("m1", 1)
-	f.until("its names come", func() bool { return f.owners[1].with(",d=879,") == e })
+	f.until("its names come", func() bool { return f.owners[1].with(",d=799,") == e })
 	f.hears(d, "-ERR failed\r\n")
 	assert.Nil(t, f.owners[1].with(command("m2")))
 	f.owners[0].open(t)
@@ -150,7 +153,7 @@
 		over   bool // the first is passed over next
 	}{
 		"the first is dead":     {before: func(f *forwarder) { f.owners[0].refuses() }, over: true},
-		"it does not come up":   {before: func(f *forwarder) { f.owners[0].shut(f.t) }, while: func(f *forwarder) { f.after(121 * time.Millisecond) }, over: true},
+		"it does not come up":   {before: func(f *forwarder) { f.owners[0].shut(f.t) }, while: func(f *forwarder) { f.after(201 * time.Millisecond) }, over: true},
 		"it does not own that":  {while: func(f *forwarder) { f.goes("m1", 0).say(f.t, "-MOVED\r\n") }},
 		"it says why it cannot": {while: func(f *forwarder) { f.goes("m1", 0).say(f.t, "-MOVED to n7\r\n") }},
 	} {
@@ -182,34 +185,59 @@
 // Once a command has left, its outcome is known by its answer alone: without one the client's
 // connection ends unanswered, with all that the client waits for, and no other owner is asked.
 func TestNoAnswer(t *testing.T) {
-	for name, happens := range map[string]func(f *forwarder, e *end){
-		"killed":          func(f *forwarder, e *end) { require.NoError(f.t, e.SetLinger(0)); e.Close() },
-		"ended":           func(f *forwarder, e *end) { e.finish(f.t) },
-		"silent":          func(f *forwarder, e *end) { f.after(400 * time.Millisecond) },
-		"part of one":     func(f *forwarder, e *end) { e.say(f.t, "+OK\r"); f.settle(); f.after(400 * time.Millisecond) },
-		"another answer":  func(f *forwarder, e *end) { e.say(f.t, "+PONG\r\n") },
-		"another error":   func(f *forwarder, e *end) { e.say(f.t, "-LOADING not ready\r\n") },
-		"OKAY":            func(f *forwarder, e *end) { e.say(f.t, "+OKAY\r\n") },
-		"a bulk string":   func(f *forwarder, e *end) { e.say(f.t, "$3\r\n+OK\r\n") },
-		"nonsense":        func(f *forwarder, e *end) { e.say(f.t, "HTTP/1.1 200 OK\r\n") },
-		"without its end": func(f *forwarder, e *end) { e.say(f.t, "-BUSY"); e.finish(f.t) },
+	says := func(text string) func(f *forwarder, e *end) {
+		return func(f *forwarder, e *end) { e.say(f.t, text) }
+	}
+	for name, row := range map[string]struct {
+		happens func(f *forwarder, e *end)
+		code    net.Code
+	}{
+		"killed":          {func(f *forwarder, e *end) { require.NoError(f.t, e.SetLinger(0)); e.Close() }, net.PeerReset},
+		"ended":           {func(f *forwarder, e *end) { e.finish(f.t) }, net.PeerClosed},
+		"silent":          {func(f *forwarder, e *end) { f.after(400 * time.Millisecond) }, net.CallTimeout},
+		"part of one":     {func(f *forwarder, e *end) { e.say(f.t, "+OK\r"); f.settle(); f.after(400 * time.Millisecond) }, net.CallTimeout},
+		"another answer":  {says("+PONG\r\n"), net.Protocol},
+		"another error":   {says("-LOADING not ready\r\n"), net.Protocol},
+		"OKAY":            {says("+OKAY\r\n"), net.Protocol},
+		"a bulk string":   {says("$3\r\n+OK\r\n"), net.Protocol},
+		"nonsense":        {says("HTTP/1.1 200 OK\r\n"), net.Protocol},
+		"without its end": {func(f *forwarder, e *end) { e.say(f.t, "-BUSY"); e.finish(f.t) }, net.PeerClosed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newForwarder(t, "r1", "r2")
-			other := f.client()
+			other, c, d := f.client(), f.client(), f.client()
 			other.say(t, debit("m0"))
-			f.goes("m0", 0) // on a connection of its own
-			c := f.client()
-			c.say(t, debit("m1")+debit("m2")+"*1\r\n$4\r\nPING\r\n")
-			f.goes("m2", 0)
-			happens(f, f.goes("m1", 0))
+			f.goes("m0", 0).say(t, "+OK\r\n")
+			f.hears(other, "+OK\r\n") // its connection rests
+			d.say(t, debit("m1"))     // and is used
+			f.goes("m1", 0)
+			f.after(time.Millisecond)
+			c.say(t, debit("m2")+debit("m3")+add("m4", "order", time.Second)+add("m5", "order", time.Second)+"*1\r\n$4\r\nPING\r\n")
+			for _, id := range []string{"m2", "m3", "m4"} {
+				f.goes(id, 0)
+			}
+			f.goes("m1", 0).say(t, "+OK\r\n")
+			f.hears(d, "+OK\r\n")
+			row.happens(f, f.goes("m2", 0))
 			f.until("the client's connection ends", func() bool { return c.p.ended(0) })
 			assert.Empty(t, c.heard())
+			assert.Contains(t, f.codes["client"], string(net.Unknown))
+			assert.Contains(t, f.codes[platform.ForwardKind], string(row.code))
+			assert.Contains(t, f.codes[platform.ForwardKind], string(net.Dropped), "what rests would swallow the next")
+			assert.Zero(t, f.engine.Kinds()[platform.ForwardKind], "and the client's other commands are called off")
+			assert.True(t, f.front.Hushed())
+			assert.Nil(t, f.owners[0].with(command("m5")), "and what waits behind them")
 			assert.Nil(t, f.owners[1].at(0), "no other owner is asked")
-			if f.core.Counters.Unknown == 1 { // the others wait for no longer in any case
-				f.until("the other command is called off", func() bool { return f.engine.Kinds()[platform.ForwardKind] == 1 })
-				f.owners[0].with(command("m0")).say(t, "+OK\r\n")
-				f.hears(other, "+OK\r\n")
+			assert.EqualValues(t, 1, f.core.Counters.Unknown)
+			d.say(t, debit("m6"))
+			if row.code == net.CallTimeout {
+				f.goes("m6", 1) // a silent one is passed over for a while
+				d.say(t, add("m7", "order", time.Second))
+				f.until("m4 may be with it", func() bool {
+					return strings.Contains(d.heard(), "-BUSY 501") || f.front.Unanswered() && f.core.Counters.Unrouted == 1
+				})
+			} else {
+				f.goes("m6", 0)
 			}
 		})
 	}
@@ -284,7 +312,7 @@
 	f.until("the owner sees it go", func() bool { return f.owners[0].ended(0) })
 	f.goes("m3", 0)
 	assert.Nil(t, f.owners[0].with(command("m2")), "what had not left does not")
-	f.owners[0].refuses()
+	assert.Equal(t, []string{string(net.ClientGone)}, f.codes[platform.ForwardKind])
 	f.goes("m3", 0).say(t, "-MOVED\r\n")
 	f.until("it is refused", func() bool { return strings.HasPrefix(d.heard(), "-BUSY ") })
 	assert.Nil(t, f.owners[1].at(0), "m1 may be with the first owner")
@@ -306,6 +334,35 @@
 	f.hears(c, "+OK\r\n-BUSY 2\r\n+OK\r\n-BUSY 4\r\n")
 }
 
+// No more wait for others of their key than may be out.
+func TestKeyThatWaits(t *testing.T) {
+	f := newForwarder(t, "r1")
+	c := f.client()
+	const most = 16 // of 64
+	var all string
+	for i := range most + 3 {
+		all += add(fmt.Sprintf("m%d", i), "order", 20*time.Second)
+	}
+	c.say(t, all)
+	f.goes("m0", 0)
+	f.until("the last ones are refused", func() bool { return f.core.Counters.Unrouted == 2 })
+	f.after(400 * time.Millisecond)
+	f.until("what became of the first is not known", func() bool { return c.p.ended(0) })
+	assert.Empty(t, c.heard())
+
+	d, e := f.client(), f.client()
+	f.after(500 * time.Millisecond)
+	d.say(t, add("n0", "order", 20*time.Second))
+	f.goes("n0", 0)
+	f.after(200 * time.Millisecond)
+	e.say(t, add("n1", "order", 20*time.Second))
+	f.settle()
+	f.after(200 * time.Millisecond)
+	f.until("the first has none", func() bool { return d.p.ended(0) })
+	f.hears(e, "-BUSY 501\r\n")
+	assert.Nil(t, f.owners[0].with(command("n1")))
+}
+
 // A region is cut off: its messages go to the other region's owner, and back once it is reached.
 // A key's go where its last one is, until its time is over; and are refused where that courier
 // cannot be reached.
@@ -324,7 +381,7 @@
 	posted := f.posted.Load()
 	c.say(t, add("m2", "order", 3*time.Second))
 	f.until("its own region's is dialled", func() bool { return f.engine.Kinds()[platform.ForwardKind] == 1 })
-	f.after(121 * time.Millisecond)
+	f.after(201 * time.Millisecond)
 	f.goes("m2", 1).say(t, "+OK\r\n")
 	say("m3", "debit", 1)
 	f.until("dialling is called off", func() bool { return f.posted.Load() > posted })
@@ -449,6 +506,72 @@
 	assert.Zero(t, p.a.engine.Kinds()[platform.ForwardKind]+p.b.engine.Kinds()[platform.ForwardKind])
 }
 
+// Whatever three couriers think of who owns what, and hold of it: a message that a client was
+// answered is taken on by one of them, one that was refused by none.
+func TestAnyViews(t *testing.T) {
+	for seed := range uint64(12) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		var sites []*site
+		var clients []*end
+		var members []partition.Member
+		for i := range 3 {
+			s := newSite(t, func(s *snowjunction.Settings) { s.MaxHeld = 100 })
+			sites, clients = append(sites, s), append(clients, s.client())
+			members = append(members, partition.Member{Name: fmt.Sprintf("n%d", i), Addr: s.front.Addr(), Region: fmt.Sprintf("r%d", rng.IntN(2))})
+		}
+		for i, s := range sites {
+			var seen []partition.Member
+			for _, m := range members {
+				if rng.IntN(2) > 0 {
+					seen = append(seen, m)
+				}
+			}
+			r := partition.NewRouter(partition.Options{Self: members[i].Name, Region: "r1", Longest: 20 * time.Second}, few(t, seen...), -time.Hour*time.Duration(rng.IntN(2)))
+			if rng.IntN(4) > 0 {
+				r.Held(r.Wanted())
+			}
+			s.front.Router = r
+		}
+		count := func(of func(*site) uint64) (n uint64) {
+			for _, s := range sites {
+				n += of(s)
+			}
+			return n
+		}
+		heard := func(text string) (n uint64) {
+			for _, c := range clients {
+				n += uint64(strings.Count(c.heard(), text))
+			}
+			return n
+		}
+		until := func(what string, come func() bool) {
+			t.Helper()
+			sites[0].until(what, func() bool {
+				sites[1].loop.Turn()
+				sites[2].loop.Turn()
+				return come()
+			})
+		}
+		const rounds = 8
+		for round := range uint64(rounds) {
+			for i, c := range clients {
+				c.say(t, add(fmt.Sprintf("m%d-%d", round, i), []string{"debit", "order"}[rng.IntN(2)], 20*time.Second))
+			}
+			all := 3 * (round + 1)
+			until("all are read where they are taken", func() bool {
+				return count(func(s *site) uint64 { return s.core.Counters.In })+heard("-BUSY ") == all
+			})
+			for _, s := range sites {
+				s.after(5 * time.Millisecond)
+			}
+			until("all are answered", func() bool { return heard("+OK\r\n")+heard("-BUSY ") == all })
+		}
+		assert.Equal(t, heard("+OK\r\n"), count(func(s *site) uint64 { return s.core.Counters.Taken }), "seed %d", seed)
+		assert.Equal(t, heard("-BUSY "), count(func(s *site) uint64 { return s.core.Counters.Unrouted }), "seed %d", seed)
+		assert.Zero(t, count(func(s *site) uint64 { return s.core.Counters.Unknown }), "seed %d", seed)
+	}
+}
+
 // Nobody owns it, or nobody holds its list yet: it may be handed in again.
 func TestNobodyOwns(t *testing.T) {
 	p := newPair(t)
--- a/internal/front/platform/forward.go
+++ b/internal/front/platform/forward.go
@@ -19,8 +19,9 @@
 const (
 	// patience is a client's own, from its command to its answer.
 	patience = 400 * time.Millisecond
-	// dialWithin leaves time for other owners, where one is silent.
-	dialWithin = 120 * time.Millisecond
+	// dialWithin leaves time for another owner, where one is silent. Farther than that none could
+	// answer in time.
+	dialWithin = patience / 2
 	// restFor is how long a connection may sit idle and still be used: the other side ends it
 	// after idleMost, and a command that crosses that has no outcome.
 	restFor = 5 * time.Second
@@ -36,8 +37,9 @@
 	hops   map[*hop]bool     // all connections
 	toward map[string]int    // of these, by address
 	idle   map[string][]*hop // of these, by address; the last used at the end
-	out    int               // messages that may have left and have no answer
-	held   bool              // no further message begins its way
+	out    int               // messages that have begun their way and have no answer
+	queued int               // messages that wait to begin it
+	held   bool              // no further message begins it
 	turns  map[uint64]*turn
 	expiry *core.Timer // while any connection is idle
 }
@@ -61,6 +63,7 @@
 	to     partition.Member
 	hop    *hop // that carries it; nil: none
 	begun  bool // it is being forwarded
+	queued bool // it waits for that
 	here   bool // the core answers
 	limit  *core.Timer
 	answer func(text []byte) bool // nil: answered, or nobody waits
@@ -125,8 +128,15 @@
 		t.queue = append(t.queue, w)
 		f.forwards.next(r.Key)
 	}
-	if w.answer != nil && !w.here {
-		w.limit = f.Loop.After(patience, w.expire)
+	if w.answer == nil || w.here {
+		return w, nil
+	}
+	w.limit = f.Loop.After(patience, w.expire)
+	if !w.begun { // behind others of its key, or in a handover: as many as may be out
+		w.queued = true
+		if f.forwards.queued++; f.forwards.queued > f.forwards.most() {
+			w.refuse(forwardAgain)
+		}
 	}
 	return w, nil
 }
@@ -231,14 +241,24 @@
 	return answer != nil && answer(text)
 }
 
-// rest ends the message's way to others.
-func (w *forward) rest() {
-	w.limit.Stop()
-	w.hop = nil
+// begin counts that the message's way to others has begun.
+func (w *forward) begin() {
 	if w.begun {
-		w.begun = false
-		w.front.forwards.out--
+		return
+	}
+	if w.begun = true; w.queued {
+		w.queued = false
+		w.front.forwards.queued--
 	}
+	w.front.forwards.out++
+}
+
+// rest ends that way.
+func (w *forward) rest() {
+	w.limit.Stop()
+	w.begin()
+	w.hop, w.begun = nil, false
+	w.front.forwards.out--
 }
 
 // finish answers and has the next of its key go on.
@@ -289,7 +309,8 @@
 // expire gives the message up: its client does so now.
 func (w *forward) expire() {
 	if h := w.hop; h != nil {
-		if h.sent {
+		if h.sent { // who is silent to one would swallow the next too
+			w.front.Router.Unreached(w.to.Name, w.front.since())
 			h.lost(net.CallTimeout)
 			return
 		}
@@ -315,10 +336,8 @@
 func (w *forward) send(to partition.Member) {
 	f := w.front
 	p := &f.forwards
-	if w.to = to; !w.begun {
-		w.begun = true
-		p.out++
-	}
+	w.to = to
+	w.begin()
 	for h := p.fit(to.Addr); h != nil; h = p.fit(to.Addr) {
 		if w.hop, h.carries = h, w; h.write() {
 			return
@@ -326,7 +345,7 @@
 		h.carries, w.hop = nil, nil
 		h.end(net.Stale)
 	}
-	most := max(2, int(forwardShare*float64(f.Engine.Most())))
+	most := p.most()
 	if p.toward[to.Addr] >= most/2 {
 		w.vain()
 		return
@@ -343,6 +362,9 @@
 	h.conn = f.Engine.Dial(ForwardKind, to.Addr, h)
 }
 
+// most is how many connections there may be to other couriers.
+func (p *forwards) most() int { return max(2, int(forwardShare*float64(p.front.Engine.Most()))) }
+
 // command is the client's, as another courier gets it.
 func (w *forward) command(left time.Duration) []byte {
 	r := &w.r
--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -40,7 +40,8 @@
 	front     *platform.Front
 	discovery *peer
 	target    *peer
-	ends      []string // codes of the connections to discovery that have ended
+	ends      []string            // codes of the connections to discovery that have ended
+	codes     map[string][]string // of all, by kind
 	posted    atomic.Int64
 }
 
@@ -194,6 +195,7 @@
 type ends struct {
 	slog.Handler
 	codes *[]string
+	all   map[string][]string // by kind
 }
 
 func (e ends) Enabled(context.Context, slog.Level) bool { return true }
@@ -204,7 +206,10 @@
 		of[a.Key] = a.Value.String()
 		return true
 	})
-	if r.Message == "connection ended" && of["kind"] == "discovery" {
+	if r.Message != "connection ended" {
+		return nil
+	}
+	if e.all[of["kind"]] = append(e.all[of["kind"]], of["code"]); of["kind"] == "discovery" {
 		*e.codes = append(*e.codes, of["code"])
 	}
 	return nil
@@ -214,7 +219,8 @@
 func (s *site) begin(limits net.Config) *store.Journal {
 	s.now = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
 	s.loop = core.NewLoop(func() time.Time { return s.now })
-	limits.Log, limits.Post = slog.New(ends{log.Handler(), &s.ends}), func(f func()) {
+	s.codes = map[string][]string{}
+	limits.Log, limits.Post = slog.New(ends{log.Handler(), &s.ends, s.codes}), func(f func()) {
 		s.posted.Add(1)
 		s.loop.Post(f)
 	}
