--- a/internal/front/forward_test.go
+++ b/internal/front/forward_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"snowjunction"
 	"snowjunction/internal/core"
@@ -46,14 +47,19 @@
 	names  []string
 }
 
-// newForwarder has owners in the regions named; it stands in r1.
+// newForwarder has owners in the regions named, dead ones where that is said; it stands in r1.
 func newForwarder(t *testing.T, regions ...string) *forwarder {
 	f := &forwarder{site: newSite(t)}
 	by, members := map[string]*peer{}, []partition.Member(nil)
 	for i, region := range regions {
 		p, name := newPeer(t), fmt.Sprintf("n%d", i)
+		region, gone := strings.CutSuffix(region, " dead")
+		addr := p.l.Addr().String()
+		if gone {
+			addr = dead(t)
+		}
 		by[name] = p
-		members = append(members, partition.Member{Name: name, Addr: p.l.Addr().String(), Region: region})
+		members = append(members, partition.Member{Name: name, Addr: addr, Region: region})
 	}
 	m := few(t, members...)
 	for _, o := range m.Owners(0, "r1") {
@@ -87,8 +93,17 @@
 // command is how a message's command begins, behind its key.
 func command(id string) string { return fmt.Sprintf("$%d\r\n%s\r\n", len(id), id) }
 
-// refuses has a stand-in's address refuse connections.
-func (p *peer) refuses() { p.l.Close() }
+// dead is an address that refuses connections, and is nobody else's meanwhile.
+func dead(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	at, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+}
 
 func debit(id string) string { return add(id, "debit", 20*time.Second) }
 
@@ -148,17 +163,18 @@
 // who cannot be reached is passed over for a while.
 func TestNextOwner(t *testing.T) {
 	for name, row := range map[string]struct {
+		first  string
 		before func(f *forwarder)
 		while  func(f *forwarder)
 		over   bool // the first is passed over next
 	}{
-		"the first is dead":     {before: func(f *forwarder) { f.owners[0].refuses() }, over: true},
-		"it does not come up":   {before: func(f *forwarder) { f.owners[0].shut(f.t) }, while: func(f *forwarder) { f.after(201 * time.Millisecond) }, over: true},
-		"it does not own that":  {while: func(f *forwarder) { f.goes("m1", 0).say(f.t, "-MOVED\r\n") }},
-		"it says why it cannot": {while: func(f *forwarder) { f.goes("m1", 0).say(f.t, "-MOVED to n7\r\n") }},
+		"the first is dead":     {first: "r1 dead", over: true},
+		"it does not come up":   {first: "r1", before: func(f *forwarder) { f.owners[0].shut(f.t) }, while: func(f *forwarder) { f.after(201 * time.Millisecond) }, over: true},
+		"it does not own that":  {first: "r1", while: func(f *forwarder) { f.goes("m1", 0).say(f.t, "-MOVED\r\n") }},
+		"it says why it cannot": {first: "r1", while: func(f *forwarder) { f.goes("m1", 0).say(f.t, "-MOVED to n7\r\n") }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newForwarder(t, "r1", "r2")
+			f := newForwarder(t, row.first, "r2")
 			if row.before != nil {
 				row.before(f)
 			}
@@ -369,22 +385,32 @@
 func TestRegionIsCut(t *testing.T) {
 	f := newForwarder(t, "r2", "r1")
 	c := f.client()
+	said := 0
+	answers := func(id string, owner int) {
+		t.Helper()
+		f.goes(id, owner).say(t, "+OK\r\n")
+		said++
+		f.until("it is answered", func() bool { return strings.Count(c.heard(), "+OK\r\n") == said })
+	}
 	say := func(id, class string, owner int) {
 		t.Helper()
 		c.say(t, add(id, class, 3*time.Second))
-		f.goes(id, owner).say(t, "+OK\r\n")
-		f.until("it is answered", func() bool { return strings.HasSuffix(c.heard(), "+OK\r\n") && f.front.Hushed() })
+		answers(id, owner)
 	}
 	say("m1", "debit", 0)
-	f.after(5 * time.Second) // its connection has gone
-	f.owners[0].shut(t)
-	posted := f.posted.Load()
-	c.say(t, add("m2", "order", 3*time.Second))
-	f.until("its own region's is dialled", func() bool { return f.engine.Kinds()[platform.ForwardKind] == 1 })
-	f.after(201 * time.Millisecond)
-	f.goes("m2", 1).say(t, "+OK\r\n")
+	f.after(5 * time.Second)               // its connection has gone
+	silent := func(id string, owner int) { // nobody is at that owner's address
+		t.Helper()
+		f.owners[owner].shut(t)
+		posted := f.posted.Load()
+		c.say(t, add(id, "order", 3*time.Second))
+		f.until("it is dialled", func() bool { return f.engine.Kinds()[platform.ForwardKind] == 1 })
+		f.after(201 * time.Millisecond)
+		f.until("dialling is called off", func() bool { return f.posted.Load() > posted+1 })
+	}
+	silent("m2", 0)
+	answers("m2", 1)
 	say("m3", "debit", 1)
-	f.until("dialling is called off", func() bool { return f.posted.Load() > posted })
 	f.owners[0].open(t)
 	f.after(501 * time.Millisecond)
 	say("m4", "debit", 0)
@@ -393,23 +419,107 @@
 	say("m6", "order", 1) // m5 may be open still
 	f.after(3001 * time.Millisecond)
 	say("m7", "order", 0)
-	f.after(3001 * time.Millisecond)
+	f.after(5001 * time.Millisecond)
+	f.until("what rests has gone", func() bool { return f.engine.Kinds()[platform.ForwardKind] == 0 })
+}
 
-	f.owners[0].refuses()
-	f.after(5 * time.Second)
-	say("m8", "order", 1)
-	f.owners[1].refuses()
-	f.until("connections go", func() bool { // those that rest would do
-		f.owners[1].mu.Lock()
-		defer f.owners[1].mu.Unlock()
-		for _, e := range f.owners[1].conns {
-			e.Close()
-		}
-		return f.engine.Kinds()[platform.ForwardKind] == 0
-	})
-	before := c.heard()
-	c.say(t, add("m9", "order", 3*time.Second))
-	f.until("it is refused", func() bool { return strings.HasPrefix(c.heard()[len(before):], "-BUSY 5") })
+// A key's messages are refused where the courier that has its last one cannot be reached, though
+// the first owner is back.
+func TestKeyStaysWithItsOwner(t *testing.T) {
+	f := newForwarder(t, "r1", "r2")
+	c := f.client()
+	f.owners[0].shut(t)
+	order := func(id string) {
+		t.Helper()
+		c.say(t, add(id, "order", 3*time.Second))
+		f.until("it is dialled", func() bool { return f.engine.Kinds()[platform.ForwardKind] == 1 })
+		f.after(201 * time.Millisecond)
+	}
+	order("m1")
+	f.goes("m1", 1).say(t, "+OK\r\n")
+	f.hears(c, "+OK\r\n")
+	f.owners[1].with(command("m1")).finish(t)
+	f.until("its connection goes", func() bool { return f.engine.Kinds()[platform.ForwardKind] == 0 })
+	f.owners[1].shut(t)
+	f.owners[0].open(t)
+	f.after(501 * time.Millisecond)
+	order("m2")
+	f.hears(c, "+OK\r\n-BUSY 501\r\n")
+	c.say(t, debit("m3"))
+	f.goes("m3", 0)
+	f.owners[1].open(t)
+}
+
+// A key's message of which it is not known what became may be with its owner.
+func TestKeyAfterAnUnknownOutcome(t *testing.T) {
+	f := newForwarder(t, "r1", "r2")
+	c, d := f.client(), f.client()
+	c.say(t, add("m1", "order", 3*time.Second))
+	f.goes("m1", 0).finish(t)
+	f.until("it is not known", func() bool { return c.p.ended(0) })
+	d.say(t, add("m2", "order", 3*time.Second))
+	f.goes("m2", 0).say(t, "-MOVED\r\n")
+	f.hears(d, "-BUSY 501\r\n")
+	assert.Nil(t, f.owners[1].at(0))
+}
+
+// A key's messages stay with this courier while it may have the last one, or takes it in just
+// now, whoever owns them from now on.
+func TestKeyStaysHere(t *testing.T) {
+	f := newForwarder(t, "r1")
+	others := f.router.Membership()
+	router := f.sees("f", few(t, partition.Member{Name: "f", Addr: "f", Region: "r1"}))
+	c := f.client()
+	c.say(t, debit("m0"))
+	f.hears(c, "+OK\r\n") // and the next look is a tick away
+	c.say(t, add("m1", "order", 3*time.Second))
+	f.until("it is being taken in", func() bool { return f.core.Counters.In == 2 })
+	router.Adopt(others, f.now.Sub(f.now))
+	router.Expire(time.Hour, func(int) bool { return false })
+	c.say(t, add("m2", "order", 3*time.Second)+debit("m3"))
+	f.goes("m3", 0).say(t, "-BUSY 3\r\n")
+	f.after(5 * time.Millisecond)
+	f.hears(c, "+OK\r\n+OK\r\n+OK\r\n-BUSY 3\r\n")
+	c.say(t, add("m4", "order", 3*time.Second))
+	f.until("it is read here", func() bool { return f.core.Counters.In == 4 || f.owners[0].with(command("m4")) != nil })
+	assert.EqualValues(t, 4, f.core.Counters.In)
+}
+
+// Who has answered is trusted as ever: the next silence counts as a first one.
+func TestOwnerIsBack(t *testing.T) {
+	f := newForwarder(t, "r1", "r2")
+	silent := func(id string) {
+		c := f.client()
+		c.say(t, debit(id))
+		f.goes(id, 0)
+		f.after(400 * time.Millisecond)
+		f.until("it is not known", func() bool { return c.p.ended(0) })
+		f.after(501 * time.Millisecond)
+	}
+	silent("m1")
+	c := f.client()
+	c.say(t, debit("m2"))
+	f.goes("m2", 0).say(t, "+OK\r\n")
+	f.hears(c, "+OK\r\n")
+	silent("m3")
+	c.say(t, debit("m4"))
+	f.until("it goes", func() bool { return f.owners[0].with(command("m4")) != nil || f.owners[1].at(0) != nil })
+	assert.Nil(t, f.owners[1].at(0))
+}
+
+// No room for a connection here says nothing of the owner.
+func TestNoRoomToForward(t *testing.T) {
+	s, owner := newSiteOf(t, net.Config{MaxConns: 8}), newPeer(t)
+	s.until("the list is watched", func() bool { return s.discovery.took(0, ask, 1) })
+	s.sees("f", few(t, partition.Member{Name: "n0", Addr: owner.l.Addr().String(), Region: "r1"}))
+	c := s.client()
+	s.calls(8-s.engine.Open(), false)
+	c.say(t, debit("m1"))
+	s.hears(c, "-BUSY 501\r\n")
+	s.target.at(0).say(t, answer("200 OK", ""))
+	s.settle()
+	c.say(t, debit("m2"))
+	s.until("it goes at once", func() bool { return owner.with(command("m2")) != nil })
 }
 
 // Answers go in the order of the requests, whoever takes them.
@@ -785,4 +895,9 @@
 	f.after(5 * time.Millisecond)
 	assert.Equal(t, "+OK\r\n", answers[len(answers)-1])
 	assert.EqualValues(t, 1, f.core.Counters.Taken)
+	f.sees("f", few(t, partition.Member{Name: "n0", Addr: f.owners[0].l.Addr().String(), Region: "r1"}))
+	hand("m5")
+	f.goes("m5", 0)
+	f.front.Close()
+	assert.Zero(t, f.engine.Kinds()[platform.ForwardKind])
 }
--- a/internal/front/platform/forward.go
+++ b/internal/front/platform/forward.go
@@ -57,7 +57,6 @@
 	front  *Front
 	r      core.Request
 	m      partition.Message
-	came   time.Time
 	until  time.Time // its time is over
 	tried  []string
 	to     partition.Member
@@ -109,9 +108,8 @@
 		f.core.Counters.Malformed++
 		return nil, err
 	}
-	now := f.Loop.Now()
 	w := &forward{
-		front: f, r: r, came: now, until: now.Add(r.Left), answer: answer,
+		front: f, r: r, until: f.Loop.Now().Add(r.Left), answer: answer,
 		m: partition.Message{Destination: r.Destination, Forwarded: r.Forwarded, Left: r.Left},
 	}
 	if class.InOrder && !r.Forwarded { // what others forward comes in their order
@@ -152,7 +150,7 @@
 	if t == nil {
 		return
 	}
-	for t.out == nil && len(t.queue) > 0 && !p.held {
+	for t.out == nil && len(t.queue) > 0 {
 		w := t.queue[0]
 		t.queue = t.queue[1:]
 		if t.here > 0 {
@@ -218,7 +216,11 @@
 			f.forwards.next(w.m.Key)
 		}
 	}
-	w.r.Left = w.until.Sub(f.Loop.Now())
+	if w.r.Left = w.until.Sub(f.Loop.Now()); w.r.Left <= 0 {
+		w.say(render(core.Answer{Verdict: core.Failed}))
+		leave()
+		return
+	}
 	err := f.core.TakeIn(w.r, func(x core.Answer, _ *store.Message) bool {
 		if x.Verdict == core.Taken {
 			w.m.Left = w.until.Sub(f.Loop.Now())
@@ -228,8 +230,8 @@
 		leave()
 		return heard
 	})
-	if err != nil { // its time is over
-		w.say(render(core.Answer{Verdict: core.Failed}))
+	if err != nil { // it has been checked: no other is known
+		w.say(resp.Error("ERR " + err.Error()))
 		leave()
 	}
 }
