--- a/internal/partition/router.go
+++ b/internal/partition/router.go
@@ -172,6 +172,9 @@
 // Revision is another number after each change of Listed.
 func (r *Router) Revision() int { return r.rev }
 
+// Self is this courier's name.
+func (r *Router) Self() string { return r.o.Self }
+
 // Membership is the one that holds.
 func (r *Router) Membership() *Membership { return r.m }
 
