TestKeyStaysHere: a partition with messages does not expire

Cause: the test expired the partition of a message that is held, which the front's linger never does, and the router takes nothing for a partition whose list is gone any more (a pin to itself had outlived it). Change: the test says that the partition is used. It asks for the same: the key's messages stay.

--- a/internal/front/forward_test.go
+++ b/internal/front/forward_test.go
@@ -475,7 +475,7 @@
 	c.say(t, add("m1", "order", 3*time.Second))
 	f.until("it is being taken in", func() bool { return f.core.Counters.In == 2 })
 	router.Adopt(others, f.now.Sub(f.now))
-	router.Expire(time.Hour, func(int) bool { return false })
+	router.Expire(time.Hour, func(int) bool { return true }) // as long as it has messages
 	c.say(t, add("m2", "order", 3*time.Second)+debit("m3"))
 	f.goes("m3", 0).say(t, "-BUSY 3\r\n")
 	f.after(5 * time.Millisecond)
