A told wait stands once its answer is read, also while plug-ins are asked about it

Cause: an answer that tells a wait was kept from the module until the plug-ins with a read hook had said what they make of it, and then until the next tick; attempts went on to leave for that destination. Seen in TestHostilePlugins (InWait) on a busy machine: the courier had read the wait 203.6 ms after it was told, another attempt left at 271.9 ms, the module heard of the wait at 314.6.

Change: WaitTold tells the module of the wait before the plug-ins are asked; until it has handled that, nothing more leaves for the destination. A plug-in can still only lengthen the wait.

--- a/api.go
+++ b/api.go
@@ -250,6 +250,12 @@
 		Request RequestID
 		Attempt int
 	}
+	// WaitTold tells of a wait that an answer names before what becomes of its attempt is known:
+	// it stands at once.
+	WaitTold struct {
+		Endpoint EndpointID
+		Wait     time.Duration
+	}
 	// AttemptEnded is the one outcome of a Send.
 	AttemptEnded struct {
 		Request  RequestID
@@ -292,6 +298,7 @@
 func (Look) event()          {}
 func (Request) event()       {}
 func (StreamStarted) event() {}
+func (WaitTold) event()      {}
 func (AttemptEnded) event()  {}
 func (ProbeEnded) event()    {}
 func (Withdrawn) event()     {}
--- a/courier.go
+++ b/courier.go
@@ -513,8 +513,7 @@
 	}
 	c.report(b.ep.route, ev.Report)
 	if (ev.Outcome == Full || ev.Outcome == Error) && ev.Wait > 0 { // of a bundle, any one may tell it
-		b.ep.route.toldUntil = max(b.ep.route.toldUntil, c.now+ev.Wait+c.s.Tick)
-		b.ep.route.waitUntil = max(b.ep.route.waitUntil, b.ep.route.toldUntil)
+		b.ep.route.told(c.now + ev.Wait + c.s.Tick)
 	}
 	c.judge(b, r, ev)
 	c.closeCall(b)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -118,6 +118,7 @@
 	flows    map[snowjunction.RequestID]*flow
 	ids      map[name]*flow     // by front and the id handed in, until they are over
 	fresh    []*flow            // not answered yet
+	waitTold map[uint32]bool    // destinations that have told a wait since the module was asked last
 	asking   map[uint64][]*flow // by key: flows that wait as a plug-in is asked about an earlier one
 	held     int
 	asked    int // flows that wait for plug-ins, and are not held yet
@@ -184,7 +185,7 @@
 	c := &Core{
 		Config: cfg, book: dormancy.New(sleep), courier: courier, start: cfg.Loop.Now(),
 		flows: map[snowjunction.RequestID]*flow{}, ids: map[name]*flow{},
-		asking: map[uint64][]*flow{}, owing: map[uint64][]*flow{}, unknown: map[uint64]int{},
+		waitTold: map[uint32]bool{}, asking: map[uint64][]*flow{}, owing: map[uint64][]*flow{}, unknown: map[uint64]int{},
 		classes: map[string]int{}, tenants: map[string]int{},
 		routes: newRoutes(len(cfg.Fronts)), picker: learnt.NewPicker(),
 		ran: idempotency.New(idempotencyKeysMost), keys: map[idempotency.Key][]*flow{}, before: map[idempotency.Key]*store.Message{}, tallies: make([]tally, len(cfg.Settings.Classes)+1),
@@ -244,6 +245,7 @@
 	c.handled = c.Loop.Now()
 	events := c.timely(c.events)
 	c.events = nil
+	clear(c.waitTold)
 	for _, a := range c.courier.Handle(c.handled.Sub(c.start), events) {
 		c.do(a)
 	}
--- a/internal/core/plugins_test.go
+++ b/internal/core/plugins_test.go
@@ -167,6 +167,42 @@
 	assert.Equal(t, store.Delivered, b.ended[0].State)
 }
 
+// A wait that an answer tells stands from its reading on, not only once the plug-ins have said
+// what they make of the answer: neither an attempt whose connection comes up meanwhile goes, nor a
+// message that is handed in.
+func TestToldWaitWhileAnAnswerIsRead(t *testing.T) {
+	for name, asks := range map[string][]string{"plug-ins read": {"read m1"}, "none reads": nil} {
+		t.Run(name, func(t *testing.T) {
+			b, p := newPluginBench(t, asks...)
+			b.dialling = true
+			b.add("m1", "status", 0)
+			b.add("m2", "status", 0)
+			b.step(10 * ms)
+			require.Len(t, b.calls, 2)
+			require.True(t, b.calls[0].opened())
+			refused := Result{Outcome: snowjunction.Full, Wait: 500 * ms}
+			b.calls[0].done(refused)
+			assert.False(t, b.calls[1].opened(), "before the module is asked")
+			b.calls[1].done(Result{Outcome: snowjunction.Moot})
+			began := b.now
+			b.add("m3", "status", 0)
+			for range 6 {
+				b.step(10 * ms)
+			}
+			assert.Len(t, b.calls, 2, "a wait was told")
+			if read := p.reads["m1"]; read != nil {
+				read(refused)
+			}
+			for i := 0; i < 200 && len(b.calls) < 3; i++ {
+				b.step(5 * ms)
+			}
+			require.Greater(t, len(b.calls), 2, "they go after it")
+			assert.GreaterOrEqual(t, b.now.Sub(began), refused.Wait)
+			assert.True(t, b.calls[2].opened())
+		})
+	}
+}
+
 // A plug-in that never says anything of an answer: its budget ends that, not the
 // attempt's own time, which is over once the answer is there.
 func TestReadingOutlastsTheAttempt(t *testing.T) {
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -16,6 +16,9 @@
 		return
 	}
 	a.reading = true
+	if c.told(a, r) && c.Plugins != nil && c.Plugins.Reads(a.flow.msg) {
+		c.feed(snowjunction.WaitTold{Endpoint: a.endpoint, Wait: r.Wait}) // the plug-ins may take their time
+	}
 	var to Entry
 	if l := c.routes.byID[a.endpoint]; l != nil {
 		to = l.Entry
@@ -25,6 +28,16 @@
 	}
 }
 
+// told tells whether an answer names a wait. Until the module has heard of that, nothing more
+// leaves for its destination.
+func (c *Core) told(a *attempt, r Result) bool {
+	if r.Wait <= 0 || r.Outcome != snowjunction.Full && r.Outcome != snowjunction.Error {
+		return false
+	}
+	c.waitTold[a.flow.msg.Destination] = true
+	return true
+}
+
 // relay takes an attempt's result to the journal and the module.
 func (c *Core) relay(a *attempt, r Result) {
 	f := a.flow
@@ -58,6 +71,7 @@
 	if !ran && !f.msg.Ran {
 		c.ran.Never(f.idempotencyKey(), f.msg.ID)
 	}
+	c.told(a, r) // by a plug-in, it may be
 	c.evidence(a, r)
 	c.learn(snowjunction.DestinationID(f.msg.Destination))
 	ev := snowjunction.AttemptEnded{
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -96,7 +96,9 @@
 	})
 }
 
-func (c *Core) stands(f *flow) bool { return c.courier.Stands(c.since(), f.id) && c.inWindow(f) }
+func (c *Core) stands(f *flow) bool {
+	return !c.waitTold[f.msg.Destination] && c.courier.Stands(c.since(), f.id) && c.inWindow(f)
+}
 
 // goes tells whether an attempt's first byte may leave now, and records the attempt if so. An
 // attempt whose connection is coming up has no record: if the process ends, it has not run, and
--- a/state.go
+++ b/state.go
@@ -114,6 +114,10 @@
 			c.look(ev)
 		case Request:
 			c.take(ev)
+		case WaitTold:
+			if e := c.eps[ev.Endpoint]; e != nil {
+				e.route.told(c.now + ev.Wait + c.s.Tick)
+			}
 		case AttemptEnded:
 			c.ended(ev)
 		case ProbeEnded:
@@ -483,6 +487,12 @@
 }
 
 // shutUntil is when the next call may go, for all that it has told or shown.
+// told notes a wait that r has told.
+func (r *route) told(until time.Duration) {
+	r.toldUntil = max(r.toldUntil, until)
+	r.waitUntil = max(r.waitUntil, r.toldUntil)
+}
+
 func (r *route) shutUntil() time.Duration { return max(r.waitUntil, r.pauseUntil) }
 
 // evenShare is one courier's part of a route's limit.
