--- a/internal/plugin/check.go
+++ b/internal/plugin/check.go
@@ -38,7 +38,7 @@
 			}
 			answers, done = append(answers, a), true
 		}}
-		p.push(x, sampleWithin)
+		p.push(x, s.cfg.SampleWithin)
 		loop.RunUntil(func() bool { return done })
 	}
 	p.retire()
--- a/internal/plugin/host/host.go
+++ b/internal/plugin/host/host.go
@@ -39,6 +39,8 @@
 	Hook manifest.Hook   `json:"hook"`
 	Call json.RawMessage `json:"call"`
 
+	Within time.Duration `json:"within"` // it may take so long: mostly the plug-in's budget
+
 	// With Recall, Memory takes the place of what the plug-in remembers.
 	Recall bool              `json:"recall,omitempty"`
 	Memory map[string]string `json:"memory,omitempty"`
@@ -151,7 +153,7 @@
 		if c.Recall {
 			t.Memory = engine.NewMemory(c.Memory)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), m.Budget.Time())
+		ctx, cancel := context.WithTimeout(context.Background(), c.Within)
 		watch := watchHeap(uint64(m.Budget.MemoryMB)<<20 + heapOwn)
 		text, err := e.Call(ctx, c.Hook, c.Call)
 		watch.Stop()
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -37,7 +37,8 @@
 	// manifest says so too.
 	Bodies []uint32
 
-	StartWithin time.Duration // for a host to be ready; 0: a minute
+	StartWithin  time.Duration // for a host to be ready; 0: a minute
+	SampleWithin time.Duration // for a sample to be answered; 0: 5 s
 }
 
 // Set is the plug-ins that are loaded, in the order in which they are asked.
@@ -81,6 +82,7 @@
 	hook   manifest.Hook
 	text   json.RawMessage
 	ticket breaker.Ticket
+	within time.Duration
 	done   func(*reply) // nil: without an answer; called once
 	limit  *core.Timer
 	sent   bool
@@ -102,6 +104,9 @@
 	if cfg.StartWithin <= 0 {
 		cfg.StartWithin = startWithin
 	}
+	if cfg.SampleWithin <= 0 {
+		cfg.SampleWithin = sampleWithin
+	}
 	return &Set{cfg: cfg, begun: cfg.Loop.Now(), sees: map[manifest.Hook]bool{}}
 }
 
@@ -281,17 +286,22 @@
 	}
 	x := p.m.Samples[i]
 	p.push(&call{hook: x.Hook, text: x.Call, done: func(r *reply) {
-		switch why := Differs(x.Want, r.out()); {
+		why := Differs(x.Want, r.out())
+		if r == nil {
+			why += ": " + p.lastWhy
+		}
+		switch {
 		case p.onUp == nil:
 		case why != "":
 			p.onUp("sample " + x.Name + ": " + why)
 		default:
 			p.sample(i + 1)
 		}
-	}}, sampleWithin)
+	}}, p.set.cfg.SampleWithin)
 }
 
-// sampleWithin is generous: a sample shows what is said, not how fast.
+// sampleWithin is generous, and no matter of the plug-in's budget: a sample shows what is said, not
+// how fast.
 const sampleWithin = 5 * time.Second
 
 // Differs says how an answer is other than wanted; "": it is not.
@@ -372,7 +382,7 @@
 
 func (p *plug) push(c *call, within time.Duration) {
 	p.set.last++
-	c.id = p.set.last
+	c.id, c.within = p.set.last, within
 	p.counts.Calls++
 	c.limit = p.set.cfg.Loop.After(within, func() { p.late(c) })
 	p.queue = append(p.queue, c)
@@ -389,7 +399,7 @@
 		}
 		c.sent = true
 		p.out = c
-		x := host.Call{ID: c.id, Hook: c.hook, Call: c.text, Recall: p.recall}
+		x := host.Call{ID: c.id, Hook: c.hook, Call: c.text, Within: c.within, Recall: p.recall}
 		if p.recall {
 			x.Memory, p.recall = maps.Clone(p.memory.Values), false
 		}
