How long a plug-in's host may take to be ready is an operator's to say; a test waits for it

Cause: TestHostileModule's module, 3.3 MB of Go's, takes the host 2.3 s of processor time to compile, and with the race detector 16 to 22 s; the collector has no part in that (7 and 11 collections, the same time without any). A host has the lowest priority, so that with two cores shared by 20 busy processes it was not ready within the minute, which courier and host each had as a constant; the courier then did not start: 'its host is not ready within 1m0s'.

Change: start_s in the plug-ins' file, 60 if not set; the courier tells its host, which has no bound of its own any more.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -200,3 +200,15 @@
 		require.Equal(t, string(whole.Get("known").MarshalTo(nil)), string(list.MarshalTo(nil)))
 	})
 }
+
+// How long a plug-in's host may take is the operator's to say.
+func TestPluginsFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plugins.json")
+	require.NoError(t, os.WriteFile(path, []byte(`{"folder":"all","start_s":300,"bodies":[7]}`), 0o600))
+	p, err := LoadPlugins(path)
+	require.NoError(t, err)
+	assert.Equal(t, &Plugins{Folder: filepath.Join(filepath.Dir(path), "all"), Bodies: []uint32{7}, StartWithin: 5 * time.Minute}, p)
+	require.NoError(t, os.WriteFile(path, []byte(`{"start_s":0}`), 0o600))
+	_, err = LoadPlugins(path)
+	assert.ErrorContains(t, err, "start_s")
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -16,8 +16,11 @@
 		return
 	}
 	a.reading = true
-	if c.told(a, r) && c.Plugins != nil && c.Plugins.Reads(a.flow.msg) {
-		c.feed(snowjunction.WaitTold{Endpoint: a.endpoint, Wait: r.Wait}) // the plug-ins may take their time
+	if c.told(a, r) {
+		c.trace("told to wait", a.flow.msg)
+		if c.Plugins != nil && c.Plugins.Reads(a.flow.msg) {
+			c.feed(snowjunction.WaitTold{Endpoint: a.endpoint, Wait: r.Wait}) // the plug-ins may take their time
+		}
 	}
 	var to Entry
 	if l := c.routes.byID[a.endpoint]; l != nil {
@@ -101,6 +104,14 @@
 	return c.Loop.Now().After(f.msg.Deadline.Add(-handInSlack))
 }
 
+// trace tells at level debug of something that befalls a message. The order of such lines is that
+// in which it came about here, however late the partner sees of it.
+func (c *Core) trace(what string, m *store.Message) {
+	if c.Log.Enabled(context.Background(), slog.LevelDebug) {
+		c.Log.Debug(what, "id", m.ID, "dest", m.Destination)
+	}
+}
+
 // traceAttempt tells of one attempt at level debug: counted over a fleet, such lines
 // show what each courier's own counters cannot.
 func (c *Core) traceAttempt(a *attempt, ev *snowjunction.AttemptEnded) {
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -127,6 +127,7 @@
 		c.relayed++
 	}
 	a.left = c.Loop.Now()
+	c.trace("leaves", f.msg)
 	c.left(f, c.since(), f.class.Window)
 	return true
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,7 +119,10 @@
 		process: p, cfg: f.cfg, env: p.o.Env, idle: f.idle, dir: f.directory, fleet: f.fleet, door: f.plugins.Admin,
 		loop: core.NewLoop(time.Now), log: p.log,
 	}
-	if c.plugins = plugin.New(plugin.Config{Loop: c.loop, Log: c.log, Command: p.o.Host, Bodies: f.plugins.Bodies}); len(f.manifests) > 0 {
+	c.plugins = plugin.New(plugin.Config{
+		Loop: c.loop, Log: c.log, Command: p.o.Host, Bodies: f.plugins.Bodies, StartWithin: f.plugins.StartWithin,
+	})
+	if len(f.manifests) > 0 {
 		why, done := "", false
 		c.plugins.Replace(f.manifests, func(err string) { why, done = err, true })
 		if c.loop.RunUntil(func() bool { return done }); why != "" {
@@ -395,6 +398,7 @@
 	}
 	c.platform.Move(f.cfg.Discovery)
 	c.plugins.AllowBodies(f.plugins.Bodies)
+	c.plugins.AllowStart(f.plugins.StartWithin)
 	c.log.Info("configuration read again", "discovery", f.cfg.Discovery, "targets", len(f.push.Targets))
 	c.plugins.Replace(f.manifests, func(why string) {
 		if why != "" {
--- a/internal/plugin/engine/engine.go
+++ b/internal/plugin/engine/engine.go
@@ -35,13 +35,13 @@
 	Set(key, value string) bool // false: there is no room
 }
 
-// Open makes a plug-in's code ready.
-func Open(m *manifest.Manifest, h Host) (Engine, error) {
+// Open makes a plug-in's code ready, in a time that bounds a new begin of a module later, too.
+func Open(m *manifest.Manifest, h Host, within time.Duration) (Engine, error) {
 	switch m.Engine {
 	case "starlark":
 		return openStarlark(m, h)
 	case "wasm":
-		return openWasm(m, h)
+		return openWasm(m, h, within)
 	}
 	return nil, fmt.Errorf("no engine %q", m.Engine)
 }
@@ -49,9 +49,6 @@
 // answerMost bounds what a call may return.
 const answerMost = 256 << 10
 
-// openWithin bounds the time in which code is made ready.
-var openWithin = time.Minute
-
 // Memory is a plug-in's keys and values, bounded.
 type Memory struct {
 	Values  map[string]string
--- a/internal/plugin/engine/wasm.go
+++ b/internal/plugin/engine/wasm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/tetratelabs/wazero"
 	"github.com/tetratelabs/wazero/api"
@@ -20,15 +21,16 @@
 type module struct {
 	m       *manifest.Manifest
 	host    Host
+	within  time.Duration // for an instance to be made
 	runtime wazero.Runtime
 	code    wazero.CompiledModule
 	inst    api.Module // nil: to be made anew
 }
 
-func openWasm(m *manifest.Manifest, h Host) (Engine, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), openWithin)
+func openWasm(m *manifest.Manifest, h Host, within time.Duration) (Engine, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	w := &module{m: m, host: h}
+	w := &module{m: m, host: h, within: within}
 	w.runtime = wazero.NewRuntimeWithConfig(ctx, wazero.NewRuntimeConfig().
 		WithMemoryLimitPages(uint32(m.Budget.MemoryMB)*16).WithCloseOnContextDone(true))
 	fail := func(err error) (Engine, error) {
@@ -75,7 +77,7 @@
 func (w *module) Call(ctx context.Context, h manifest.Hook, call []byte) (out []byte, err error) {
 	if w.inst == nil {
 		// What it takes to begin anew is not the call's fault.
-		begin, cancel := context.WithTimeout(context.Background(), openWithin)
+		begin, cancel := context.WithTimeout(context.Background(), w.within)
 		err := w.start(begin)
 		cancel()
 		if err != nil {
--- a/internal/plugin/host/host.go
+++ b/internal/plugin/host/host.go
@@ -31,6 +31,7 @@
 	Manifest *manifest.Manifest `json:"manifest"`
 	Code     []byte             `json:"code"`
 	Memory   map[string]string  `json:"memory,omitempty"`
+	Within   time.Duration      `json:"within"` // it may take so long to be ready
 }
 
 // Call is a call's frame.
@@ -134,7 +135,7 @@
 	m.Text = hello.Code
 	confine(m.Budget.MemoryMB)
 	t := &talker{Memory: engine.NewMemory(hello.Memory)}
-	e, err := engine.Open(m, t)
+	e, err := engine.Open(m, t, hello.Within)
 	if err != nil {
 		return Write(out, Answer{Error: err.Error()})
 	}
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -7,6 +7,7 @@
 package plugin
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -101,13 +102,12 @@
 	if cfg.Breaker == (breaker.Config{}) {
 		cfg.Breaker = breaker.Default
 	}
-	if cfg.StartWithin <= 0 {
-		cfg.StartWithin = startWithin
-	}
 	if cfg.SampleWithin <= 0 {
 		cfg.SampleWithin = sampleWithin
 	}
-	return &Set{cfg: cfg, begun: cfg.Loop.Now(), sees: map[manifest.Hook]bool{}}
+	s := &Set{cfg: cfg, begun: cfg.Loop.Now(), sees: map[manifest.Hook]bool{}}
+	s.AllowStart(cfg.StartWithin)
+	return s
 }
 
 func (s *Set) now() time.Duration { return s.cfg.Loop.Now().Sub(s.begun) }
@@ -202,6 +202,9 @@
 // AllowBodies names the destinations to which plug-ins may send other bodies.
 func (s *Set) AllowBodies(destinations []uint32) { s.cfg.Bodies = destinations }
 
+// AllowStart says how long hosts may take to be ready from now on; 0: a minute.
+func (s *Set) AllowStart(within time.Duration) { s.cfg.StartWithin = cmp.Or(within, startWithin) }
+
 // Close ends all host processes.
 func (s *Set) Close() {
 	for _, p := range s.plugs {
@@ -224,7 +227,9 @@
 func (p *plug) start() {
 	p.ready = false
 	var self *process
-	self = startProcess(p.set.cfg.Command, p.m, maps.Clone(p.memory.Values), p.set.cfg.Loop.Post,
+	within := p.set.cfg.StartWithin
+	hello := host.Hello{Manifest: p.m, Code: p.m.Text, Memory: maps.Clone(p.memory.Values), Within: within}
+	self = startProcess(p.set.cfg.Command, hello, p.set.cfg.Loop.Post,
 		func(a host.Answer, err error) {
 			if err == nil && a.Error == "" {
 				p.up(self)
@@ -248,7 +253,6 @@
 		},
 		func() { p.gone(self) })
 	p.proc = self
-	within := p.set.cfg.StartWithin
 	p.set.cfg.Loop.After(within, func() {
 		if p.proc == self && !p.ready {
 			why := fmt.Sprintf("its host is not ready within %v", within)
--- a/internal/plugin/process.go
+++ b/internal/plugin/process.go
@@ -7,7 +7,6 @@
 	"sync"
 
 	"snowjunction/internal/plugin/host"
-	"snowjunction/internal/plugin/manifest"
 )
 
 // process is a host process with the goroutines that write to it and read from
@@ -26,11 +25,11 @@
 // answerMost bounds a host's frame.
 const answerMost = 1 << 20
 
-// startProcess starts a host for m. up is posted with an error or nil once the
+// startProcess starts a host for hello's plug-in. up is posted with an error or nil once the
 // plug-in is ready or cannot be made so; answer for each answer, read and guarded
 // as far as that can be done away from the loop; gone once, when the process has
 // ended.
-func startProcess(command []string, m *manifest.Manifest, memory map[string]string, post func(func()),
+func startProcess(command []string, hello host.Hello, post func(func()),
 	up func(a host.Answer, err error), answer func(*reply), gone func()) *process {
 	p := &process{calls: make(chan any, callsMost), quit: make(chan struct{})}
 	go func() {
@@ -59,7 +58,7 @@
 			_ = in.Close()
 		}()
 		go func() { // writes to it
-			if host.Write(in, host.Hello{Manifest: m, Code: m.Text, Memory: memory}) != nil {
+			if host.Write(in, hello) != nil {
 				return
 			}
 			for {
@@ -86,7 +85,7 @@
 				if host.Read(r, answerMost, &a) != nil {
 					break
 				}
-				x := newReply(a, m.Allowed())
+				x := newReply(a, hello.Manifest.Allowed())
 				post(func() { answer(x) })
 			}
 		}
--- a/internal/standin/farm.go
+++ b/internal/standin/farm.go
@@ -11,6 +11,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,13 +51,38 @@
 	drains map[string]time.Time // by address: since when
 	calls  map[string]int       // by address
 	opened map[string]net.Listener
+	taken  []Taken
+	keeps  bool     // every call that is taken
 	shaped []string // X-Kitchen and the query of the last call that had them
 }
 
 // host is a partner with the lock that its connections share.
 type host struct {
-	mu sync.Mutex
-	p  *partner.Partner
+	mu          sync.Mutex
+	p           *partner.Partner
+	destination uint32
+}
+
+// Taken is a call as a partner has taken it.
+type Taken struct {
+	Destination uint32
+	ID          string
+	At          time.Duration // of the farm
+	Wait        time.Duration // that its answer tells; 0: none
+}
+
+// Keep has the farm keep every call that its partners take from now on.
+func (f *Farm) Keep() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keeps = true
+}
+
+// Taken are the calls that were kept: those of a partner in the order in which it took them.
+func (f *Farm) Taken() []Taken {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.taken)
 }
 
 // NewFarm opens the partners' endpoints. An error names the first that cannot
@@ -75,7 +101,7 @@
 	}
 	var listeners []net.Listener
 	for _, s := range specs {
-		h := &host{p: partner.New(s.Profile, s.Seed)}
+		h := &host{p: partner.New(s.Profile, s.Seed), destination: s.Destination}
 		f.byDest[s.Destination] = h
 		for i := range s.Endpoints {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -292,7 +318,13 @@
 	c := f.call(id, body)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a = h.p.Begin(f.Now(), c)
+	now := f.Now()
+	a = h.p.Begin(now, c)
+	f.mu.Lock()
+	if f.keeps {
+		f.taken = append(f.taken, Taken{Destination: h.destination, ID: id, At: now, Wait: a.Wait})
+	}
+	f.mu.Unlock()
 	if drained {
 		h.p.Counts.Drained++
 	}
