--- a/internal/plugin/host/host.go
+++ b/internal/plugin/host/host.go
@@ -31,6 +31,7 @@
 	Manifest *manifest.Manifest `json:"manifest"`
 	Code     []byte             `json:"code"`
 	Memory   map[string]string  `json:"memory,omitempty"`
+	Within   time.Duration      `json:"within"` // it may take so long to be ready
 }
 
 // Call is a call's frame.
@@ -39,6 +40,8 @@
 	Hook manifest.Hook   `json:"hook"`
 	Call json.RawMessage `json:"call"`
 
+	Within time.Duration `json:"within"` // it may take so long: mostly the plug-in's budget
+
 	// With Recall, Memory takes the place of what the plug-in remembers.
 	Recall bool              `json:"recall,omitempty"`
 	Memory map[string]string `json:"memory,omitempty"`
@@ -132,7 +135,7 @@
 	m.Text = hello.Code
 	confine(m.Budget.MemoryMB)
 	t := &talker{Memory: engine.NewMemory(hello.Memory)}
-	e, err := engine.Open(m, t)
+	e, err := engine.Open(m, t, hello.Within)
 	if err != nil {
 		return Write(out, Answer{Error: err.Error()})
 	}
@@ -151,7 +154,7 @@
 		if c.Recall {
 			t.Memory = engine.NewMemory(c.Memory)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), m.Budget.Time())
+		ctx, cancel := context.WithTimeout(context.Background(), c.Within)
 		watch := watchHeap(uint64(m.Budget.MemoryMB)<<20 + heapOwn)
 		text, err := e.Call(ctx, c.Hook, c.Call)
 		watch.Stop()
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -7,6 +7,7 @@
 package plugin
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -37,7 +38,8 @@
 	// manifest says so too.
 	Bodies []uint32
 
-	StartWithin time.Duration // for a host to be ready; 0: a minute
+	StartWithin  time.Duration // for a host to be ready; 0: a minute
+	SampleWithin time.Duration // for a sample to be answered; 0: 5 s
 }
 
 // Set is the plug-ins that are loaded, in the order in which they are asked.
@@ -81,6 +83,7 @@
 	hook   manifest.Hook
 	text   json.RawMessage
 	ticket breaker.Ticket
+	within time.Duration
 	done   func(*reply) // nil: without an answer; called once
 	limit  *core.Timer
 	sent   bool
@@ -99,10 +102,12 @@
 	if cfg.Breaker == (breaker.Config{}) {
 		cfg.Breaker = breaker.Default
 	}
-	if cfg.StartWithin <= 0 {
-		cfg.StartWithin = startWithin
+	if cfg.SampleWithin <= 0 {
+		cfg.SampleWithin = sampleWithin
 	}
-	return &Set{cfg: cfg, begun: cfg.Loop.Now(), sees: map[manifest.Hook]bool{}}
+	s := &Set{cfg: cfg, begun: cfg.Loop.Now(), sees: map[manifest.Hook]bool{}}
+	s.AllowStart(cfg.StartWithin)
+	return s
 }
 
 func (s *Set) now() time.Duration { return s.cfg.Loop.Now().Sub(s.begun) }
@@ -197,6 +202,9 @@
 // AllowBodies names the destinations to which plug-ins may send other bodies.
 func (s *Set) AllowBodies(destinations []uint32) { s.cfg.Bodies = destinations }
 
+// AllowStart says how long hosts may take to be ready from now on; 0: a minute.
+func (s *Set) AllowStart(within time.Duration) { s.cfg.StartWithin = cmp.Or(within, startWithin) }
+
 // Close ends all host processes.
 func (s *Set) Close() {
 	for _, p := range s.plugs {
@@ -219,7 +227,9 @@
 func (p *plug) start() {
 	p.ready = false
 	var self *process
-	self = startProcess(p.set.cfg.Command, p.m, maps.Clone(p.memory.Values), p.set.cfg.Loop.Post,
+	within := p.set.cfg.StartWithin
+	hello := host.Hello{Manifest: p.m, Code: p.m.Text, Memory: maps.Clone(p.memory.Values), Within: within}
+	self = startProcess(p.set.cfg.Command, hello, p.set.cfg.Loop.Post,
 		func(a host.Answer, err error) {
 			if err == nil && a.Error == "" {
 				p.up(self)
@@ -243,7 +253,6 @@
 		},
 		func() { p.gone(self) })
 	p.proc = self
-	within := p.set.cfg.StartWithin
 	p.set.cfg.Loop.After(within, func() {
 		if p.proc == self && !p.ready {
 			why := fmt.Sprintf("its host is not ready within %v", within)
@@ -281,17 +290,22 @@
 	}
 	x := p.m.Samples[i]
 	p.push(&call{hook: x.Hook, text: x.Call, done: func(r *reply) {
-		switch why := Differs(x.Want, r.out()); {
+		why := Differs(x.Want, r.out())
+		if r == nil {
+			why += ": " + p.lastWhy
+		}
+		switch {
 		case p.onUp == nil:
 		case why != "":
 			p.onUp("sample " + x.Name + ": " + why)
 		default:
 			p.sample(i + 1)
 		}
-	}}, sampleWithin)
+	}}, p.set.cfg.SampleWithin)
 }
 
-// sampleWithin is generous: a sample shows what is said, not how fast.
+// sampleWithin is generous, and no matter of the plug-in's budget: a sample shows what is said, not
+// how fast.
 const sampleWithin = 5 * time.Second
 
 // Differs says how an answer is other than wanted; "": it is not.
@@ -372,7 +386,7 @@
 
 func (p *plug) push(c *call, within time.Duration) {
 	p.set.last++
-	c.id = p.set.last
+	c.id, c.within = p.set.last, within
 	p.counts.Calls++
 	c.limit = p.set.cfg.Loop.After(within, func() { p.late(c) })
 	p.queue = append(p.queue, c)
@@ -389,7 +403,7 @@
 		}
 		c.sent = true
 		p.out = c
-		x := host.Call{ID: c.id, Hook: c.hook, Call: c.text, Recall: p.recall}
+		x := host.Call{ID: c.id, Hook: c.hook, Call: c.text, Within: c.within, Recall: p.recall}
 		if p.recall {
 			x.Memory, p.recall = maps.Clone(p.memory.Values), false
 		}
