Scale runs: what partitions mean for a plan, a door of the directory, Unlisten

Need: measure scale is to play fleets that divide the destinations. Bounds of flags, memory and descriptors with partitions, and who may have which messages, are decided in internal/scale; the directory tells what one watcher is told at a start (Door); the engine can close one listener, as a hollow courier that is killed refuses connections. The rig writes a file of partitions.

--- a/internal/core/footprint.go
+++ b/internal/core/footprint.go
@@ -10,6 +10,7 @@
 type Footprint struct {
 	snowjunction.Footprint
 	ListBytes     int // the target groups
+	ListEntries   int // endpoints in them
 	SnapshotBytes int // of destinations that sleep
 }
 
@@ -26,6 +27,7 @@
 	f := Footprint{Footprint: c.courier.Footprint(), SnapshotBytes: c.book.Bytes()}
 	for _, t := range c.routes.tables {
 		f.ListBytes += t.Bytes()
+		f.ListEntries += t.Len()
 	}
 	return f
 }
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -12,6 +12,7 @@
 	stdnet "net"
 	"os"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -190,6 +191,17 @@
 	e.Disinherit()
 }
 
+// Unlisten closes the listener on an address. What it has accepted goes on.
+func (e *Engine) Unlisten(addr string) {
+	e.listeners = slices.DeleteFunc(e.listeners, func(l listener) bool {
+		if l.Addr().String() != addr {
+			return false
+		}
+		l.Close()
+		return true
+	})
+}
+
 type listener struct {
 	stdnet.Listener
 	kind  string
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -128,6 +128,32 @@
 	assert.Equal(t, 1, b.lines())
 }
 
+// An address that is no longer listened on refuses, and may be listened on again; what was
+// accepted there and what listens elsewhere goes on.
+func TestUnlisten(t *testing.T) {
+	b := newBench(t, 20)
+	server := &end{}
+	_, c, addr := b.pair(server)
+	other := &end{}
+	b.pair(other)
+	for range 2 {
+		b.engine.Unlisten(addr)
+		refused := &end{}
+		b.engine.Dial("test", addr, refused)
+		b.until(func() bool { return refused.code != "" })
+		assert.Equal(t, DialFailed, refused.code)
+		_, err := b.engine.Listen("test", addr, func(*Conn) Handler { return server }, never)
+		require.NoError(t, err)
+		again := &end{}
+		b.engine.Dial("test", addr, again)
+		b.until(func() bool { return again.opened })
+	}
+	_, err := c.Write([]byte("x"))
+	require.NoError(t, err)
+	b.until(func() bool { return server.data == "x" })
+	assert.Empty(t, other.code)
+}
+
 // Addresses other than 127.0.0.1 must be reached as they are.
 func TestDialsTheAddressItIsGiven(t *testing.T) {
 	b := newBench(t, 10)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -72,6 +72,8 @@
 	Plugins   map[string]any     // the plug-ins' file; nil: none
 
 	OperatorDirectory map[string]any // the directory's file; nil: its defaults
+	Partitions        map[string]any // the file of partitions; nil: off
+	Listen            string         // where clients reach it; "": a port that is free
 	Console           bool           // it has a second address
 
 	Peers  []string // the fleet's addresses for notes, by number; nil: no notes
@@ -98,6 +100,7 @@
 	ready  chan map[string]any
 
 	replaced chan map[string]any
+	parts    chan map[string]any
 	exited   chan error
 }
 
@@ -146,6 +149,12 @@
 	if cfg.OperatorDirectory == nil {
 		cfg.OperatorDirectory = map[string]any{}
 	}
+	if cfg.Partitions == nil {
+		cfg.Partitions = map[string]any{}
+	}
+	if cfg.Listen != "" {
+		whole["listen"] = cfg.Listen
+	}
 	if cfg.Peers != nil {
 		whole["peers"], whole["peer_listen"] = cfg.Peers, cfg.Peers[cfg.Number]
 	}
@@ -157,11 +166,12 @@
 	idle, err3 := write("idle.json", cfg.Idle)
 	plugins, err4 := write("plugins.json", cfg.Plugins)
 	directory, err5 := write("directory.json", cfg.OperatorDirectory)
-	if err := errors.Join(err, err2, err3, err4, err5); err != nil {
+	partitions, err6 := write("partitions.json", cfg.Partitions)
+	if err := errors.Join(err, err2, err3, err4, err5, err6); err != nil {
 		return nil, err
 	}
 	return launch(exe, append(os.Environ(), "GW_CONFIG="+config, "GW_STATE="+state, "SNOWJUNCTION_PUSH="+push, "SNOWJUNCTION_IDLE="+idle,
-		"SNOWJUNCTION_PLUGINS="+plugins, "SNOWJUNCTION_DIRECTORY="+directory), cfg.Console)
+		"SNOWJUNCTION_PLUGINS="+plugins, "SNOWJUNCTION_DIRECTORY="+directory, "SNOWJUNCTION_PARTITIONS="+partitions), cfg.Console)
 }
 
 // Beside starts a second process of the same courier, over the same folder.
@@ -170,7 +180,7 @@
 func launch(exe string, env []string, console bool) (*Courier, error) {
 	c := &Courier{
 		cmd: exec.Command(exe, "run", "--log-format=json"), counts: make(chan map[string]any, 16),
-		up: make(chan map[string]any, 1), ready: make(chan map[string]any, 1), replaced: make(chan map[string]any, 1), exited: make(chan error, 1),
+		up: make(chan map[string]any, 1), ready: make(chan map[string]any, 1), replaced: make(chan map[string]any, 1), parts: make(chan map[string]any, 1), exited: make(chan error, 1),
 		exe: exe, env: env, console: console, second: make(chan string, 1),
 	}
 	c.cmd.Env = env
@@ -234,6 +244,11 @@
 			case c.replaced <- line:
 			default:
 			}
+		case "partitions replaced", "partitions not replaced":
+			select {
+			case c.parts <- line:
+			default:
+			}
 		case "counters", "ended":
 			select {
 			case c.counts <- line:
@@ -309,6 +324,23 @@
 	}
 }
 
+// Hup sends SIGHUP and waits until it says of its members what is expected: that they have been
+// replaced, or not.
+func (c *Courier) Hup(said string) error {
+	if err := c.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		return err
+	}
+	select {
+	case line := <-c.parts:
+		if line["msg"] != said {
+			return fmt.Errorf("%v: %v", line["msg"], line["err"])
+		}
+		return nil
+	case <-time.After(startWithin):
+		return fmt.Errorf("it says nothing of its members\n%s", c.Tail())
+	}
+}
+
 // Resident is the resident memory of a process in bytes.
 func Resident(pid int) (int64, error) {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"snowjunction/internal/partition"
 )
 
 // Plan is a run.
@@ -30,6 +32,8 @@
 	Settle       float64 `default:"10" help:"Seconds of traffic before the measured ones."`
 	Seconds      float64 `default:"20" help:"Seconds that are measured."`
 	Seed         uint64  `default:"1" help:"Decides all that is drawn."`
+	Partitions   int     `default:"0" help:"Partitions of the destinations, which the couriers divide among themselves; 0: each has all."`
+	Copies       int     `default:"1" help:"Owners of each partition in each region."`
 }
 
 // Check names the first value that no run can have.
@@ -63,6 +67,12 @@
 		return fmt.Errorf("--cuts: %d is under 0", p.Cuts)
 	case !(p.Changes >= 0) || math.IsInf(p.Changes, 0):
 		return fmt.Errorf("--changes: %g is not a number from 0 on", p.Changes)
+	case p.Partitions < 0 || p.Partitions > partition.Most:
+		return fmt.Errorf("--partitions: %d is not between 0 and %d", p.Partitions, partition.Most)
+	case p.Copies < 1 || p.Copies > partition.CopiesMax:
+		return fmt.Errorf("--copies: %d is not between 1 and %d", p.Copies, partition.CopiesMax)
+	case p.Copies > 1 && p.Partitions == 0:
+		return fmt.Errorf("--copies: %d are of no use without --partitions", p.Copies)
 	case p.Cuts > 0 && p.Regions < 2:
 		return fmt.Errorf("--cuts: %d need two regions at least", p.Cuts)
 	case p.Regions > p.Couriers:
@@ -114,28 +124,29 @@
 	shareListening = 0.4   // of the descriptors
 )
 
-// Listening is how many destinations have endpoints that listen: those that real couriers
+// Listening is how many destinations have endpoints that listen, at most: those that real couriers
 // call. Hollow ones call all.
 func (p Plan) Listening(m Machine) int {
 	if p.Real == 0 {
 		return 0
 	}
 	most := min(ListeningMost, int(shareListening*float64(m.Files))/listenSockets)
-	return max(1, min(p.Destinations, most/p.Endpoints))
+	return max(1, min(p.Destinations, most/p.Endpoints, p.called()))
 }
 
 // Memory is about what a run takes in bytes, all its processes together.
 func (p Plan) Memory() float64 {
 	ends, n := float64(p.Destinations)*float64(p.Endpoints), float64(p.Couriers)
 	hollow := n - float64(p.Real)
-	return hollow*(bytesCourier+bytesEntry*ends) + float64(p.Real)*(bytesReal+2*bytesEntry*ends+bytesPeer*n) +
-		bytesListed*ends + bytesPartner*float64(p.Destinations)
+	own, parts := p.share()*ends, p.partsMemory()
+	return hollow*(bytesCourier+bytesEntry*own) + float64(p.Real)*(bytesReal+2*bytesEntry*own+bytesPeer*n) +
+		bytesListed*ends + bytesPartner*float64(p.Destinations) + parts
 }
 
 // Fits names the limit of the machine that a run would pass.
 func (p Plan) Fits(m Machine) error {
 	most := memoryShare * float64(m.Memory)
-	files := p.Couriers*filesCourier + p.Real*filesReal + p.Listening(m)*p.Endpoints*listenSockets + filesRest
+	files := p.Couriers*filesCourier + p.Real*filesReal + p.Listening(m)*p.Endpoints*listenSockets + filesRest + p.forwardFiles()
 	switch {
 	case p.Real+1 > ProcessesMost:
 		return fmt.Errorf("--real: %d processes are more than %d", p.Real+1, ProcessesMost)
@@ -212,17 +223,29 @@
 	rng  *rand.Rand
 	rate float64
 	most int
+	may  []int32 // the destinations; nil: the first ones, up to most
 }
 
 // Arrivals returns those of a courier, to the first destinations.
 func (p Plan) Arrivals(courier, destinations int) *Arrivals {
-	return &Arrivals{p.rng(1000 + uint64(courier)), p.Events / float64(p.Couriers), destinations}
+	return &Arrivals{p.rng(1000 + uint64(courier)), p.Events / float64(p.Couriers), destinations, nil}
+}
+
+// ArrivalsAt returns those of a courier, to these destinations.
+func (p Plan) ArrivalsAt(courier int, may []int32) *Arrivals {
+	a := p.Arrivals(courier, len(may))
+	a.may = may
+	return a
 }
 
 // Next draws after how long the next message comes, for which destination, from 0 on, and
 // whether it is of the class with idempotency keys: one in four is.
 func (a *Arrivals) Next() (after time.Duration, destination int, keyed bool) {
-	return span(a.rng.ExpFloat64() / a.rate), a.rng.IntN(a.most), a.rng.IntN(4) == 0
+	after, destination, keyed = span(a.rng.ExpFloat64()/a.rate), a.rng.IntN(a.most), a.rng.IntN(4) == 0
+	if a.may != nil {
+		destination = int(a.may[destination])
+	}
+	return after, destination, keyed
 }
 
 func (p Plan) rng(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(p.Seed, stream)) }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -14,7 +14,7 @@
 func plan(change func(p *Plan)) Plan {
 	p := Plan{
 		Couriers: 30, Real: 2, Destinations: 100, Endpoints: 2, Down: 0.01, Zones: 3, Regions: 3, CutSeconds: 2,
-		Changes: 30, Events: 60, Settle: 1, Seconds: 20, Seed: 7,
+		Changes: 30, Events: 60, Settle: 1, Seconds: 20, Seed: 7, Copies: 1,
 	}
 	if change != nil {
 		change(&p)
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -94,7 +94,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /discovery/hosts", d.hosts)
 	mux.HandleFunc("POST /v1/outcomes", d.outcomes)
-	d.server = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: 5 * time.Second}
+	d.server = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: 5 * time.Second, ConnContext: behind}
 	d.started.Go(func() { _ = d.server.Serve(d.traffic.listen(l)) })
 	return d, nil
 }
@@ -211,6 +211,7 @@
 		}
 	}
 	d.traffic.calls.Add(1)
+	asked(r, watching)
 	for late := false; ; {
 		d.mu.Lock()
 		grown, down, raw, current := d.grown, d.down, d.raw, d.generation
--- a/internal/standin/traffic.go
+++ b/internal/standin/traffic.go
@@ -1,7 +1,10 @@
 package standin
 
 import (
+	"context"
+	"fmt"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 	"unsafe"
@@ -81,3 +84,67 @@
 	defer d.mu.Unlock()
 	d.watched = f
 }
+
+// Door is another address of a directory, for one watcher whose traffic is to be told apart.
+type Door struct {
+	Addr    string
+	traffic traffic
+	start   atomic.Int64 // bytes out when the first watch came that was no first ask; -1: not yet
+}
+
+// Door opens one. It is closed with the directory.
+func (d *Directory) Door() (*Door, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("open a door of the directory: %w", err)
+	}
+	x := &Door{Addr: l.Addr().String()}
+	x.start.Store(-1)
+	d.started.Go(func() { _ = d.server.Serve(doorListener{x.traffic.listen(d.traffic.listen(l)), x}) })
+	return x, nil
+}
+
+// Started is how many bytes have gone through it at its watcher's start: until the watch that
+// follows the first answer, or up to now.
+func (x *Door) Started() int64 {
+	if n := x.start.Load(); n >= 0 {
+		return n
+	}
+	return x.traffic.out.Load()
+}
+
+type doorListener struct {
+	net.Listener
+	door *Door
+}
+
+type doorConn struct {
+	net.Conn
+	door *Door
+}
+
+// Accept waits for the next connection.
+func (l doorListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return doorConn{c, l.door}, nil
+}
+
+type doorKey struct{}
+
+// behind has a request tell through which door it has come.
+func behind(ctx context.Context, c net.Conn) context.Context {
+	if x, ok := c.(doorConn); ok {
+		return context.WithValue(ctx, doorKey{}, x.door)
+	}
+	return ctx
+}
+
+// asked notes an ask for the list at the door that it has come through, if any.
+func asked(r *http.Request, watching bool) {
+	if x, ok := r.Context().Value(doorKey{}).(*Door); ok && x.traffic.calls.Add(1) > 1 && watching {
+		x.start.CompareAndSwap(-1, x.traffic.out.Load())
+	}
+}
--- a/internal/standin/traffic_test.go
+++ b/internal/standin/traffic_test.go
@@ -52,3 +52,28 @@
 	d.Change(x)
 	assert.Contains(t, get(t, c, url), `"instanceId":"b"`, "an answer of another generation is made anew")
 }
+
+// What goes through a door counts there, and for the directory; its watcher's start ends with the
+// watch that follows the first answer.
+func TestDoor(t *testing.T) {
+	d, err := NewDirectory(List([]Endpoint{{"a", "127.0.0.1:1", 1, false}}))
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	for _, first := range []string{"", "?after=1&wait_ms=1"} { // one has kept nothing, the other a list
+		door, err := d.Door()
+		require.NoError(t, err)
+		c, url := client(t, false), "http://"+door.Addr+"/discovery/hosts"
+		assert.Zero(t, door.Started())
+		before := d.Traffic().Out
+		text := get(t, c, url+first)
+		started := door.Started()
+		assert.Greater(t, started, int64(len(text)))
+		assert.Equal(t, d.Traffic().Out-before, started)
+		get(t, c, "http://"+d.Addr()+"/discovery/hosts")
+		assert.Equal(t, started, door.Started(), "another's")
+		for range 3 {
+			get(t, c, url+"?after=1&wait_ms=1")
+			assert.Equal(t, started, door.Started(), "later ones are not its start's")
+		}
+	}
+}
