--- a/cmd/snowjunction/scale_test.go
+++ b/cmd/snowjunction/scale_test.go
@@ -27,6 +27,11 @@
 		"--agree --couriers=4 --real=1 --regions=2":         "--agree: real couriers are all in one region",
 		"--couriers=1 --real=1 --real=2":                    "--real: 2 is not between",
 		"--couriers=10 --regions=4 --real=10":               "the first region's 3 couriers",
+		"--partitions=-1":                                   "--partitions: -1 is not between 0 and 65536",
+		"--partitions=8 --copies=5":                         "--copies: 5 is not between 1 and 4",
+		"--copies=2":                                        "--copies: 2 are of no use without --partitions",
+		"--partitions=512 --destinations=999999999":         "memory",
+		"--partitions=65536":                                "--partitions: 65536 are too many for so few couriers",
 	} {
 		out, code := command(t, nil, append([]string{"measure", "scale"}, strings.Fields(args)...)...)
 		assert.Equal(t, exitUsage, code, args)
@@ -82,6 +87,37 @@
 	assert.Positive(t, f.Real.CPU)
 }
 
+// With partitions each courier is told, holds and calls its part alone, and what it does not own
+// it forwards; so also once couriers have been killed and are back.
+func TestScalePartitions(t *testing.T) {
+	var all, f measure.ScaleFigures
+	flags := []string{"--couriers=9", "--real=2", "--destinations=900", "--events=90", "--regions=3", "--zones=2", "--seconds=3", "--changes=120", "--down=0"}
+	played(t, &all, flags...)
+	assert.Nil(t, all.Real.Forwarding)
+	assert.Equal(t, 900.0, all.Real.ListEntries)
+	assert.Equal(t, 900.0, all.Hollow.ListEntries)
+	played(t, &f, append(flags, "--partitions=144", "--restarts=9")...)
+	assert.InDelta(t, 900*3, 2*f.Real.ListEntries+7*f.Hollow.ListEntries, 0.5, "each region has each once")
+	assert.Less(t, 2*f.Start.Bytes, all.Start.Bytes)
+	assert.InDelta(t, f.Start.Bytes/182_000, f.Start.Over, 1e-9)
+	for _, c := range []*measure.CourierFigures{f.Real, f.Hollow} {
+		assert.Less(t, 2*c.ListBytes, all.Hollow.ListBytes)
+		require.NotNil(t, c.Forwarding)
+		assert.Positive(t, c.Forwarding.Handed)
+		assert.Positive(t, c.Forwarding.Forwarded)
+		assert.Greater(t, c.Forwarding.Bytes, 50*c.Forwarding.Forwarded, "a command of each")
+		assert.Zero(t, c.Forwarding.Moved, "all see the same members")
+	}
+	assert.Positive(t, f.Delivered)
+	assert.Equal(t, 6, f.Force.Changes)
+	assert.Equal(t, 18, f.Force.Expect, "its owner's in each region")
+	assert.LessOrEqual(t, f.Force.Heard, int64(18))
+	assert.Equal(t, []int{7, 2}, []int{f.Start.Again, f.Start.AgainReal})
+	assert.Positive(t, f.Start.Restarted)
+	assert.Less(t, 2*f.Start.Restarted, all.Start.Bytes, "a part")
+	assert.Less(t, f.Start.Real, f.Start.Restarted, "changes alone")
+}
+
 // Five sizes are played, and each sum has its line.
 func TestScaleFit(t *testing.T) {
 	var f measure.Fitted
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -11,35 +11,36 @@
 // Counters count what the courier does. They are its alone: nothing in the
 // program depends on them.
 type Counters struct {
-	In        uint64 // well-formed messages handed in
-	Malformed uint64 // requests answered with an error
-	Taken     uint64 // taken on
-	Refused   uint64 // fixed responses
-	Hooked    uint64 // of these, by a plug-in
-	Crowded   uint64 // of the refused: too many destinations are awake or bind
-	Gone      uint64 // taken on, but the client had gone
-	Restored  uint64 // taken up from the journal at the start
-	Untried   uint64 // of these, without an attempt before
-	Tried     uint64 // of the untried, sent since
-	GivenUp   uint64 // of the untried, ended without being sent
-	Recalled  uint64 // destinations of which an earlier life has left something
-	Sent      uint64 // attempts that left
-	Unsent    uint64 // attempts that did not leave after all
-	Late      uint64 // successes after the message's end
-	Overdue   uint64 // successes after its time, which count as failed
-	Delivered uint64
-	Withdrawn uint64
-	Failed    uint64
-	Returned  uint64
-	Told      uint64 // notes to the fleet
-	Noted     uint64 // notes of other couriers
-	Unread    uint64 // those that could not be read
-	Forwarded uint64 // messages that another courier has answered
-	Moved     uint64 // messages of other couriers, of which no list is held here
-	Vain      uint64 // tries to forward a message that surely came to nothing
-	Unknown   uint64 // forwarded messages of which it is not known what became
-	Unrouted  uint64 // messages refused as no courier that may have them could be reached
-	Results   [snowjunction.Moot + 1]uint64
+	In             uint64 // well-formed messages handed in
+	Malformed      uint64 // requests answered with an error
+	Taken          uint64 // taken on
+	Refused        uint64 // fixed responses
+	Hooked         uint64 // of these, by a plug-in
+	Crowded        uint64 // of the refused: too many destinations are awake or bind
+	Gone           uint64 // taken on, but the client had gone
+	Restored       uint64 // taken up from the journal at the start
+	Untried        uint64 // of these, without an attempt before
+	Tried          uint64 // of the untried, sent since
+	GivenUp        uint64 // of the untried, ended without being sent
+	Recalled       uint64 // destinations of which an earlier life has left something
+	Sent           uint64 // attempts that left
+	Unsent         uint64 // attempts that did not leave after all
+	Late           uint64 // successes after the message's end
+	Overdue        uint64 // successes after its time, which count as failed
+	Delivered      uint64
+	Withdrawn      uint64
+	Failed         uint64
+	Returned       uint64
+	Told           uint64 // notes to the fleet
+	Noted          uint64 // notes of other couriers
+	Unread         uint64 // those that could not be read
+	Forwarded      uint64 // messages that another courier has answered
+	ForwardedBytes uint64 // of commands that have left for others
+	Moved          uint64 // messages of other couriers, of which no list is held here
+	Vain           uint64 // tries to forward a message that surely came to nothing
+	Unknown        uint64 // forwarded messages of which it is not known what became
+	Unrouted       uint64 // messages refused as no courier that may have them could be reached
+	Results        [snowjunction.Moot + 1]uint64
 
 	serial uint32
 }
@@ -62,7 +63,7 @@
 		slog.Uint64("withdrawn", n.Withdrawn), slog.Uint64("failed", n.Failed),
 		slog.Uint64("returned", n.Returned), slog.Uint64("told", n.Told), slog.Uint64("noted", n.Noted), slog.Uint64("unread", n.Unread),
 		slog.Uint64("overdue", n.Overdue),
-		slog.Uint64("forwarded", n.Forwarded), slog.Uint64("moved", n.Moved), slog.Uint64("in_vain", n.Vain),
+		slog.Uint64("forwarded", n.Forwarded), slog.Uint64("forwarded_bytes", n.ForwardedBytes), slog.Uint64("moved", n.Moved), slog.Uint64("in_vain", n.Vain),
 		slog.Uint64("unknown", n.Unknown), slog.Uint64("unrouted", n.Unrouted),
 		slog.Uint64("untried", n.Untried), slog.Uint64("tried", n.Tried), slog.Uint64("given_up", n.GivenUp),
 	}
--- a/internal/front/platform/forward.go
+++ b/internal/front/platform/forward.go
@@ -472,7 +472,10 @@
 		w.finish(render(core.Answer{Verdict: core.Failed}))
 		return true
 	}
-	h.sent = h.conn.Write(w.command(left))
+	text := w.command(left)
+	if h.sent = h.conn.Write(text); h.sent {
+		h.front.core.Counters.ForwardedBytes += uint64(len(text))
+	}
 	return h.sent
 }
 
--- a/internal/measure/hollow.go
+++ b/internal/measure/hollow.go
@@ -21,6 +21,7 @@
 	"snowjunction/internal/front/platform"
 	"snowjunction/internal/net"
 	"snowjunction/internal/notes"
+	"snowjunction/internal/partition"
 	"snowjunction/internal/scale"
 	"snowjunction/internal/standin"
 	"snowjunction/internal/store"
@@ -85,10 +86,12 @@
 	columns   []string
 	peers     *net.Peers
 	each      []string
-	parted    atomic.Int64 // the number of the region that is cut off, and one; 0: none is
-	cut       atomic.Int64 // datagrams that met a cut
-	told      atomic.Int64 // datagrams that hollow couriers have sent
-	greetings atomic.Int64 // of these, with nothing in them but that their sender is there
+	members   *partition.Membership // nil: no partitions
+	may       []int32               // with them: the destinations that have messages
+	parted    atomic.Int64          // the number of the region that is cut off, and one; 0: none is
+	cut       atomic.Int64          // datagrams that met a cut
+	told      atomic.Int64          // datagrams that hollow couriers have sent
+	greetings atomic.Int64          // of these, with nothing in them but that their sender is there
 }
 
 // cuts tells whether no note passes between two couriers now.
@@ -108,16 +111,18 @@
 // its shard's loop.
 type hollow struct {
 	*wires
-	shard    *shard
-	number   int
-	settings snowjunction.Settings
-	arrivals *scale.Arrivals
-	holds    func() // the list has come
+	shard     *shard
+	number    int
+	discovery string // its own address of the directory
+	settings  snowjunction.Settings
+	arrivals  *scale.Arrivals
+	holds     func() // the list has come
 
 	front  *platform.Front
 	core   *core.Core
 	socket *net.Datagrams
 	past   net.DatagramCounts // of its earlier lives
+	passed map[string]float64 // what its earlier lives have forwarded
 	unread uint64
 	serial int
 	life   int
@@ -132,7 +137,13 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &hollow{wires: w, shard: s, number: number, holds: holds, arrivals: w.plan.Arrivals(number, w.plan.Destinations)}
+	h := &hollow{
+		wires: w, shard: s, number: number, discovery: w.discovery, holds: holds,
+		arrivals: w.plan.Arrivals(number, w.plan.Destinations),
+	}
+	if w.may != nil {
+		h.arrivals = w.plan.ArrivalsAt(number, w.may)
+	}
 	h.settings, err = config.ParseSettings(courierSeed(w.plan, number), text)
 	h.settings.Notes = true
 	return h, err
@@ -152,7 +163,7 @@
 	}
 	h.front = platform.New(platform.Config{
 		Loop: h.shard.loop, Engine: h.shard.engine, Log: log, Discovery: h.discovery, Names: h.names,
-		Columns: h.columns, Settings: h.settings, Lists: h.lists,
+		Columns: h.columns, Settings: h.settings, Lists: h.lists, Listen: h.clients(h.number), Router: h.router(),
 	})
 	h.core, err = core.New(core.Config{
 		Loop: h.shard.loop, Log: log, Journal: &store.Memory{}, Settings: h.settings,
@@ -177,8 +188,10 @@
 func (h *hollow) end() {
 	h.life, h.alive = h.life+1, false
 	h.core.Freeze(func() {})
+	h.shard.engine.Unlisten(h.clients(h.number))
 	h.front.Close()
 	h.socket.Close()
+	h.passed = sumOf(h.passed, h.forwardedNow())
 	h.past = sum(h.past, h.socket.Counts())
 	h.unread += h.core.Counters.Unread
 }
@@ -214,7 +227,9 @@
 		if m.Keyed {
 			r.IdempotencyKey = m.ID
 		}
-		if h.front.Ready() {
+		if h.members != nil {
+			h.handIn(r)
+		} else if h.front.Ready() {
 			_ = h.core.TakeIn(r, func(core.Answer, *store.Message) bool { return true }) // it is well-formed
 		}
 		h.arrive(next)
--- a/internal/measure/scale.go
+++ b/internal/measure/scale.go
@@ -47,6 +47,7 @@
 	Carrier   *RoleFigures     `json:"carrier,omitempty"`
 	Keeper    *RoleFigures     `json:"keeper,omitempty"`
 	Directory DirectoryTraffic `json:"directory"`
+	Start     ToldFigures     `json:"start"`
 	Force     ForceFigures     `json:"in_force"`
 
 	Messages       float64 `json:"messages_per_s"`        // handed in
@@ -74,6 +75,32 @@
 	ReceivedBytes float64 `json:"bytes_received_per_s"`
 	Greetings     float64 `json:"greetings_sent_per_s"` // of the datagrams, that say nothing else; of hollow couriers
 	CPU           float64 `json:"cpu_share"`            // of a core; a hollow courier's is its loop's alone
+	ListBytes     float64 `json:"list_bytes"`           // of the list held, part of the state
+	ListEntries   float64 `json:"list_entries"`
+
+	Forwarding *ForwardFigures `json:"forwarding,omitempty"` // with partitions
+}
+
+// ForwardFigures are what one courier forwards to others and takes from them.
+type ForwardFigures struct {
+	Handed    float64 `json:"handed_per_s"`    // by its own clients
+	Forwarded float64 `json:"forwarded_per_s"` // of these, on to an owner
+	Share     float64 `json:"forwarded_share"`
+	Bytes     float64 `json:"forwarded_bytes_per_s"`
+	Moved     float64 `json:"moved_per_s"`    // forwarded to it, and it does not hold the list
+	NoOwner   float64 `json:"no_owner_per_s"` // refused BUSY, as no owner could be reached
+	Lost      float64 `json:"unknown_per_s"`  // closed without an answer, as the owner gave none
+	Open      float64 `json:"connections"`    // of forwarding, that it has dialled, at the end
+}
+
+// ToldFigures are what the directory tells one courier at a start.
+type ToldFigures struct {
+	Bytes     float64 `json:"bytes"`           // mean of all at the run's start
+	Over      float64 `json:"over_budget"`     // of what it may be told
+	Restarted float64 `json:"restarted_bytes"` // mean of the couriers that are restarted, of which real ones keep their folder
+	Again     int     `json:"restarted"`
+	Real      float64 `json:"restarted_real_bytes"`
+	AgainReal int     `json:"restarted_real"`
 }
 
 // RoleFigures are a hollow courier's in one role.
@@ -192,6 +219,7 @@
 	hollow map[int]*hollow
 	mu     sync.Mutex
 	real   map[int]*member
+	doors  map[int]*standin.Door // of couriers that have been restarted
 	force  force
 	handed atomic.Int64 // messages, to real couriers
 	ending chan struct{}
@@ -213,7 +241,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &fleet{exe: o.Exe, machine: m, hollow: map[int]*hollow{}, real: map[int]*member{}, ending: make(chan struct{})}
+	t := &fleet{exe: o.Exe, machine: m, hollow: map[int]*hollow{}, real: map[int]*member{}, doors: map[int]*standin.Door{}, ending: make(chan struct{})}
 	t.plan = p
 	defer t.close()
 	if t.dir, err = os.MkdirTemp("", "snowjunction-scale-"); err != nil {
@@ -228,6 +256,8 @@
 		return nil, err
 	}
 	f = &ScaleFigures{Machine: machine(), Plan: p, StartS: time.Since(begun).Seconds()}
+	f.Start.Bytes = float64(t.directory.Traffic().Out) / float64(p.Couriers)
+	f.Start.Over = f.Start.Bytes / scale.Budget
 	t.flow()
 	f.Directory.StartOut = float64(t.directory.Traffic().Out)
 	if !t.sleep(span(p.Settle)) {
@@ -261,17 +291,30 @@
 // open opens partners and directory, and gives the couriers their addresses.
 func (t *fleet) open() (err error) {
 	p := t.plan
+	if err := t.settle(); err != nil {
+		return err
+	}
 	for i := range p.Zones {
 		t.zones = append(t.zones, fmt.Sprintf("z%d", i))
 	}
-	listening := p.Listening(t.machine)
+	if t.members, err = members(p, t.each); err != nil {
+		return err
+	}
+	var owned []bool
+	if t.members != nil {
+		owned = p.Owned(t.members)
+	}
+	var listens []bool
+	if listens, t.may = p.Calls(t.machine, owned); t.members != nil && len(t.may) == 0 {
+		return fmt.Errorf("no destination can have messages")
+	}
 	specs := standin.Population{Partners: p.Destinations, Endpoints: p.Endpoints, First: 1, Seed: p.Seed}.Specs()
 	// Limits are drawn around what the traffic needs: 2 to 5 calls a second bear up to 1.3.
 	more := max(1, p.Events/float64(p.Destinations)/1.3)
 	for i := range specs {
 		specs[i].Profile.Limit *= more
 		specs[i].Profile.Capacity *= more
-		if i >= listening {
+		if !listens[i] {
 			specs[i].Endpoints = 0
 		}
 	}
@@ -284,7 +327,10 @@
 		})
 	}
 	ends := t.farm.Endpoints()
-	for d := listening; d < p.Destinations; d++ {
+	for d := range p.Destinations {
+		if listens[d] {
+			continue
+		}
 		for i := range p.Endpoints {
 			n := d*p.Endpoints + i
 			ends = append(ends, standin.Endpoint{
@@ -310,7 +356,7 @@
 	for i, z := range t.zones {
 		t.names.Zones[z] = i
 	}
-	return t.settle()
+	return nil
 }
 
 // settle gives each courier an address of its own on loopback, with one port.
@@ -363,5 +409,6 @@
 	if f.Hollow != nil {
 		fmt.Fprintf(out, "greetings of hollow couriers: %.2f of one a second; %.0f of all before that\n", f.Hollow.Greetings, f.StartGreetings)
 	}
+	f.printParts(out)
 	fmt.Fprintf(out, "the lists took %.0f bytes from the directory until all held one; this process's heap for each hollow courier: %.0f bytes\n", d.StartOut, f.HeapBytes)
 }
--- a/internal/measure/scalerun.go
+++ b/internal/measure/scalerun.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"snowjunction/internal/front/platform"
 	"snowjunction/internal/latency"
 	"snowjunction/internal/rig"
 	"snowjunction/internal/scale"
@@ -39,12 +40,13 @@
 }
 
 type told struct {
-	generation uint64
-	at         time.Time
+	generation  uint64
+	at          time.Time
+	destination uint32
 }
 
-// watched takes a watch, which says what is held.
-func (f *force) watched(from string, generation uint64) {
+// watched takes a watch, which says what is held of the destinations that it concerns.
+func (f *force) watched(from string, generation uint64, concerns func(destination uint32) bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -54,7 +56,7 @@
 		return
 	}
 	for _, c := range f.changes {
-		if c.generation > was && c.generation <= generation {
+		if c.generation > was && c.generation <= generation && concerns(c.destination) {
 			f.hist.Add(now.Sub(c.at))
 			f.heard++
 		}
@@ -68,7 +70,7 @@
 	x := &t.list[n]
 	x.Weight++
 	at := time.Now()
-	t.force.changes = append(t.force.changes, told{t.directory.Change(*x), at})
+	t.force.changes = append(t.force.changes, told{t.directory.Change(*x), at, x.Cell})
 }
 
 func (t *fleet) member(n int) map[string]any {
@@ -191,7 +193,7 @@
 		return err
 	}
 	c, err := rig.Start(t.exe, rig.Config{
-		Dir: m.dir, Discovery: t.discovery, Settings: t.member(n), MemoryMB: realMemoryMB, Sockets: realSockets,
+		Dir: m.dir, Discovery: t.door(n), Listen: t.clients(n), Partitions: t.partitions(), Settings: t.member(n), MemoryMB: realMemoryMB, Sockets: realSockets,
 		Peers: t.each, Number: n, Seed: courierSeed(t.plan, n),
 		Idle: map[string]any{"list_mb": t.lists.Bytes>>20 + 1, "list_entries": t.lists.Entries},
 	})
@@ -236,6 +238,9 @@
 // traffic hands a real courier its messages.
 func (t *fleet) traffic(m *member) {
 	a := t.plan.Arrivals(m.number, t.plan.Listening(t.machine))
+	if t.may != nil {
+		a = t.plan.ArrivalsAt(m.number, t.may)
+	}
 	at := time.Now()
 	for serial := 1; ; serial++ {
 		after, dest, keyed := a.Next()
@@ -256,13 +261,19 @@
 
 // restart kills a courier and starts it again. A hollow one has kept nothing.
 func (t *fleet) restart(n int) error {
+	if err := t.openDoor(n); err != nil {
+		return err
+	}
 	if h := t.hollow[n]; h != nil {
 		h.shard.on(h.end)
 		if !t.sleep(downFor) {
 			return nil
 		}
 		var err error
-		h.shard.on(func() { err = h.begin() })
+		h.shard.on(func() {
+			h.discovery = t.door(n)
+			err = h.begin()
+		})
 		return err
 	}
 	m := t.real[n]
@@ -273,6 +284,9 @@
 	for _, name := range datagramNames {
 		m.past[name] += rig.Number(line, "datagrams", name)
 	}
+	for name, v := range forwardedBy(line) {
+		m.past[name] += v
+	}
 	if d, err := m.c.CPU(); err == nil {
 		m.past["cpu"] += d.Seconds()
 	}
@@ -305,6 +319,7 @@
 	for _, s := range t.shards {
 		r.hollow["cpu"] += s.cpu().Seconds()
 		s.on(func() {
+			r.hollow["open"] += float64(s.engine.Kinds()[platform.ForwardKind])
 			for _, h := range t.hollow {
 				if h.shard == s {
 					r.add(h, collect)
@@ -325,6 +340,12 @@
 			return r, err
 		}
 		r.real["cpu"] += m.past["cpu"] + cpu.Seconds()
+		for name, v := range forwardedBy(line) {
+			r.real[name] += m.past[name] + v
+		}
+		r.real["open"] += rig.Number(line, "kinds", platform.ForwardKind)
+		r.real["entries"] += rig.Number(line, "idle", "listed")
+		r.real["list"] += rig.Number(line, "idle", "table_bytes")
 		r.unread += rig.Number(line, "n", "unread")
 		r.realState += rig.Number(line, "state", "carried_bytes") + rig.Number(line, "state", "account_bytes")
 		r.realHeap += rig.Number(line, "heap")
@@ -332,7 +353,8 @@
 			r.realRSS += float64(rss)
 		}
 	}
-	r.handed += float64(t.handed.Load())
+	r.real["handed"] = float64(t.handed.Load())
+	r.handed += r.real["handed"]
 	r.cut, r.greetings, r.dir = float64(t.cut.Load()), float64(t.greetings.Load()), t.directory.Traffic()
 	t.farm.Each(func(_ uint32, p *partner.Partner) { r.partners.Add(p.Counts) })
 	return r, nil
@@ -354,8 +376,14 @@
 	}
 	r.asks, r.grants = r.asks.plus(h.asks, 1), r.grants.plus(h.grants, 1)
 	r.handed += float64(h.serial)
+	r.hollow["handed"] += float64(h.serial)
+	for name, v := range h.forwarded() {
+		r.hollow[name] += v
+	}
 	if footprint {
 		f := h.core.Footprint()
+		r.hollow["list"] += float64(f.ListBytes)
+		r.hollow["entries"] += float64(f.ListEntries)
 		r.state += float64(f.Carried())
 		r.accounts += float64(f.Accounts)
 		r.accountBytes += float64(f.AccountBytes)
@@ -421,6 +449,7 @@
 	figures := func(n int, a, b map[string]float64) *CourierFigures {
 		each := func(name string) float64 { return rate(a[name], b[name]) / float64(n) }
 		return &CourierFigures{
+			ListBytes: b["list"] / float64(n), ListEntries: b["entries"] / float64(n), Forwarding: t.forwarding(n, each, b["open"]),
 			Couriers: n, Sent: each("sent"), SentBytes: each("sent_bytes"), Received: each("received"),
 			ReceivedBytes: each("received_bytes"), CPU: each("cpu"),
 		}
@@ -466,10 +495,11 @@
 	}
 	f.Delivered = rate(float64(from.partners.Delivered), float64(to.partners.Delivered))
 	f.Refused = rate(float64(from.partners.Refused), float64(to.partners.Refused))
+	t.restarted(&f.Start)
 	t.force.mu.Lock()
 	defer t.force.mu.Unlock()
 	h := t.force.hist
-	f.Force = ForceFigures{Changes: len(t.force.changes), Expect: len(t.force.changes) * t.plan.Couriers, Heard: t.force.heard}
+	f.Force = ForceFigures{Changes: len(t.force.changes), Expect: t.concerned(), Heard: t.force.heard}
 	if t.force.heard > 0 {
 		f.Force.MeanMs, f.Force.P90Ms, f.Force.P99Ms, f.Force.LastMs = h.Mean(), h.Ms(90), h.Ms(99), h.Max()
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -100,7 +100,7 @@
 	ready  chan map[string]any
 
 	replaced chan map[string]any
-	parts    chan map[string]any
+	again    chan map[string]any
 	exited   chan error
 }
 
@@ -180,7 +180,7 @@
 func launch(exe string, env []string, console bool) (*Courier, error) {
 	c := &Courier{
 		cmd: exec.Command(exe, "run", "--log-format=json"), counts: make(chan map[string]any, 16),
-		up: make(chan map[string]any, 1), ready: make(chan map[string]any, 1), replaced: make(chan map[string]any, 1), parts: make(chan map[string]any, 1), exited: make(chan error, 1),
+		up: make(chan map[string]any, 1), ready: make(chan map[string]any, 1), replaced: make(chan map[string]any, 1), again: make(chan map[string]any, 1), exited: make(chan error, 1),
 		exe: exe, env: env, console: console, second: make(chan string, 1),
 	}
 	c.cmd.Env = env
@@ -244,9 +244,9 @@
 			case c.replaced <- line:
 			default:
 			}
-		case "partitions replaced", "partitions not replaced":
+		case "configuration read again", "configuration not read again":
 			select {
-			case c.parts <- line:
+			case c.again <- line:
 			default:
 			}
 		case "counters", "ended":
@@ -324,20 +324,20 @@
 	}
 }
 
-// Hup sends SIGHUP and waits until it says of its members what is expected: that they have been
-// replaced, or not.
-func (c *Courier) Hup(said string) error {
+// Hup sends SIGHUP and waits until the files have been read again. An error says why none of them
+// changes anything.
+func (c *Courier) Hup() error {
 	if err := c.cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		return err
 	}
 	select {
-	case line := <-c.parts:
-		if line["msg"] != said {
+	case line := <-c.again:
+		if line["msg"] != "configuration read again" {
 			return fmt.Errorf("%v: %v", line["msg"], line["err"])
 		}
 		return nil
 	case <-time.After(startWithin):
-		return fmt.Errorf("it says nothing of its members\n%s", c.Tail())
+		return fmt.Errorf("the files are not read again\n%s", c.Tail())
 	}
 }
 
--- a/internal/scale/partitions.go
+++ b/internal/scale/partitions.go
@@ -27,6 +27,16 @@
 	keptFor      = 6 // seconds that a connection of forwarding is kept for, at most
 )
 
+// OwnMost is how many partitions a courier may own on average: the product refuses 1,024, and
+// chance gives some couriers more than others.
+const OwnMost = 800
+
+// owns is how many partitions a courier of the smallest region owns, on average.
+func (p Plan) owns() float64 {
+	n := p.inRegion(p.Regions - 1)
+	return float64(p.Partitions) * float64(min(p.Copies, n)) / float64(n)
+}
+
 // MemberName is a courier's name.
 func MemberName(courier int) string { return fmt.Sprintf("n%d", courier) }
 
--- a/internal/scale/partitions_test.go
+++ b/internal/scale/partitions_test.go
@@ -25,6 +25,7 @@
 	for flag, change := range map[string]func(p *Plan){
 		"--partitions: -1":    func(p *Plan) { p.Partitions = -1 },
 		"--partitions: 65537": func(p *Plan) { p.Partitions = 65537 },
+		"--partitions: 8192":  func(p *Plan) { p.Partitions, p.Regions = 8192, 10 }, // three in each
 		"--copies: 0":         func(p *Plan) { p.Copies = 0 },
 		"--copies: 5":         func(p *Plan) { p.Partitions, p.Copies = 16, 5 },
 		"--copies: 2 ":        func(p *Plan) { p.Copies = 2 },
@@ -44,7 +45,7 @@
 			p.Regions = rapid.IntRange(1, 4).Draw(t, "regions")
 			p.Couriers = rapid.IntRange(4, 60).Draw(t, "couriers")
 			p.Real = rapid.IntRange(0, p.Couriers/p.Regions).Draw(t, "real")
-			p.Partitions = rapid.IntRange(0, 300).Draw(t, "partitions")
+			p.Partitions = rapid.IntRange(0, 800).Draw(t, "partitions")
 			p.Destinations = rapid.IntRange(1, 6000).Draw(t, "destinations")
 			if p.Partitions > 0 {
 				p.Copies = rapid.IntRange(1, 4).Draw(t, "copies")
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -79,6 +79,8 @@
 		return fmt.Errorf("--regions: %d are more than the %d couriers", p.Regions, p.Couriers)
 	case p.Real > p.inRegion(0):
 		return fmt.Errorf("--real: %d are more than the first region's %d couriers", p.Real, p.inRegion(0))
+	case p.owns() > OwnMost:
+		return fmt.Errorf("--partitions: %d are too many for so few couriers: one would own about %.0f, over %d", p.Partitions, p.owns(), OwnMost)
 	case float64(p.Cuts)*p.CutSeconds > p.Seconds:
 		return fmt.Errorf("--cuts: %d of %g s do not fit into %g s", p.Cuts, p.CutSeconds, p.Seconds)
 	}
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -58,7 +58,7 @@
 	notices    map[string][]Notice
 	told       int
 	started    sync.WaitGroup
-	watched    func(from string, generation uint64)
+	watched    func(from string, generation uint64, concerns func(destination uint32) bool)
 	texts      map[textKey][]byte // answers at textsAt
 	textsAt    uint64
 	textsSize  int // bytes of those that are not the whole list
@@ -250,7 +250,7 @@
 		watched := d.watched
 		d.mu.Unlock()
 		if watched != nil {
-			watched(r.RemoteAddr, after)
+			watched(r.RemoteAddr, after, of.concerns)
 		}
 	}
 	d.traffic.calls.Add(1)
--- a/internal/standin/partitions.go
+++ b/internal/standin/partitions.go
@@ -57,6 +57,15 @@
 	return p, nil
 }
 
+// concerns tells whether a destination is of the partitions.
+func (p parts) concerns(destination uint32) bool {
+	if p.partitions == 0 {
+		return true
+	}
+	_, found := slices.BinarySearch(p.of, partition.Of(destination, p.partitions))
+	return found
+}
+
 // index finds what is listed and what has changed by partition, without a walk of the list.
 type index struct {
 	partitions int
--- a/internal/standin/traffic.go
+++ b/internal/standin/traffic.go
@@ -77,9 +77,9 @@
 	return t
 }
 
-// Watched has f told of each watch: which address it comes from, and which generation is
-// held there. It may be called by many goroutines at once.
-func (d *Directory) Watched(f func(from string, generation uint64)) {
+// Watched has f told of each watch: which address it comes from, which generation is held there,
+// and which destinations it is about. It may be called by many goroutines at once.
+func (d *Directory) Watched(f func(from string, generation uint64, concerns func(destination uint32) bool)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.watched = f
--- a/internal/standin/traffic_test.go
+++ b/internal/standin/traffic_test.go
@@ -1,11 +1,13 @@
 package standin
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"snowjunction/internal/partition"
 	"snowjunction/internal/standin/partner"
 )
 
@@ -37,7 +39,11 @@
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
 	held := make(chan uint64, 4)
-	d.Watched(func(_ string, generation uint64) { held <- generation })
+	concerned := make(chan []bool, 4)
+	d.Watched(func(_ string, generation uint64, concerns func(uint32) bool) {
+		held <- generation
+		concerned <- []bool{concerns(1), concerns(2)}
+	})
 	c, url := client(t, false), "http://"+d.Addr()+"/discovery/hosts"
 	first, second := get(t, c, url), get(t, c, url)
 	assert.Equal(t, first, second, "made once")
@@ -48,6 +54,10 @@
 	assert.Greater(t, n.Bytes, len(first)-4)
 	get(t, c, url+"?after=1&wait_ms=1")
 	assert.EqualValues(t, 1, <-held)
+	assert.Equal(t, []bool{true, true}, <-concerned)
+	get(t, c, fmt.Sprintf("%s?after=1&wait_ms=1&partitions=1000&of=%d", url, partition.Of(2, 1000)))
+	assert.EqualValues(t, 1, <-held)
+	assert.Equal(t, []bool{false, true}, <-concerned, "it reads the other's partition")
 	x := List([]Endpoint{{"b", "127.0.0.1:2", 2, false}})[0]
 	d.Change(x)
 	assert.Contains(t, get(t, c, url), `"instanceId":"b"`, "an answer of another generation is made anew")
