--- a/internal/measure/scale.go
+++ b/internal/measure/scale.go
@@ -47,7 +47,7 @@
 	Carrier   *RoleFigures     `json:"carrier,omitempty"`
 	Keeper    *RoleFigures     `json:"keeper,omitempty"`
 	Directory DirectoryTraffic `json:"directory"`
-	Start     ToldFigures     `json:"start"`
+	Start     ToldFigures      `json:"start"`
 	Force     ForceFigures     `json:"in_force"`
 
 	Messages       float64 `json:"messages_per_s"`        // handed in
--- a/internal/measure/scaleparts.go
+++ b/internal/measure/scaleparts.go
@@ -11,7 +11,6 @@
 	"snowjunction/internal/partition"
 	"snowjunction/internal/rig"
 	"snowjunction/internal/scale"
-	"snowjunction/internal/standin"
 )
 
 // linger is for how long a courier serves on what it no longer owns; in a run it is the same
