measure scale: a real courier reaches the directory at one address all the while

Cause: a list kept on disk counts for the address that told it, and a restarted courier's new door had it ask for the whole list: 126,839 bytes.

--- a/internal/measure/scale.go
+++ b/internal/measure/scale.go
@@ -219,7 +219,8 @@
 	hollow map[int]*hollow
 	mu     sync.Mutex
 	real   map[int]*member
-	doors  map[int]*standin.Door // of couriers that have been restarted
+	doors  map[int]*standin.Door // of real couriers, and of those that have been restarted
+	again  map[int]bool          // couriers that have been restarted
 	force  force
 	handed atomic.Int64 // messages, to real couriers
 	ending chan struct{}
@@ -241,7 +242,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &fleet{exe: o.Exe, machine: m, hollow: map[int]*hollow{}, real: map[int]*member{}, doors: map[int]*standin.Door{}, ending: make(chan struct{})}
+	t := &fleet{exe: o.Exe, machine: m, hollow: map[int]*hollow{}, real: map[int]*member{}, doors: map[int]*standin.Door{}, again: map[int]bool{}, ending: make(chan struct{})}
 	t.plan = p
 	defer t.close()
 	if t.dir, err = os.MkdirTemp("", "snowjunction-scale-"); err != nil {
--- a/internal/measure/scaleparts.go
+++ b/internal/measure/scaleparts.go
@@ -87,26 +87,33 @@
 	return out
 }
 
-// door is the address at which a courier reaches the directory: one of its own once it has been
+// door is the address at which a courier reaches the directory: a real one's is its own all the
+// while, as a list that another address has told would not be kept, a hollow one's once it has been
 // restarted.
-func (t *fleet) door(n int) string {
+func (t *fleet) door(n int) (string, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if d := t.doors[n]; d != nil {
-		return d.Addr
+	d := t.doors[n]
+	if d == nil && (t.again[n] || t.plan.IsReal(n)) {
+		var err error
+		if d, err = t.directory.Door(); err != nil {
+			return "", err
+		}
+		t.doors[n] = d
+	}
+	if d == nil {
+		return t.discovery, nil
 	}
-	return t.discovery
+	return d.Addr, nil
 }
 
-func (t *fleet) openDoor(n int) error {
-	d, err := t.directory.Door()
-	if err != nil {
-		return err
-	}
+// starts notes that a courier, which has been killed, will start again.
+func (t *fleet) starts(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.doors[n] = d
-	return nil
+	if t.again[n] = true; t.doors[n] != nil {
+		t.doors[n].Again()
+	}
 }
 
 // restarted fills in what restarted couriers have been told.
@@ -114,7 +121,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	hollow, real := 0.0, 0.0
-	for n, d := range t.doors {
+	for n := range t.again {
+		d := t.doors[n]
+		if d == nil {
+			continue
+		}
 		if t.plan.IsReal(n) {
 			real += float64(d.Started())
 			f.AgainReal++
--- a/internal/measure/scalerun.go
+++ b/internal/measure/scalerun.go
@@ -192,8 +192,12 @@
 	if err := os.MkdirAll(m.dir, 0o700); err != nil {
 		return err
 	}
+	discovery, err := t.door(n)
+	if err != nil {
+		return err
+	}
 	c, err := rig.Start(t.exe, rig.Config{
-		Dir: m.dir, Discovery: t.door(n), Listen: t.clients(n), Partitions: t.partitions(), Settings: t.member(n), MemoryMB: realMemoryMB, Sockets: realSockets,
+		Dir: m.dir, Discovery: discovery, Listen: t.clients(n), Partitions: t.partitions(), Settings: t.member(n), MemoryMB: realMemoryMB, Sockets: realSockets,
 		Peers: t.each, Number: n, Seed: courierSeed(t.plan, n),
 		Idle: map[string]any{"list_mb": t.lists.Bytes>>20 + 1, "list_entries": t.lists.Entries},
 	})
@@ -261,18 +265,17 @@
 
 // restart kills a courier and starts it again. A hollow one has kept nothing.
 func (t *fleet) restart(n int) error {
-	if err := t.openDoor(n); err != nil {
-		return err
-	}
 	if h := t.hollow[n]; h != nil {
 		h.shard.on(h.end)
+		t.starts(n)
 		if !t.sleep(downFor) {
 			return nil
 		}
 		var err error
 		h.shard.on(func() {
-			h.discovery = t.door(n)
-			err = h.begin()
+			if h.discovery, err = t.door(n); err == nil {
+				err = h.begin()
+			}
 		})
 		return err
 	}
@@ -291,6 +294,7 @@
 		m.past["cpu"] += d.Seconds()
 	}
 	m.c.Kill()
+	t.starts(n)
 	if !t.sleep(downFor) {
 		return nil
 	}
--- a/internal/scale/partitions.go
+++ b/internal/scale/partitions.go
@@ -145,7 +145,7 @@
 
 func (p Plan) forwardFiles() int {
 	if p.Partitions == 0 {
-		return 0
+		return p.Restarts
 	}
 	return p.Couriers*filesClients + int(p.Forwards())*filesForward + p.Restarts
 }
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -119,7 +119,7 @@
 	bytesPartner   = 1_500   // of a destination in the stand-in
 	bytesReal      = 24_000_000
 	filesCourier   = 3 // a socket for notes, both ends of a watch
-	filesReal      = 8
+	filesReal      = 9
 	filesRest      = 256
 	ListeningMost  = 4_000 // endpoints that really listen
 	listenSockets  = 2     // of one that listens: it and a connection
--- a/internal/standin/traffic.go
+++ b/internal/standin/traffic.go
@@ -89,6 +89,7 @@
 type Door struct {
 	Addr    string
 	traffic traffic
+	before  atomic.Int64 // bytes out before its watcher's start
 	start   atomic.Int64 // bytes out when the first watch came that was no first ask; -1: not yet
 }
 
@@ -104,13 +105,21 @@
 	return x, nil
 }
 
-// Started is how many bytes have gone through it at its watcher's start: until the watch that
+// Again tells that its watcher, which is not there, will start again.
+func (x *Door) Again() {
+	x.traffic.calls.Store(0)
+	x.start.Store(-1)
+	x.before.Store(x.traffic.out.Load())
+}
+
+// Started is how many bytes have gone through it at its watcher's last start: until the watch that
 // follows the first answer, or up to now.
 func (x *Door) Started() int64 {
-	if n := x.start.Load(); n >= 0 {
-		return n
+	n := x.start.Load()
+	if n < 0 {
+		n = x.traffic.out.Load()
 	}
-	return x.traffic.out.Load()
+	return n - x.before.Load()
 }
 
 type doorListener struct {
--- a/internal/standin/traffic_test.go
+++ b/internal/standin/traffic_test.go
@@ -85,5 +85,12 @@
 			get(t, c, url+"?after=1&wait_ms=1")
 			assert.Equal(t, started, door.Started(), "later ones are not its start's")
 		}
+		door.Again()
+		assert.Zero(t, door.Started())
+		get(t, c, url+"?after=1&wait_ms=1")
+		again := door.Started()
+		assert.Positive(t, again)
+		get(t, c, url)
+		assert.Greater(t, door.Started(), again, "no watch has followed yet")
 	}
 }
