--- a/internal/measure/scalefit.go
+++ b/internal/measure/scalefit.go
@@ -51,6 +51,16 @@
 	{"directory: calls /s", func(f *ScaleFigures) (float64, bool) { return f.Directory.Calls, true }},
 	{"directory: B out /s", func(f *ScaleFigures) (float64, bool) { return f.Directory.Out, true }},
 	{"directory: B out at the start", func(f *ScaleFigures) (float64, bool) { return f.Directory.StartOut, true }},
+	{"courier: list told at the start, B", func(f *ScaleFigures) (float64, bool) { return f.Start.Bytes, true }},
+	{"hollow courier: list held, B", func(f *ScaleFigures) (float64, bool) {
+		return one(f.Hollow, func(c *CourierFigures) float64 { return c.ListBytes })
+	}},
+	{"hollow courier: forwarded, B /s", func(f *ScaleFigures) (float64, bool) {
+		if f.Hollow == nil || f.Hollow.Forwarding == nil {
+			return 0, false
+		}
+		return f.Hollow.Forwarding.Bytes, true
+	}},
 	{"last change in force, ms", func(f *ScaleFigures) (float64, bool) { return f.Force.LastMs, f.Force.Heard > 0 }},
 }
 
@@ -181,6 +191,13 @@
 		scale.Compare("directory: B out /s", a.Directory.Out, b.Directory.Out),
 		scale.Compare("directory: B in /s", a.Directory.In, b.Directory.In),
 	}
+	if o.Partitions > 0 {
+		x.Agreements = append(x.Agreements,
+			scale.Compare("forwarded /s", a.Real.Forwarding.Forwarded, b.Hollow.Forwarding.Forwarded),
+			scale.Compare("B forwarded /s", a.Real.Forwarding.Bytes, b.Hollow.Forwarding.Bytes),
+			scale.Compare("list told at the start, B", a.Start.Bytes, b.Start.Bytes),
+			scale.Compare("list held, B", a.Real.ListBytes, b.Hollow.ListBytes))
+	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "hollow against real\treal\thollow\toff")
 	for _, c := range x.Agreements {
