--- a/internal/front/platform/partitions.go
+++ b/internal/front/platform/partitions.go
@@ -287,11 +287,3 @@
 	}
 	return f.Router.Membership().Partitions(), without(f.Router.Listed(), f.Router.Wanted())
 }
-
-// Divided is how things stand with the partitions; false: destinations are not divided.
-func (f *Front) Divided() (partition.Figures, bool) {
-	if f.Router == nil {
-		return partition.Figures{}, false
-	}
-	return f.Router.Figures(f.since()), true
-}
