--- a/cmd/snowjunction/partition_fleet_test.go
+++ b/cmd/snowjunction/partition_fleet_test.go
@@ -350,18 +350,50 @@
 	}
 }
 
-// With two copies the other owner takes over at once, and what the first had taken it still
-// delivers itself.
-func TestPartitionsOtherOwner(t *testing.T) {
-	s := newParted(t, 3, 3, 2)
-	dest := 0
+// others is a destination that the last of three couriers does not own, and its owners.
+func (s *parted) others() (dest int, owners []int) {
 	for d := 1; d <= partsDest; d++ {
 		if o := s.owners(d, 3); !slices.Contains(o, 2) {
-			dest = d
+			return d, o
 		}
 	}
-	require.NotZero(t, dest, "a destination that n2 does not own")
-	owners := s.owners(dest, 3)
+	require.FailNow(s.t, "n2 owns all")
+	return 0, nil
+}
+
+// What has left for an owner that gives no answer has no answer: it is neither refused nor handed
+// to the other owner, which would deliver it a second time. Later ones the other owner takes.
+func TestPartitionsOwnerSilent(t *testing.T) {
+	s := newParted(t, 3, 3, 2)
+	dest, owners := s.others()
+	require.Equal(t, load.Taken, s.add(2, dest, "before", "status"))
+	s.until("it comes", func() bool { return len(s.by("before")) > 0 })
+	assert.Equal(t, owners[:1], s.by("before"))
+	first := s.couriers[owners[0]]
+	require.NoError(t, first.Pause())
+	assert.Equal(t, load.Unheard, s.add(2, dest, "silent", "status"))
+	assert.Empty(t, s.by("silent"))
+	id := ""
+	for n := 0; id == "" || s.heard[id] == load.Unheard; n++ { // it is passed over, for a while each time
+		require.Less(t, n, 50, "the other owner never takes over")
+		id = fmt.Sprint("other-", n)
+		s.add(2, dest, id, "status")
+	}
+	s.until(id, func() bool { return len(s.by(id)) > 0 })
+	assert.Equal(t, owners[1:], s.by(id))
+	require.NoError(t, first.Resume())
+	s.until("the first is back", func() bool {
+		s.add(2, dest, fmt.Sprint("after-", time.Now().UnixNano()), "status")
+		return s.calls(owners[0]) > 1
+	})
+	s.ended()
+}
+
+// With two copies the other owner takes over at once, and what the first had taken it still
+// delivers itself.
+func TestPartitionsOtherOwner(t *testing.T) {
+	s := newParted(t, 3, 3, 2)
+	dest, owners := s.others()
 	s.mu.Lock()
 	s.slow = 20 * time.Millisecond
 	s.mu.Unlock()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -341,6 +341,34 @@
 	}
 }
 
+// Pause stops it in its tracks, and returns once none of its threads runs. Resume has it go on.
+func (c *Courier) Pause() error {
+	if err := c.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for limit := time.Now().Add(startWithin); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		if c.stopped() {
+			return nil
+		}
+	}
+	return errors.New("it does not stop")
+}
+
+func (c *Courier) stopped() bool {
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", c.cmd.Process.Pid))
+	for _, path := range tasks {
+		b, _ := os.ReadFile(path)
+		_, state, _ := strings.Cut(string(b), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(tasks) > 0
+}
+
+// Resume has it go on.
+func (c *Courier) Resume() error { return c.cmd.Process.Signal(syscall.SIGCONT) }
+
 // Resident is the resident memory of a process in bytes.
 func Resident(pid int) (int64, error) {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
