--- a/cmd/snowjunction/scale_test.go
+++ b/cmd/snowjunction/scale_test.go
@@ -27,6 +27,11 @@
 		"--agree --couriers=4 --real=1 --regions=2":         "--agree: real couriers are all in one region",
 		"--couriers=1 --real=1 --real=2":                    "--real: 2 is not between",
 		"--couriers=10 --regions=4 --real=10":               "the first region's 3 couriers",
+		"--partitions=-1":                                   "--partitions: -1 is not between 0 and 65536",
+		"--partitions=8 --copies=5":                         "--copies: 5 is not between 1 and 4",
+		"--copies=2":                                        "--copies: 2 are of no use without --partitions",
+		"--partitions=512 --destinations=999999999":         "memory",
+		"--partitions=65536":                                "--partitions: 65536 are too many for so few couriers",
 	} {
 		out, code := command(t, nil, append([]string{"measure", "scale"}, strings.Fields(args)...)...)
 		assert.Equal(t, exitUsage, code, args)
@@ -68,6 +73,9 @@
 	assert.Positive(t, f.Directory.Out)
 	assert.Zero(t, f.Dropped)
 	assert.Zero(t, f.Cut)
+	assert.Equal(t, []float64{24, 24}, []float64{f.Real.ListEntries, f.Hollow.ListEntries}, "each has all")
+	assert.Greater(t, f.Start.Bytes, 24*100.0)
+	assert.Nil(t, f.Real.Forwarding)
 }
 
 // What the flags name happens: couriers restart and are back, and a cut stops notes.
@@ -82,6 +90,40 @@
 	assert.Positive(t, f.Real.CPU)
 }
 
+// With partitions each courier is told, holds and calls its part alone, and what it does not own
+// it forwards.
+func TestScalePartitions(t *testing.T) {
+	var f measure.ScaleFigures
+	played(t, &f, "--partitions=144", "--couriers=9", "--real=2", "--destinations=900", "--events=90", "--regions=3", "--zones=2",
+		"--seconds=2", "--changes=180", "--down=0")
+	assert.InDelta(t, 3*900, 2*f.Real.ListEntries+7*f.Hollow.ListEntries, 0.5, "each region has each once")
+	assert.InDelta(t, 160, f.Start.Bytes/300, 60, "bytes of an entry of a third of the list")
+	assert.InDelta(t, f.Start.Bytes/182_000, f.Start.Over, 1e-9)
+	for _, c := range []*measure.CourierFigures{f.Real, f.Hollow} {
+		require.NotNil(t, c.Forwarding)
+		assert.Positive(t, c.Forwarding.Handed)
+		assert.Positive(t, c.Forwarding.Forwarded)
+		assert.Greater(t, c.Forwarding.Bytes, 50*c.Forwarding.Forwarded, "a command of each")
+		assert.Zero(t, c.Forwarding.Moved, "all see the same members")
+	}
+	assert.Positive(t, f.Delivered)
+	assert.Equal(t, 6, f.Force.Changes)
+	assert.Equal(t, 18, f.Force.Expect, "its owner's in each region")
+	assert.LessOrEqual(t, f.Force.Heard, int64(18))
+}
+
+// Killed and back, a hollow courier is told its part again, a real one what has changed.
+func TestScalePartitionsRestarts(t *testing.T) {
+	var f measure.ScaleFigures
+	played(t, &f, "--partitions=72", "--couriers=4", "--real=2", "--destinations=900", "--events=40", "--copies=2", "--restarts=4",
+		"--seconds=2", "--changes=0", "--down=0")
+	assert.Equal(t, []int{2, 2}, []int{f.Start.Again, f.Start.AgainReal})
+	assert.Positive(t, f.Start.Restarted)
+	assert.Less(t, f.Start.Restarted, 2*f.Start.Bytes)
+	assert.Less(t, 2*f.Start.Real, f.Start.Bytes)
+	assert.Positive(t, f.Delivered)
+}
+
 // Five sizes are played, and each sum has its line.
 func TestScaleFit(t *testing.T) {
 	var f measure.Fitted
--- a/internal/partition/router_test.go
+++ b/internal/partition/router_test.go
@@ -344,3 +344,22 @@
 	assert.NotContains(t, r.down, "n3")
 	assert.Contains(t, r.down, "n4")
 }
+
+// Something lingers from an Adopt until Expire has looked behind it.
+func TestLingers(t *testing.T) {
+	both, err := New(8, 1, fleet(2, 1, 1))
+	require.NoError(t, err)
+	other, err := both.With(fleet(2, 1, 1)[1:])
+	require.NoError(t, err)
+	r := NewRouter(Options{Self: "n0", Linger: time.Second}, both, 0)
+	assert.False(t, r.Lingers())
+	r.Held(r.Listed())
+	r.Adopt(other, 0)
+	assert.True(t, r.Lingers())
+	r.Expire(time.Second, func(int) bool { return true })
+	assert.True(t, r.Lingers(), "it is used")
+	r.Expire(time.Second, func(int) bool { return false })
+	assert.False(t, r.Lingers())
+	r.Adopt(both, time.Second)
+	assert.True(t, r.Lingers(), "the membership before still counts")
+}
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -58,7 +58,7 @@
 	notices    map[string][]Notice
 	told       int
 	started    sync.WaitGroup
-	watched    func(from string, generation uint64)
+	watched    func(from string, generation uint64, concerns func(destination uint32) bool)
 	texts      map[textKey][]byte // answers at textsAt
 	textsAt    uint64
 	textsSize  int // bytes of those that are not the whole list
@@ -104,7 +104,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /discovery/hosts", d.hosts)
 	mux.HandleFunc("POST /v1/outcomes", d.outcomes)
-	d.server = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: 5 * time.Second}
+	d.server = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: 5 * time.Second, ConnContext: behind}
 	d.started.Go(func() { _ = d.server.Serve(d.traffic.listen(l)) })
 	return d, nil
 }
@@ -250,10 +250,11 @@
 		watched := d.watched
 		d.mu.Unlock()
 		if watched != nil {
-			watched(r.RemoteAddr, after)
+			watched(r.RemoteAddr, after, of.concerns)
 		}
 	}
 	d.traffic.calls.Add(1)
+	asked(r, watching)
 	for late := false; ; {
 		d.mu.Lock()
 		grown, down, raw := d.grown, d.down, d.raw
