--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -250,7 +250,7 @@
 		watched := d.watched
 		d.mu.Unlock()
 		if watched != nil {
-			watched(r.RemoteAddr, after, of.concerns)
+			watched(from(r), after, of.concerns)
 		}
 	}
 	d.traffic.calls.Add(1)
--- a/internal/standin/traffic.go
+++ b/internal/standin/traffic.go
@@ -77,7 +77,7 @@
 	return t
 }
 
-// Watched has f told of each watch: which address it comes from, which generation is held there,
+// Watched has f told of each watch: which connection it comes from, which generation is held there,
 // and which destinations it is about. It may be called by many goroutines at once.
 func (d *Directory) Watched(f func(from string, generation uint64, concerns func(destination uint32) bool)) {
 	d.mu.Lock()
@@ -157,3 +157,13 @@
 		x.start.CompareAndSwap(-1, x.traffic.out.Load())
 	}
 }
+
+// from names the connection of a request: by its other side alone it could be mistaken for one
+// through another door.
+func from(r *http.Request) string {
+	at, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if at == nil {
+		return r.RemoteAddr
+	}
+	return r.RemoteAddr + " " + at.String()
+}
--- a/internal/standin/traffic_test.go
+++ b/internal/standin/traffic_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -63,6 +65,30 @@
 	assert.Contains(t, get(t, c, url), `"instanceId":"b"`, "an answer of another generation is made anew")
 }
 
+// Watches from one address through two doors are of two connections.
+func TestDoorsApart(t *testing.T) {
+	d, err := NewDirectory(nil)
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	seen := make(chan string, 2)
+	d.Watched(func(from string, _ uint64, _ func(uint32) bool) { seen <- from })
+	door, err := d.Door()
+	require.NoError(t, err)
+	reuse := func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) })
+	}
+	local := net.Addr(&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	for _, addr := range []string{d.Addr(), door.Addr} {
+		conn, err := (&net.Dialer{LocalAddr: local, Control: reuse}).Dial("tcp", addr)
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		local = conn.LocalAddr()
+		_, err = conn.Write([]byte("GET /discovery/hosts?after=1&wait_ms=1 HTTP/1.1\r\nHost: d\r\n\r\n"))
+		require.NoError(t, err)
+	}
+	assert.NotEqual(t, <-seen, <-seen)
+}
+
 // What goes through a door counts there, and for the directory; its watcher's start ends with the
 // watch that follows the first answer.
 func TestDoor(t *testing.T) {
