The demo judges told waits by the courier's order, and tells overdue from doubled

(a) The stand-in partner counts a call as sent in a told wait once it comes 100 ms of wall time after the wait was told, whenever the courier read that and whenever the call left. (b) A message whose 200 is heard at the end of its time, or is given by the partner after it, is told as failed by rule (TestDeliveredTooLate), and delivered in the partner's book: the account called that doubled. (c) The rig ended a courier that takes over 20 s to start, the demo a settling over 25 s, the client an answer over 5 s: limits for what hangs.

Farm.Overdue tells what was rightly told as failed though delivered: one end only, told when its time was over, and the partner's answer, or its hearing, only after that; Ends.Overdue counts them, the demo prints a column. All else with two ends stays doubled. The limits are 90 s, as scenario.Limit.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -27,9 +28,9 @@
 	Out      io.Writer
 }
 
-// settleWithin is how long the last messages may take to end: an order lives
-// for 20 s.
-const settleWithin = 25 * time.Second
+// settleWithin is how long the last messages may take to end, and the courier to read the last
+// answers: an order lives for 20 s, and a busy machine takes its time.
+const settleWithin = 90 * time.Second
 
 // role is a partner with its part in the demonstration.
 type role struct {
@@ -103,8 +104,10 @@
 	}
 	defer kitchen.Close()
 	farm, directory := kitchen.Farm, kitchen.Directory
+	farm.Keep()
 	courier, err := rig.Start(o.Exe, rig.Config{
 		Dir: dir, Discovery: directory.Addr(), Settings: rig.Large(32, 400, 100), MemoryMB: 64, Sockets: 512, Push: kitchen.Push,
+		Traced: true,
 	})
 	if err != nil {
 		return err
@@ -123,10 +126,38 @@
 	drained := time.AfterFunc(o.Over/2, func() { kitchen.Drain("p9-0") })
 	defer drained.Stop()
 	client := load.New(courier.Addr, courier.Push)
+	client.Within = settleWithin // what is unheard is so for good
 	defer client.Close()
 	handIn(client, o, len(roles))
 	kitchen.Settle(client, settleWithin)
-	return report(o.Out, roles, farm, client, kitchen.Delivered, directory.Notices())
+	waits, err := brokenWaits(farm, courier.Traces, settleWithin)
+	if err != nil {
+		return err
+	}
+	traces, err := courier.Traces()
+	if err != nil {
+		return err
+	}
+	client.Overdue = farm.Overdue(traces)
+	return report(o.Out, roles, farm, client, kitchen.Delivered, directory.Notices(), waits)
+}
+
+// brokenWaits is what the courier has broken of the waits that it was told, by the order of what it
+// read and sent: how late either side sees of the other depends on the machine. An answer to an
+// attempt whose message has its end already may be on its way still.
+func brokenWaits(farm *standin.Farm, traces func() ([]standin.Trace, error), within time.Duration) ([]standin.BrokenWait, error) {
+	for limit := time.Now().Add(within); ; time.Sleep(200 * time.Millisecond) {
+		taken := farm.Taken()
+		read, err := traces()
+		if err != nil {
+			return nil, err
+		}
+		broken := standin.BrokenWaits(taken, read)
+		unread := slices.ContainsFunc(broken, func(b standin.BrokenWait) bool { return b.Unread })
+		if !unread || time.Now().After(limit) {
+			return broken, nil
+		}
+	}
 }
 
 // handIn plays the clients: half of the messages carry keys, each key's one
@@ -168,13 +199,13 @@
 	}
 }
 
-func report(out io.Writer, roles []role, farm *standin.Farm, client *load.Client, delivered func(uint32, string) bool, notices map[string][]standin.Notice) error {
+func report(out io.Writer, roles []role, farm *standin.Farm, client *load.Client, delivered func(uint32, string) bool, notices map[string][]standin.Notice, waits []standin.BrokenWait) error {
 	w := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "partner\thanded in\ttaken\trefused\tfailed\tunheard\tdelivered\treturned\tgiven up\topen\tdoubled\tcalls\tlate\tcopies\tout of order\tin a wait\tfell\tdrained")
+	fmt.Fprintln(w, "partner\thanded in\ttaken\trefused\tfailed\tunheard\tdelivered\treturned\tgiven up\topen\tdoubled\toverdue\tcalls\tlate\tcopies\tout of order\tin a wait\tfell\tdrained")
 	var sum load.Ends
 	row := func(name string, e load.Ends, n partner.Counts) {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", name, e.Handed, e.Taken, e.Refused,
-			e.Failed, e.Unheard, e.Delivered, e.Returned, e.Given, e.Open, e.Doubled, n.Calls, n.Late, n.Copies, n.OutOfOrder, n.InWait, n.Fell, n.Drained)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", name, e.Handed, e.Taken, e.Refused,
+			e.Failed, e.Unheard, e.Delivered, e.Returned, e.Given, e.Open, e.Doubled, e.Overdue, n.Calls, n.Late, n.Copies, n.OutOfOrder, n.InWait, n.Fell, n.Drained)
 	}
 	var all partner.Counts
 	for _, r := range roles {
@@ -183,6 +214,12 @@
 		if err := farm.With(r.spec.Destination, func(p *partner.Partner) { n = p.Counts }); err != nil {
 			return err
 		}
+		n.InWait = 0 // by the partner's clock: it counts what was on its way for long, too
+		for _, x := range waits {
+			if x.Destination == r.spec.Destination {
+				n.InWait++
+			}
+		}
 		row(r.name, e, n)
 		sum.Add(e)
 		all.Add(n)
@@ -191,6 +228,9 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	for _, x := range waits {
+		fmt.Fprintln(out, x)
+	}
 	switch {
 	case sum.Open+sum.Doubled+sum.Unheard > 0:
 		return fmt.Errorf("%d messages have no end, %d more than one, %d no answer", sum.Open, sum.Doubled, sum.Unheard)
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -32,6 +32,14 @@
 	assert.Equal(t, Ends{
 		Handed: 10, Taken: 7, Refused: 1, Failed: 1, Unheard: 1, Delivered: 1, Returned: 1, Given: 2, Open: 1, Doubled: 2,
 	}, e)
+	c.Overdue = func(_ uint32, id string) bool { return id != "none" }
+	all := func(uint32, string) bool { return true }
+	e = c.Account(all, map[string][]standin.Notice{"both": notice("both", "failed")}, nil)
+	assert.Equal(t, [4]int{6, 1, 0, 1}, [4]int{e.Delivered, e.Given, e.Doubled, e.Overdue})
+	e = c.Account(all, map[string][]standin.Notice{"returned": notice("returned", "returned"), "torn": notice("torn", "failed", "returned")}, nil)
+	assert.Equal(t, [4]int{5, 0, 2, 0}, [4]int{e.Delivered, e.Given, e.Doubled, e.Overdue})
+	c.Overdue = func(uint32, string) bool { return false }
+	assert.Equal(t, 1, c.Account(all, map[string][]standin.Notice{"both": notice("both", "failed")}, nil).Doubled)
 	assert.Equal(t, 1, c.Account(func(uint32, string) bool { return true }, nil, func(m Message) bool { return m.ID == "lost" }).Delivered)
 }
 
--- a/internal/standin/partner/partner_test.go
+++ b/internal/standin/partner/partner_test.go
@@ -135,6 +135,11 @@
 	p.End(2*time.Second, a, true)
 	assert.Equal(t, [2]int{1, 1}, [2]int{p.Counts.Delivered, p.Counts.Late})
 	assert.True(t, p.Seen("a"))
+	assert.True(t, p.Late("a"))
+	p.Begin(2*time.Second, Call{ID: "b", Due: 3 * time.Second})
+	p.End(3*time.Second, Call{ID: "b", Due: 3 * time.Second}, true)
+	assert.True(t, p.Seen("b"))
+	assert.False(t, p.Late("b"))
 }
 
 // Back from an outage it stands what is allowed and, where its profile says so, what is put
--- /dev/null
+++ b/internal/standin/waits_test.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction/internal/standin/partner"
+)
+
+// The check itself: a call that left before the wait was read may come at any time, one that left
+// after it may not, nor the refused message again; a wait that nobody reads is told of.
+func TestBrokenWaits(t *testing.T) {
+	line := func(what, id, more string) string {
+		return "time=x level=DEBUG msg=" + what + " courier=n0 id=" + id + " dest=5" + more + "\n"
+	}
+	taken := []Taken{
+		{Destination: 5, ID: "a", At: 1, Wait: time.Hour}, {Destination: 5, ID: "b", At: time.Minute}, {Destination: 6, ID: "c", At: time.Minute},
+	}
+	log := func(b string, more ...string) []Trace {
+		return Traces(line("leaves", "a", "") + strings.Replace(b, "X", line(`"told to wait"`, "a", ""), 1) + line("leaves", "c", "") + strings.Join(more, ""))
+	}
+	b := line("leaves", "b", "")
+	assert.Empty(t, BrokenWaits(taken, log(b+"X")))
+	assert.Equal(t, []BrokenWait{{5, "b at 1m0s, call 1, in a wait until 1h0m0.000000001s", false}}, BrokenWaits(taken, log("X"+b)))
+	assert.Len(t, BrokenWaits(append(taken, Taken{Destination: 5, ID: "a", At: time.Minute}), log(b+"X", line("leaves", "a", ""))), 1, "again")
+	assert.Empty(t, BrokenWaits(append(taken, Taken{Destination: 5, ID: "a", At: 2 * time.Hour}), log(b+"X", line("leaves", "a", ""))))
+	assert.Equal(t, []BrokenWait{{5, "the wait told to a at 1ns is not read", true}}, BrokenWaits(taken, log(b)))
+	assert.Empty(t, BrokenWaits(taken, log(b, line("attempt", "a", " class=status outcome=timed_out took_ms=1"))), "given up")
+	assert.Len(t, BrokenWaits(taken, log(b, line("attempt", "a", " class=status outcome=full took_ms=1"))), 1)
+}
+
+// Each form of line is read for what it is, in its order; other lines are none.
+func TestTraces(t *testing.T) {
+	assert.Equal(t, []Trace{{TraceLeaves, "a", "", 0}, {TraceTold, "a", "", 0}, {TraceAttempt, "a", "full", 0}, {TraceEnd, "a", "failed", -4 * time.Millisecond}}, Traces(
+		"time=x level=DEBUG msg=leaves courier=n0 id=a dest=5\n"+
+			"time=x level=INFO msg=ready courier=n0 id=a dest=5\n"+
+			"time=x level=DEBUG msg=\"told to wait\" courier=n0 id=a dest=5\n"+
+			"time=x level=DEBUG msg=attempt courier=n0 id=a key=\"\" dest=5 outcome=full took_ms=1\n"+
+			"time=x level=DEBUG msg=end courier=n0 id=a key=\"\" ran=true dest=2 class=status attempts=1 as=failed left_ms=-4 after_ms=0 held=46\n"))
+}
+
+// What is told as failed and delivered is overdue only where its time was over first.
+func TestOverdue(t *testing.T) {
+	f, err := NewFarm([]Spec{{Destination: 5}})
+	require.NoError(t, err)
+	defer f.Close()
+	require.NoError(t, f.With(5, func(p *partner.Partner) {
+		for id, at := range map[string]time.Duration{"late": 2, "in time": 1} {
+			c := partner.Call{ID: id, Due: 1}
+			p.Begin(0, c)
+			p.End(at, c, true)
+		}
+	}))
+	attempt := func(id, outcome string) Trace { return Trace{What: TraceAttempt, ID: id, Outcome: outcome} }
+	end := func(id, as string, left time.Duration) Trace {
+		return Trace{What: TraceEnd, ID: id, Outcome: as, Left: left * time.Millisecond}
+	}
+	for _, tc := range []struct {
+		id     string
+		traces []Trace
+		want   bool
+	}{
+		{"late", []Trace{attempt("late", "timed_out"), end("late", "failed", -1)}, true},
+		{"late", []Trace{end("late", "failed", 9), attempt("late", "timed_out")}, true},
+		{"late", []Trace{end("late", "failed", 10), attempt("late", "timed_out")}, false}, // told too early
+		{"late", []Trace{end("late", "returned", -1)}, false},
+		{"late", []Trace{end("late", "failed", -1), end("late", "failed", -1)}, false}, // twice
+		{"late", []Trace{end("other", "failed", -1)}, false},
+		{"late", nil, false},
+		{"in time", []Trace{end("in time", "failed", 9), attempt("in time", "ok")}, true}, // heard too late
+		{"in time", []Trace{end("in time", "failed", 900), attempt("in time", "ok")}, false},
+		{"in time", []Trace{attempt("in time", "ok"), end("in time", "failed", -1)}, false}, // it was there
+		{"in time", []Trace{attempt("in time", "timed_out"), end("in time", "failed", -1)}, false},
+	} {
+		assert.Equal(t, tc.want, f.Overdue(tc.traces)(5, tc.id), "%+v", tc)
+	}
+}
