Two plug-in tests wait for answers as long as for any event; the budgets hold otherwise

TestQuarantineAndReturn and TestPluginHooks are about what plug-ins answer, but an answer counted only within 40 ms of wall time, the most that the manifest's schema allows, and a shaped call only within parkMost (50 ms) of its decision. Hosts have the lowest priority: on a busy machine none is ever in time.

Change. daemon.Options.Unhurried, for plugin.Config.AnswerWithin and core.Config.ParkMost; it is zero in the program, where no flag, file or variable sets it: schema, budgets and parkMost stay. The test binary alone, as the courier, sets it from RUN_UNHURRIED. Clients of a stage wait 90 s for an answer.

--- a/cmd/snowjunction/idle_test.go
+++ b/cmd/snowjunction/idle_test.go
@@ -90,6 +90,7 @@
 func (s *stage) start() {
 	require.NoError(s.t, s.Start())
 	s.client = load.New(s.Play.Name("client"), s.Play.Name("push"))
+	s.client.Within = scenario.Limit
 	s.t.Cleanup(s.client.Close)
 	g := s.directory.Replace(s.list) // the configuration's list is empty, and of the first generation
 	s.until("the list", func() bool { return s.directory.Heard() >= g })
--- a/cmd/snowjunction/main.go
+++ b/cmd/snowjunction/main.go
@@ -40,8 +40,11 @@
 	LogLevel  string `enum:"debug,info,warn,error" default:"info" env:"SNOWJUNCTION_LOG_LEVEL" help:"Least level of log lines: ${enum}."`
 }
 
+// unhurried is set by tests alone: how long plug-ins have, in place of their budgets.
+var unhurried time.Duration
+
 func (g globals) options() daemon.Options {
-	o := daemon.Options{Env: os.Getenv, Log: os.Stderr, LogFormat: g.LogFormat, Host: hostCommand()}
+	o := daemon.Options{Env: os.Getenv, Log: os.Stderr, LogFormat: g.LogFormat, Host: hostCommand(), Unhurried: unhurried}
 	_ = o.LogLevel.UnmarshalText([]byte(g.LogLevel)) // kong has checked it
 	return o
 }
--- a/cmd/snowjunction/main_test.go
+++ b/cmd/snowjunction/main_test.go
@@ -13,10 +13,17 @@
 	"snowjunction/internal/scenario"
 )
 
+// runUnhurried has the test binary, as the courier, wait for plug-ins as long as a test does for an
+// event, whatever their budgets. Without it those hold, as they always do in the program.
+const runUnhurried = "RUN_UNHURRIED"
+
 // The test binary is the courier when it is told so.
 func TestMain(m *testing.M) {
 	host := len(os.Args) > 1 && os.Args[1] == "plugin-host" // whose environment is empty
 	if os.Getenv(scenario.RunAs) == "1" || host {
+		if os.Getenv(runUnhurried) == "1" {
+			unhurried = scenario.Limit
+		}
 		main()
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -103,6 +104,7 @@
 	// ListedShare is which part of all destinations a front lists, over 0; nil: each lists all.
 	ListedShare func(front int) float64
 	Fleet       Fleet           // nil: there is none, or nothing can be told to it
+	ParkMost    time.Duration   // how old a decision to send may be when it goes; 0: 50 ms
 	Exclusions  Exclusions      // nil: no endpoint can be taken out by hand
 	Heard       func(front int) // nil, or called after news of a front's list, and when its directory has vouched for it
 }
@@ -176,6 +178,7 @@
 			c.Window = max(c.Window-windowSlack, 0)
 		}
 	}
+	cfg.ParkMost = cmp.Or(cfg.ParkMost, parkMost)
 	courier, err := snowjunction.New(cfg.Settings)
 	if err != nil {
 		return nil, err
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -81,7 +81,7 @@
 	shape.Whole = c.Plugins != nil && c.Plugins.Reads(f.msg)
 	waited := c.Loop.Now().Sub(a.began)
 	left := a.timeout - waited
-	if left <= 0 || waited > parkMost || !c.stands(f) {
+	if left <= 0 || waited > c.ParkMost || !c.stands(f) {
 		c.unsent(a)
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,7 +99,10 @@
 	Log       io.Writer           // where log lines go
 	LogFormat string              // text or json; "": text
 	LogLevel  slog.Level
-	Host      []string         // the command that starts a plug-in's host
+	Host      []string // the command that starts a plug-in's host
+	// Unhurried is how long flows wait for a plug-in, and decisions for their plug-ins, in place of the
+	// budgets; 0: the budgets hold. For tests of what is no matter of time.
+	Unhurried time.Duration
 	Signals   <-chan os.Signal // nil: the process's own
 }
 
@@ -121,6 +124,7 @@
 	}
 	c.plugins = plugin.New(plugin.Config{
 		Loop: c.loop, Log: c.log, Command: p.o.Host, Bodies: f.plugins.Bodies, StartWithin: f.plugins.StartWithin,
+		AnswerWithin: p.o.Unhurried,
 	})
 	if len(f.manifests) > 0 {
 		why, done := "", false
@@ -199,7 +203,7 @@
 		}
 	}
 	c.join(&coreCfg)
-	coreCfg.Plugins = c.plugins
+	coreCfg.Plugins, coreCfg.ParkMost = c.plugins, c.process.o.Unhurried
 	if c.core, err = core.New(coreCfg); err == nil && c.process.counted != nil {
 		c.core.Carry(*c.process.counted)
 	}
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -40,6 +40,7 @@
 
 	StartWithin  time.Duration // for a host to be ready; 0: a minute
 	SampleWithin time.Duration // for a sample to be answered; 0: 5 s
+	AnswerWithin time.Duration // for a call, in place of its plug-in's budget; 0: that
 }
 
 // Set is the plug-ins that are loaded, in the order in which they are asked.
@@ -381,7 +382,7 @@
 		done(nil)
 		return
 	}
-	p.push(&call{hook: h, text: text, ticket: ticket, done: done}, p.m.Budget.Time())
+	p.push(&call{hook: h, text: text, ticket: ticket, done: done}, cmp.Or(p.set.cfg.AnswerWithin, p.m.Budget.Time()))
 }
 
 func (p *plug) push(c *call, within time.Duration) {
