An endpoint that was down is tried by a message also where the settings allow probes

Cause: the module answers a down endpoint with Probe where Settings.Probes holds, core.do logs that as what this program does not do, no ProbeEnded ever comes, and trialOut keeps the route closed (courier.go: trial). Found by reading; a scratch test of the module gave 1 probe and no send in 60 s with 600 messages waiting.

Change: the core turns the setting off until a front makes probes.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -179,6 +179,9 @@
 		}
 	}
 	cfg.ParkMost = cmp.Or(cfg.ParkMost, parkMost)
+	// No front makes probes: the module would wait for the end of one for good, and send nothing
+	// to the endpoint meanwhile. Without them a message is the trial.
+	cfg.Settings.Probes = false
 	courier, err := snowjunction.New(cfg.Settings)
 	if err != nil {
 		return nil, err
