Forwarding finds its oldest idle connection at once; the router's options in one place

Cause, read again: where the bound on connections of forwarding is met, each message searched all addresses for the one idle for longest; options of a router were worked out twice, the client's patience written three times; Router.Revision and Membership.Bytes had no use, and Bytes, memory, was printed as a file's size.

Change: idle connections stand in one list, the oldest first; platform.Routing; Expire's answer is used; one look for what is owned at a change of members; Core.Check alone. Three checks of Revision ask for a change of Listed itself. BenchmarkMembershipHeld counts the members as a file has them.

--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -58,7 +58,7 @@
 // TakeIn is the first unit of the chain. An error says what is wrong with the
 // request, which then gets no other answer. Else answer is called once, soon.
 func (c *Core) TakeIn(r Request, answer AnswerFunc) error {
-	class, err := c.check(r)
+	class, err := c.Check(r)
 	if err != nil {
 		c.Counters.Malformed++
 		return err
@@ -151,13 +151,11 @@
 	}
 }
 
-// Check tells the class of a request, or what is wrong with it.
-func (c *Core) Check(r Request) (*snowjunction.Class, error) { return c.check(r) }
-
 // Taking tells whether messages may be taken in: else all are refused.
 func (c *Core) Taking() bool { return !c.draining && !c.frozen }
 
-func (c *Core) check(r Request) (*snowjunction.Class, error) {
+// Check tells the class of a request, or what is wrong with it.
+func (c *Core) Check(r Request) (*snowjunction.Class, error) {
 	bad := func(format string, args ...any) (*snowjunction.Class, error) {
 		return nil, fmt.Errorf("%w: %s", ErrRequest, fmt.Sprintf(format, args...))
 	}
--- a/internal/daemon/partitions.go
+++ b/internal/daemon/partitions.go
@@ -2,17 +2,12 @@
 
 import (
 	"slices"
-	"time"
 
-	"snowjunction/internal/config"
+	"snowjunction/internal/front/platform"
 	"snowjunction/internal/partition"
 	"snowjunction/internal/store"
 )
 
-// forwardMost is how long a message may be on its way from courier to courier: a client's own
-// patience.
-const forwardMost = 400 * time.Millisecond
-
 // divide makes the router of messages, where the operator file divides the destinations among
 // couriers: nil else. What an earlier process left in the journal stays this courier's.
 func (c *courier) divide(left []*store.Message) *partition.Router {
@@ -24,7 +19,7 @@
 	for _, class := range c.cfg.Settings.Classes {
 		inOrder[class.Name] = class.InOrder
 	}
-	r := partition.NewRouter(c.routing(p), m, 0)
+	r := partition.NewRouter(platform.Routing(c.cfg.Settings, c.cfg.Name, p.Region, p.Linger), m, 0)
 	for _, msg := range left {
 		if msg.State != store.Open {
 			continue
@@ -38,17 +33,6 @@
 	return r
 }
 
-// routing is what the router goes by, of the operator file and the settings.
-func (c *courier) routing(p *config.Partitions) partition.Options {
-	o := partition.Options{Self: c.cfg.Name, Region: p.Region, Linger: p.Linger, Rest: forwardMost + c.cfg.Settings.OrderSettle}
-	for _, class := range c.cfg.Settings.Classes {
-		if class.InOrder {
-			o.Longest = max(o.Longest, class.Deadline)
-		}
-	}
-	return o
-}
-
 // membership is the one that holds; nil: destinations are not divided.
 func (c *courier) membership() *partition.Membership {
 	if r := c.platform.Router; r != nil {
--- a/internal/daemon/partitions_test.go
+++ b/internal/daemon/partitions_test.go
@@ -56,7 +56,7 @@
 		return &store.Message{Destination: d, Class: class, Key: key, Deadline: c.loop.Now().Add(2 * time.Second), State: state}
 	}
 	assert.Equal(t, partition.Options{Self: "n0", Linger: 30 * time.Second, Longest: 9 * time.Second, Rest: 500 * time.Millisecond},
-		c.routing(c.process.files.partitions))
+		platform.Routing(c.cfg.Settings, c.cfg.Name, c.process.files.partitions.Region, c.process.files.partitions.Linger))
 	r := c.divide([]*store.Message{
 		msg(theirs[0], "order", 7, store.Open), msg(theirs[1], "any", 8, store.Open), msg(theirs[2], "order", 9, store.Failed),
 	})
--- a/internal/front/platform/forward.go
+++ b/internal/front/platform/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"slices"
 	"strconv"
 	"time"
@@ -41,6 +42,7 @@
 	queued int               // messages that wait to begin it
 	held   bool              // no further message begins it
 	turns  map[uint64]*turn
+	rested *list.List  // the idle ones of all addresses, the one that has been idle for longest first
 	expiry *core.Timer // while any connection is idle
 }
 
@@ -77,12 +79,13 @@
 	carries *forward // nil: it is idle
 	sent    bool     // its bytes may have left
 	used    time.Time
-	limit   *core.Timer // while it comes up
+	rest    *list.Element // among those that are idle; nil: it is not
+	limit   *core.Timer   // while it comes up
 }
 
 func newForwards(f *Front) forwards {
 	return forwards{
-		front: f, hops: map[*hop]bool{}, toward: map[string]int{}, idle: map[string][]*hop{}, turns: map[uint64]*turn{},
+		front: f, hops: map[*hop]bool{}, toward: map[string]int{}, idle: map[string][]*hop{}, rested: list.New(), turns: map[uint64]*turn{},
 	}
 }
 
@@ -408,6 +411,11 @@
 
 // busy takes a connection out of the idle ones.
 func (p *forwards) busy(h *hop) {
+	if h.rest == nil {
+		return
+	}
+	p.rested.Remove(h.rest)
+	h.rest = nil
 	all := slices.DeleteFunc(p.idle[h.addr], func(x *hop) bool { return x == h })
 	if p.idle[h.addr] = all; len(all) == 0 {
 		delete(p.idle, h.addr)
@@ -415,13 +423,11 @@
 }
 
 // oldest is the connection that has been idle for longest; nil: none is.
-func (p *forwards) oldest() (oldest *hop) {
-	for _, all := range p.idle {
-		if oldest == nil || all[0].used.Before(oldest.used) {
-			oldest = all[0]
-		}
+func (p *forwards) oldest() *hop {
+	if p.rested.Len() == 0 {
+		return nil
 	}
-	return oldest
+	return p.rested.Front().Value.(*hop)
 }
 
 // spare ends that connection, and tells whether there was one.
@@ -508,6 +514,7 @@
 	p := &h.front.forwards
 	h.sent, h.used = false, h.front.Loop.Now()
 	p.idle[h.addr] = append(p.idle[h.addr], h)
+	h.rest = p.rested.PushBack(h)
 	if p.expiry == nil {
 		p.expiry = h.front.Loop.After(restFor, p.sweep)
 	}
--- a/internal/front/platform/partitions.go
+++ b/internal/front/platform/partitions.go
@@ -172,12 +172,24 @@
 	})
 }
 
+// Routing is what a courier's router goes by: the longest deadline of a class in order, and how
+// long a message may be on its way and its key rests after that.
+func Routing(s snowjunction.Settings, self, region string, linger time.Duration) partition.Options {
+	o := partition.Options{Self: self, Region: region, Linger: linger, Rest: patience + s.OrderSettle}
+	for _, class := range s.Classes {
+		if class.InOrder {
+			o.Longest = max(o.Longest, class.Deadline)
+		}
+	}
+	return o
+}
+
 // Adopt takes another membership. What it has this courier list is asked for at the next ask,
 // and what it has it list no longer goes once it has lingered.
 func (f *Front) Adopt(m *partition.Membership) {
 	was := f.Router.Listed()
 	f.Router.Adopt(m, f.since())
-	f.unlist(was)
+	f.unlist(without(was, f.Router.Listed()))
 	f.linger()
 }
 
@@ -188,19 +200,17 @@
 		return
 	}
 	f.lingers = f.Loop.After(lingerLook, func() {
-		was, calling := f.Router.Listed(), map[int]bool{}
+		calling := map[int]bool{}
 		for d := range f.core.Calling() {
 			calling[partition.Of(uint32(d), f.Router.Membership().Partitions())] = true
 		}
-		f.Router.Expire(f.since(), func(p int) bool { return calling[p] })
-		f.unlist(was)
+		f.unlist(f.Router.Expire(f.since(), func(p int) bool { return calling[p] }))
 		f.linger()
 	})
 }
 
 // unlist takes out what was listed and is no longer.
-func (f *Front) unlist(was []int) {
-	lost := without(was, f.Router.Listed())
+func (f *Front) unlist(lost []int) {
 	f.discovery.parts.lost = append(f.discovery.parts.lost, lost...)
 	f.sweepOut(lost)
 }
--- a/internal/measure/scaleparts.go
+++ b/internal/measure/scaleparts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"snowjunction/internal/core"
+	"snowjunction/internal/front/platform"
 	"snowjunction/internal/partition"
 	"snowjunction/internal/rig"
 	"snowjunction/internal/scale"
@@ -17,9 +18,6 @@
 // members all the while.
 const linger = 30 * time.Second
 
-// patience is how long a message may be on its way from courier to courier.
-const patience = 400 * time.Millisecond
-
 // members is who owns what in a run; nil: each courier has all.
 func members(p scale.Plan, addrs []string) (*partition.Membership, error) {
 	if p.Partitions == 0 {
@@ -54,13 +52,7 @@
 	if h.members == nil {
 		return nil
 	}
-	o := partition.Options{Self: scale.MemberName(h.number), Linger: linger, Rest: patience + h.settings.OrderSettle}
-	for _, c := range h.settings.Classes {
-		if c.InOrder {
-			o.Longest = max(o.Longest, c.Deadline)
-		}
-	}
-	return partition.NewRouter(o, h.members, 0)
+	return partition.NewRouter(platform.Routing(h.settings, scale.MemberName(h.number), "", linger), h.members, 0)
 }
 
 // handIn hands a message in as a client would, but for the connection.
--- a/internal/partition/capacity_test.go
+++ b/internal/partition/capacity_test.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"fmt"
 	"runtime"
 	"slices"
 	"testing"
@@ -44,11 +45,15 @@
 	})
 }
 
-// BenchmarkMembershipHeld is the heap that one takes, names and addresses included, and what
-// Bytes says of it.
+// BenchmarkMembershipHeld is the heap that one takes, names and addresses included, and the bytes
+// of its members in an operator file without a space.
 func BenchmarkMembershipHeld(b *testing.B) {
 	gauge.Held(b, 1, "membership", func() any { return fleetToCome(b) })
-	b.ReportMetric(float64(fleetToCome(b).Bytes()), "told-B/membership")
+	n := 0
+	for _, x := range fleet(toCome, toComeIn, 4) {
+		n += len(fmt.Sprintf(`{"name":%q,"addr":%q,"region":%q,"zone":%q},`, x.Name, x.Addr, x.Region, x.Zone))
+	}
+	b.ReportMetric(float64(n), "file-B/membership")
 }
 
 // BenchmarkPartitionsMoved is how many places of a partition pass to another owner where one member
--- a/internal/partition/membership.go
+++ b/internal/partition/membership.go
@@ -317,15 +317,3 @@
 	}
 	return out
 }
-
-// Bytes is about what the membership takes.
-func (m *Membership) Bytes() (n int) {
-	for _, x := range m.members {
-		n += len(x.Name) + len(x.Addr) + len(x.Region) + len(x.Zone) + 96
-	}
-	n += 8 * len(m.places)
-	for _, r := range m.regions {
-		n += 4*len(r.owners) + 4*len(r.members)
-	}
-	return n
-}
--- a/internal/partition/router.go
+++ b/internal/partition/router.go
@@ -61,8 +61,7 @@
 	pins   [2]map[uint64]pin // of the present and of the last span
 	turned time.Duration
 	lost   time.Duration // until then a courier may have a message whose key is not among the pins: no room
-	rev    int
-	owners [2][]int32 // of the message at hand, in both memberships
+	owners [2][]int32    // of the message at hand, in both memberships
 }
 
 // part is a partition that is owned, or was.
@@ -89,22 +88,21 @@
 	}
 	r := &Router{o: o, begun: now, turned: now, parts: map[int]*part{}, down: map[string]*down{}}
 	r.pins = [2]map[uint64]pin{{}, {}}
-	r.adopt(m)
+	r.adopt(m, m.Owned(o.Self))
 	return r
 }
 
-func (r *Router) adopt(m *Membership) {
+func (r *Router) adopt(m *Membership, owned []int) {
 	r.m, r.region = m, r.o.Region
 	if x, ok := m.Member(r.o.Self); ok {
 		r.region = x.Region
 	}
-	for _, p := range m.Owned(r.o.Self) {
+	for _, p := range owned {
 		if r.parts[p] == nil {
 			r.parts[p] = &part{}
 		}
 		r.parts[p].owned, r.parts[p].until = true, 0
 	}
-	r.rev++
 }
 
 // Adopt takes another membership. What this courier owned and owns no more it serves on for a
@@ -120,7 +118,7 @@
 			}
 		}
 	}
-	r.adopt(m)
+	r.adopt(m, owned)
 	for name := range r.down {
 		if _, is := m.find(name); !is {
 			if _, was := r.before.find(name); !was {
@@ -135,7 +133,6 @@
 func (r *Router) Keep(p int) {
 	if r.parts[p] == nil {
 		r.parts[p] = &part{}
-		r.rev++
 	}
 	r.parts[p].kept = true
 }
@@ -152,9 +149,6 @@
 	if r.before != nil && now >= r.until {
 		r.before = nil
 	}
-	if len(gone) > 0 {
-		r.rev++
-	}
 	slices.Sort(gone)
 	return gone
 }
@@ -169,9 +163,6 @@
 	return r.before != nil
 }
 
-// Revision is another number after each change of Listed.
-func (r *Router) Revision() int { return r.rev }
-
 // Self is this courier's name.
 func (r *Router) Self() string { return r.o.Self }
 
--- a/internal/partition/router_test.go
+++ b/internal/partition/router_test.go
@@ -121,9 +121,9 @@
 
 	gains := router(t, heir, with)
 	assert.False(t, gains.Lists(d))
-	rev := gains.Revision()
+	listed := gains.Listed()
 	gains.Adopt(without, late)
-	assert.NotEqual(t, rev, gains.Revision())
+	assert.NotEqual(t, listed, gains.Listed())
 	assert.True(t, gains.Lists(d))
 	assert.Contains(t, gains.Wanted(), p)
 	assert.Equal(t, len(gains.Wanted()), gains.Figures(late).Wanted)
@@ -150,10 +150,10 @@
 	assert.Equal(t, heir, loses.Route(Message{Destination: d}, nil, late).To.Name)
 	assert.Equal(t, Here, loses.Route(Message{Destination: d}, []string{heir}, late).Way, "the new owner is not there yet")
 	assert.Empty(t, loses.Expire(late+linger-1, none))
-	rev = loses.Revision()
+	listed = loses.Listed()
 	assert.Equal(t, slices.DeleteFunc(slices.Clone(lost), func(x int) bool { return x == p }),
 		loses.Expire(late+linger, func(x int) bool { return x == p }))
-	assert.NotEqual(t, rev, loses.Revision())
+	assert.NotEqual(t, listed, loses.Listed())
 	assert.Equal(t, Here, loses.Route(Message{Destination: d, Forwarded: true}, nil, late+linger).Way, "it is used")
 	assert.Equal(t, Busy, loses.Route(Message{Destination: d}, []string{heir}, late+linger).Way)
 	assert.Equal(t, []int{p}, loses.Expire(late+linger, none))
@@ -178,9 +178,9 @@
 	require.GreaterOrEqual(t, len(lost), 2)
 	other := slices.DeleteFunc([]int{0, 1, 2, 3, 4, 5, 6, 7}, func(p int) bool { return slices.Contains(lost, p) })[0]
 	kept := []int{min(other, lost[0]), max(other, lost[0])}
-	rev := r.Revision()
+	listed := r.Listed()
 	r.Keep(other)
-	assert.NotEqual(t, rev, r.Revision())
+	assert.NotEqual(t, listed, r.Listed())
 	r.Keep(lost[0])
 	k := Message{Destination: of(other, parts), Key: 7, Left: time.Second}
 	r.Took(k, "n3", late)
