--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -209,6 +209,8 @@
 	}
 }
 
+func mkdir(dir string) error { return os.MkdirAll(dir, 0o700) }
+
 // writeJSON replaces a file in one step.
 func (g *rig) writeJSON(path string, v any) {
 	b, err := json.Marshal(v)
--- a/review/standin/standins.go
+++ b/review/standin/standins.go
@@ -55,6 +55,7 @@
 	requests   int
 	onNotice   func(id, state string)
 	dark       bool // silent towards requests for the list
+	crowded    bool // answers requests for the list with 503
 }
 
 func (g *rig) newDiscovery(name string, generation int, list []instance) *discovery {
@@ -94,6 +95,21 @@
 	return d.dark
 }
 
+func (d *discovery) isCrowded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crowded
+}
+
+func (d *discovery) setCrowded(crowded bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.crowded = crowded
+	close(d.changed) // open watches are answered
+	d.changed = make(chan struct{})
+	d.rec.f("discovery %s crowded: %v", d.name, crowded)
+}
+
 func (d *discovery) setDark(dark bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -132,6 +148,12 @@
 	d.mu.Lock()
 	d.requests++
 	d.mu.Unlock()
+	if d.isCrowded() {
+		time.Sleep(300 * time.Millisecond)
+		w.Header().Set("Retry-After", "2")
+		w.WriteHeader(503)
+		return
+	}
 	var answer map[string]any
 	if after, err := strconv.Atoi(q.Get("after")); err == nil {
 		wait, _ := strconv.Atoi(q.Get("wait_ms"))
--- a/review/standin/stress.go
+++ b/review/standin/stress.go
@@ -229,7 +229,7 @@
 		if ran && (m.class == "pay" || m.class == "slip") {
 			w.g.breakRule("duplicate: %s (%s) called again %v after a call that may have run, status %d", c.id, m.class, c.start.Sub(x.start), x.status)
 		}
-		if ran && (m.class == "order" || m.class == "zoned") && c.start.Sub(x.start) > 2050*time.Millisecond {
+		if ran && (m.class == "order" || m.class == "zoned") && c.start.Sub(x.start) > stressWindow()+50*time.Millisecond {
 			w.g.breakRule("duplicate: %s (%s) called again %v after a call that may have run: past its window", c.id, m.class, c.start.Sub(x.start))
 		}
 		if ran && m.class == "zoned" && x.ep.zone != c.ep.zone {
@@ -267,7 +267,7 @@
 	if e := c.ep; !e.excludedAt.IsZero() && c.first.Sub(e.excludedAt) > 1050*time.Millisecond {
 		w.g.breakRule("exclude: %s sent to %s %v after the yes", c.id, e.name, c.first.Sub(e.excludedAt))
 	}
-	if ran := w.ranAt[c.k]; c.k != "" && !ran.IsZero() && c.start.Sub(ran) > 2050*time.Millisecond {
+	if ran := w.ranAt[c.k]; c.k != "" && !ran.IsZero() && c.start.Sub(ran) > stressWindow()+50*time.Millisecond {
 		w.g.breakRule("twice: %s with key %s called %v after a call with that key that may have run", c.id, c.k, c.start.Sub(ran))
 	}
 	m.calls = append(m.calls, c)
@@ -369,11 +369,14 @@
 		w.mu.Lock()
 		class := []string{"order", "status", "pay", "slip", "zoned"}[w.rng.IntN(5)]
 		left := time.Duration(1500+w.rng.IntN(3500)) * time.Millisecond
+		if os.Getenv("SHORT") != "" && w.rng.IntN(3) == 0 {
+			left = time.Duration(1+w.rng.IntN(50)) * time.Millisecond
+		}
 		if len(w.again) > 0 && w.rng.IntN(3) == 0 { // the newest that a client may hand in again
 			again = w.again[len(w.again)-1]
 			w.again = w.again[:len(w.again)-1]
 			class = again.class
-			if ran := w.ranAt[again.k]; !ran.IsZero() && time.Since(ran) > 1900*time.Millisecond || again.class == "zoned" && !ran.IsZero() {
+			if ran := w.ranAt[again.k]; !ran.IsZero() && time.Since(ran) > stressWindow()-100*time.Millisecond || again.class == "zoned" && !ran.IsZero() {
 				again = nil // not inside its window any more
 			}
 		}
@@ -738,6 +741,59 @@
 				w.mu.Unlock()
 				g.rec.f("console include %s: %q", e.name, console(consoleN, "include "+e.name))
 			}
+		case "crowded": // discovery refuses for 4 s; what it gets to tell then counts 6 s after its end
+			w.d.setCrowded(true)
+			time.Sleep(2 * time.Second)
+			w.mu.Lock()
+			var live []*sEndpoint
+			for _, e := range w.eps {
+				if e.drainedAt.IsZero() && e.excludedAt.IsZero() && !e.h2 {
+					live = append(live, e)
+				}
+			}
+			e := live[w.rng.IntN(len(live))]
+			nu := w.newEndpoint(e.dest, e.zone)
+			w.mu.Unlock()
+			i := entry(e)
+			i.Lifecycle = "Terminating"
+			w.d.change(i, entry(nu))
+			time.Sleep(2 * time.Second)
+			w.d.setCrowded(false)
+			w.mu.Lock()
+			e.drainedAt = time.Now().Add(6 * time.Second)
+			w.mu.Unlock()
+		case "hold": // the courier is held up for up to 0.15 s, ten times
+			for range 10 {
+				cur.signal(syscall.SIGSTOP)
+				time.Sleep(time.Duration(w.rnd(150)) * time.Millisecond)
+				cur.signal(syscall.SIGCONT)
+				time.Sleep(time.Duration(w.rnd(100)) * time.Millisecond)
+			}
+		case "hups": // ten new configurations a second, some of them invalid; the last one moves discovery
+			for i := range 50 {
+				switch i % 5 {
+				case 1:
+					g.must(os.WriteFile(cfg, []byte("{\"name\":"), 0o600))
+				case 3:
+					c := conf()
+					c["settings"].(map[string]any)["classes"] = []any{}
+					g.writeJSON(cfg, c)
+				default:
+					g.writeJSON(cfg, conf())
+				}
+				cur.signal(syscall.SIGHUP)
+				time.Sleep(100 * time.Millisecond)
+			}
+			old := w.d
+			d := g.newDiscovery(fmt.Sprintf("d%d", nproc), old.generation+1, old.whole()["instances"].([]instance))
+			d.onNotice = old.onNotice
+			w.mu.Lock()
+			w.d = d
+			w.mu.Unlock()
+			g.writeJSON(cfg, conf())
+			cur.signal(syscall.SIGHUP)
+			old.leave()
+			time.Sleep(4 * time.Second)
 		case "dark", "darkkill":
 			time.Sleep(500 * time.Millisecond)
 			w.d.setDark(true)
@@ -958,10 +1014,18 @@
     return None
 `
 
+// stressWindow is the window for repeats of the keyed classes.
+func stressWindow() time.Duration {
+	if ms, err := strconv.Atoi(os.Getenv("WINDOW")); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return 2 * time.Second
+}
+
 // stressClasses are classes of each effect, with a short window.
 func stressClasses() []any {
 	class := func(name, semantics, scope string, inOrder bool) map[string]any {
-		return map[string]any{"name": name, "semantics": semantics, "key-scope": scope, "in-order": inOrder, "promise-ms": 1000, "deadline-ms": 5000, "importance": 1, "late-share": 0.3, "window-ms": 2000}
+		return map[string]any{"name": name, "semantics": semantics, "key-scope": scope, "in-order": inOrder, "promise-ms": 1000, "deadline-ms": 5000, "importance": 1, "late-share": 0.3, "window-ms": stressWindow().Milliseconds()}
 	}
 	return []any{class("order", "token", "all", true), class("status", "pure", "all", false), class("pay", "side_effect", "all", false), class("slip", "side_effect", "all", true), class("zoned", "token", "zone", false)}
 }
