--- a/review/standin/throng.go
+++ b/review/standin/throng.go
@@ -19,15 +19,16 @@
 
 // The fleet of the case and its partners: figures from the site file, and within it.
 const (
-	throngCouriers = 30
-	throngLoad     = 16.0                   // messages a second for each of the two partners
-	throngLimit    = throngLoad * 0.9       // calls a second that a partner takes (headroom 0.88 and more)
-	throngCapacity = throngLimit * 1.2      // calls a second that it can do (spare 1.2 and more)
-	throngWork     = 250 * time.Millisecond // of a call
-	throngOutage   = 10 * time.Second
-	throngFall     = 1.5  // times what it can do, for throngFallTime
-	throngCold     = 0.23 // of its capacity at its return
-	throngWarm     = 13.0 // seconds until it has all of it
+	throngCouriers  = 30
+	throngLoad      = 16.0                   // messages a second for each of the two partners
+	throngLimit     = throngLoad * 0.9       // calls a second that a partner takes (headroom 0.88 and more)
+	throngCapacity  = throngLimit * 1.2      // calls a second that it can do (spare 1.2 and more)
+	throngWork      = 250 * time.Millisecond // of a call
+	throngOutage    = 10 * time.Second
+	throngTellsWait = 0.3  // of the refusals above the limit (0.25 to 0.55)
+	throngFall      = 1.5  // times what it can do, for throngFallTime
+	throngCold      = 0.23 // of its capacity at its return
+	throngWarm      = 13.0 // seconds until it has all of it
 )
 
 const throngFallTime = 1500 * time.Millisecond
@@ -108,8 +109,8 @@
 	}
 	share := p.count(now, id)
 	switch {
-	case p.tokens < 1: // above its limit; every second refusal tells a wait
-		if len(p.arrivals)%2 == 0 {
+	case p.tokens < 1: // above its limit; a part of the refusals tells a wait
+		if rand.Float64() < throngTellsWait {
 			w.Header().Set("X-RateLimit-Wait-Ms", fmt.Sprintf("%.0f", math.Max(250, (1-p.tokens)/throngLimit*1000)))
 		}
 		p.mu.Unlock()
