--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -61,8 +61,13 @@
 	g.rec.f("BROKEN %s", s)
 }
 
-func newRig(caseDir string) (*rig, error) {
-	root, err := filepath.Abs(filepath.Join(caseDir, "..", ".."))
+// newRig prepares a case that writes its record to a file two levels below the root. A folder in its
+// place means record.txt in it.
+func newRig(record string) (*rig, error) {
+	if i, err := os.Stat(record); err == nil && i.IsDir() {
+		record = filepath.Join(record, "record.txt")
+	}
+	root, err := filepath.Abs(filepath.Join(filepath.Dir(record), "..", ".."))
 	if err != nil {
 		return nil, err
 	}
@@ -78,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out, err := os.Create(filepath.Join(caseDir, "record.txt"))
+	out, err := os.Create(record)
 	if err != nil {
 		return nil, err
 	}
@@ -258,10 +263,10 @@
 // cases are the cases by name; each file adds its own.
 var cases = map[string]func(*rig){}
 
-// main runs one case: its name and its folder.
+// main runs one case: its name and the file of its record.
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(2)
 	}
 	play, ok := cases[os.Args[1]]
