Of an answer that has not ended only what the parser needs is kept

Cause: targetConn.Data (front/platform/target.go) appended every byte of an answer to `received`, which a handover passes on, until a final answer ended. The parser bounds a head and a body, but interim responses, chunk extensions and trailers come without a bound, and all of them were kept for 500 ms.

TestEndlessAnswerIsNotKept sends 32 MB each of interim responses, chunk extensions and trailers: before, 32.8 to 34.4 MB were kept; now under 2 MB.

Change: `received` is gone. Bodies that no plug-in reads are counted and not kept (DiscardBody). Why it is enough: what a parser holds is a head, a body and an unparsed part, each with its own limit.

Still to do: such an answer is read for 500 ms at full speed (280 MB).

--- /dev/null
+++ b/internal/front/endless_answer_test.go
@@ -0,0 +1,73 @@
+package front_test
+
+import (
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"snowjunction"
+	"snowjunction/internal/core"
+	"snowjunction/internal/store"
+)
+
+// heldBytes returns the size of the live heap.
+func heldBytes() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
+
+// Guards against keeping all that an endless answer brings until it is given up, which took a courier over its
+// memory (review/7).
+func TestEndlessAnswerIsNotKept(t *testing.T) {
+	const sentBytes, heldLimit = 32 << 20, 2 << 20
+	interim := "HTTP/1.1 102 Processing\r\nX-Padding: " + strings.Repeat("x", 15_000) + "\r\n\r\n"
+	chunkExtension := "1;" + strings.Repeat("x", 15_000) + "\r\na\r\n"
+	chunkedHead := "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n"
+	trailer := "X-Padding: " + strings.Repeat("x", 15_000) + "\r\n"
+	for name, answer := range map[string]struct{ head, repeated string }{
+		"interim responses": {"", interim},
+		"chunk extensions":  {chunkedHead, chunkExtension},
+		"trailers":          {chunkedHead + "0\r\n", trailer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestCourier(t)
+			target := s.front.Target(core.Entry{Name: "s-1", Addr: s.target.listener.Addr().String()})
+			var result *core.Result
+			target.Call(&store.Message{ID: "m1"}, core.Shape{}, 10*time.Second, always, func(r core.Result) { result = &r })
+			s.until("the call arrives", func() bool { return s.target.with("m1") != nil })
+			before := heldBytes()
+			written := make(chan int)
+			go func() { written <- writeRepeated(s.target.at(0), answer.head, answer.repeated, sentBytes) }()
+			sent := -1
+			s.until("all is written or the courier closes the connection", func() bool {
+				select {
+				case sent = <-written:
+				default:
+				}
+				return sent >= 0
+			})
+			assert.Less(t, heldBytes()-before, heldLimit, "after %d bytes", sent)
+			s.after(500 * time.Millisecond)
+			s.until("the call ends", func() bool { return result != nil })
+			require.Equal(t, snowjunction.Reset, result.Outcome, "it may have run")
+		})
+	}
+}
+
+// writeRepeated writes the head and then the repeated part until all is written or the connection breaks. It
+// returns the number of bytes written.
+func writeRepeated(c *testConn, head, repeated string, atMost int) int {
+	sent, err := c.Write([]byte(head))
+	for err == nil && sent < atMost {
+		var n int
+		n, err = c.Write([]byte(repeated))
+		sent += n
+	}
+	return sent
+}
--- a/internal/front/platform/handover.go
+++ b/internal/front/platform/handover.go
@@ -117,25 +117,29 @@
 	return handover.Call{Conn: conn, IdleTime: c.idleBefore, WantsWholeAnswer: c.wantWhole}, true
 }
 
-// BufferedAnswer returns what had been read of a call's answer when it was handed over.
-func (c *targetConn) BufferedAnswer() []byte { return append(c.received, c.conn.Leftover()...) }
+// BufferedAnswer returns what is kept of a call's answer that had been read in part when it was handed over.
+func (c *targetConn) BufferedAnswer() []byte {
+	return append(c.parser.Unparsed(), c.conn.Leftover()...)
+}
 
 // Adopt continues a call of the previous process run of this courier. It calls done once with the
 // result, unless the call is given up, and never before Adopt returns.
 func (t *target) Adopt(m *store.Message, from handover.Call, done func(core.Result)) core.Call {
-	l := &targetConn{target: t, parser: http1.Parser{MaxBodyBytes: maxAnswerBytes}, messageID: m.ID, sent: true, wantWhole: from.WantsWholeAnswer, done: done, idleBefore: from.IdleTime, lastUsed: time.Now()}
-	l.conn = t.front.Engine.Adopt("target", false, from.Conn, l)
-	if l.conn == nil {
-		t.front.Loop.Post(func() { l.Closed(net.PeerReset) })
-		return l
+	c := &targetConn{target: t, parser: http1.Parser{MaxBodyBytes: maxAnswerBytes}, idleBefore: from.IdleTime, lastUsed: time.Now()}
+	c.startCall(m.ID, nil, from.WantsWholeAnswer, done)
+	c.sent = true
+	c.conn = t.front.Engine.Adopt("target", false, from.Conn, c)
+	if c.conn == nil {
+		t.front.Loop.Post(func() { c.Closed(net.PeerReset) })
+		return c
 	}
-	if l.received = from.Unprocessed; len(l.received) > 0 { // bytes that arrive later are appended to these
-		l.parser.Feed(l.received)
+	if len(from.Unprocessed) > 0 { // bytes that arrive later are appended to these
+		c.parser.Feed(from.Unprocessed)
 		t.front.Loop.Post(func() {
-			if l.done != nil {
-				l.Data(nil)
+			if c.done != nil {
+				c.Data(nil)
 			}
 		})
 	}
-	return l
+	return c
 }
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -38,7 +38,6 @@
 	lastUsed    time.Time
 	answeredAt  time.Time     // when the latest answer was complete; zero if none was
 	idleBefore  time.Duration // idle time before the current call; zero for a new connection
-	received    []byte        // received bytes of an incomplete answer
 }
 
 const (
@@ -173,6 +172,7 @@
 
 func (c *targetConn) startCall(messageID string, request []byte, wantWhole bool, done func(core.Result)) {
 	c.messageID, c.request, c.wantWhole, c.done, c.sent = messageID, request, wantWhole, done, false
+	c.parser.DiscardBody = !wantWhole
 }
 
 // writeRequest writes the request. If the socket accepts none of it, Closed is called while sent is
@@ -279,7 +279,6 @@
 func (c *targetConn) Data(b []byte) {
 	begun := c.parser.HasPartialResponse()
 	c.parser.Feed(b)
-	c.received = append(c.received, b...)
 	if c.done == nil && !begun || !c.sent {
 		c.closeConn(net.Unsolicited)
 		c.Closed(net.Unsolicited)
@@ -301,7 +300,7 @@
 		return
 	}
 	c.answerTimer.Stop()
-	c.answerTimer, c.received = nil, nil
+	c.answerTimer = nil
 	switch {
 	case r.Close:
 		c.conn.Close(net.Finished)
--- a/internal/proto/http1/parser.go
+++ b/internal/proto/http1/parser.go
@@ -39,6 +39,8 @@
 // Parser parses the responses of a connection. MaxBodyBytes limits a body.
 type Parser struct {
 	MaxBodyBytes int
+	// DiscardBody makes the parser check the bodies of responses and not keep them.
+	DiscardBody bool
 	// Sink, if set, receives the bodies of responses with status 200 in pieces as they arrive.
 	// MaxBodyBytes does not apply to them. Next returns the errors of Sink.
 	Sink      func(b []byte) error
@@ -46,6 +48,7 @@
 	offset    int // offset of the first unparsed byte
 	state     state
 	remaining int       // remaining bytes of the body or chunk
+	bodyBytes int       // bytes of the body so far, unless they went to Sink
 	current   *Response // response being parsed
 	status    int       // status of the response being received; zero until its status line is complete
 }
@@ -105,7 +108,7 @@
 
 func (p *Parser) finishResponse() *Response {
 	r := p.current
-	p.current, p.state, p.remaining, p.status = nil, head, 0, 0
+	p.current, p.state, p.remaining, p.bodyBytes, p.status = nil, head, 0, 0, 0
 	return r
 }
 
@@ -117,7 +120,7 @@
 	if !ok {
 		return
 	}
-	if status, err := parseStatusLine(string(line)); err == nil && status/100 != 1 {
+	if _, status, err := parseStatusLine(string(line)); err == nil && status/100 != 1 {
 		p.status = status
 	}
 }
@@ -235,15 +238,17 @@
 	return nil, true, nil
 }
 
-// takeBody passes a part of the body to Sink or keeps it.
+// takeBody passes a part of the body to Sink, or keeps it unless bodies are discarded.
 func (p *Parser) takeBody(b []byte) error {
 	if p.usesSink() {
 		return p.Sink(b)
 	}
-	if len(p.current.Body)+len(b) > p.MaxBodyBytes {
+	if p.bodyBytes += len(b); p.bodyBytes > p.MaxBodyBytes {
 		return ErrTooBig
 	}
-	p.current.Body = append(p.current.Body, b...)
+	if !p.DiscardBody {
+		p.current.Body = append(p.current.Body, b...)
+	}
 	return nil
 }
 
--- a/internal/proto/http1/response.go
+++ b/internal/proto/http1/response.go
@@ -10,7 +10,9 @@
 	Status int
 	Close  bool // the connection closes after this response
 	Body   []byte
-	header []field
+
+	version string // of the protocol
+	header  []field
 }
 
 type field struct{ name, value string }
@@ -41,11 +43,11 @@
 	if len(lines) > maxHeaders+1 {
 		return nil, ErrTooBig
 	}
-	status, err := parseStatusLine(lines[0])
+	version, status, err := parseStatusLine(lines[0])
 	if err != nil {
 		return nil, err
 	}
-	r := &Response{Status: status, Close: strings.HasPrefix(lines[0], version10)}
+	r := &Response{Status: status, Close: version == version10, version: version}
 	for _, l := range lines[1:] {
 		name, value, ok := strings.Cut(l, ":")
 		if !ok || name == "" || strings.ContainsAny(name, " \t") {
@@ -64,13 +66,13 @@
 	return r, nil
 }
 
-// parseStatusLine returns the status of a status line.
-func parseStatusLine(line string) (int, error) {
+// parseStatusLine returns the version and the status of a status line.
+func parseStatusLine(line string) (version string, status int, err error) {
 	version, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(rest, " ")
-	status, err := strconv.Atoi(code)
+	status, err = strconv.Atoi(code)
 	if err != nil || len(code) != 3 || status < 100 || version != version11 && version != version10 {
-		return 0, ErrSyntax
+		return "", 0, ErrSyntax
 	}
-	return status, nil
+	return version, status, nil
 }
