An answer is ended once it has more besides head and body than 16 KB

Cause: the HTTP/1.1 parser bounds a head and a body; interim responses, chunk extensions and trailers were skipped without counting. An answer was ended by time alone: 500 ms after its beginning, and for interim responses that come whole not before the call's own timeout.

Change: what a response has besides its head and its body counts against one limit of 16 KB (ErrTooBig). A chunk is allowed 16 bytes around it, so that small chunks are no overhead. The limit holds for whatever the parser reads: answers of targets and of discovery, and answers to notices.

Why it works: each byte of a response is now counted in one of three limits, so none is endless.

--- a/internal/front/endless_answer_test.go
+++ b/internal/front/endless_answer_test.go
@@ -71,3 +71,32 @@
 	}
 	return sent
 }
+
+// Guards against reading an answer that never ends at full speed until it is given up: the courier closes its
+// connection after a bounded number of bytes, without waiting for a timeout.
+func TestEndlessAnswerIsEnded(t *testing.T) {
+	chunkedHead := " OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, row := range map[string]struct {
+		head, repeated string
+		outcome        snowjunction.Outcome
+	}{
+		"interim responses":       {"", "HTTP/1.1 102 Processing\r\n\r\n", snowjunction.Reset},
+		"large interim responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", 10_000) + "\r\n\r\n", snowjunction.Reset},
+		"chunk extensions":        {"HTTP/1.1 503" + chunkedHead, "1;" + strings.Repeat("x", 1000) + "\r\na\r\n", snowjunction.Reset},
+		"trailers":                {"HTTP/1.1 503" + chunkedHead + "0\r\n", "A: b\r\n", snowjunction.Reset},
+		"trailers of a 200":       {"HTTP/1.1 200" + chunkedHead + "0\r\n", "A: b\r\n", snowjunction.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestCourier(t)
+			target := s.front.Target(core.Entry{Name: "s-1", Addr: s.target.listener.Addr().String()})
+			var result *core.Result
+			target.Call(&store.Message{ID: "m1"}, core.Shape{}, 10*time.Second, always, func(r core.Result) { result = &r })
+			s.until("the call arrives", func() bool { return s.target.with("m1") != nil })
+			go writeRepeated(s.target.at(0), row.head, row.repeated, 64<<20)
+			s.until("the connection is closed", func() bool { return len(s.closeCodes["target"]) > 0 })
+			assert.Equal(t, []string{"protocol"}, s.closeCodes["target"])
+			require.NotNil(t, result)
+			assert.Equal(t, row.outcome, result.Outcome)
+		})
+	}
+}
--- a/internal/proto/http1/http1_test.go
+++ b/internal/proto/http1/http1_test.go
@@ -155,3 +155,34 @@
 	_, err := p.Next()
 	assert.ErrorIs(t, err, sinkError)
 }
+
+// What is neither the head nor the body of a response is limited, so that no response is endless. The limit is
+// for each response, and not reached by an honest one.
+func TestOverheadLimit(t *testing.T) {
+	padding := strings.Repeat("x", 1000)
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	end := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for in, want := range map[string]error{
+		strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100) + end:                                         nil,
+		strings.Repeat(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 500)+end, 5):                        nil,
+		strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 700) + end:                                         ErrTooBig,
+		strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: "+padding+"\r\n\r\n", 15) + end:                    nil,
+		strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: "+padding+"\r\n\r\n", 17) + end:                    ErrTooBig,
+		"HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", maxHeadBytes-100) + "\r\n\r\n" + end:      nil,
+		chunked + strings.Repeat("1\r\na\r\n", 20_000) + "0\r\n\r\n":                                         nil,
+		chunked + strings.Repeat("000001;n=v\r\na\r\n", 20_000) + "0\r\n\r\n":                                nil,
+		chunked + strings.Repeat("1;"+padding+"\r\na\r\n", 17) + "0\r\n\r\n":                                 ErrTooBig,
+		chunked + "1\r\na\r\n0\r\n" + strings.Repeat("A: "+padding+"\r\n", 15) + "\r\n":                      nil,
+		chunked + "1\r\na\r\n0\r\n" + strings.Repeat("A: b\r\n", 3000) + "\r\n":                              ErrTooBig,
+		chunked + strings.Repeat("1\r\na\r\n", 20_000) + "0\r\n" + strings.Repeat("A: b\r\n", 3000) + "\r\n": ErrTooBig,
+	} {
+		p := Parser{MaxBodyBytes: 20_000}
+		p.Feed([]byte(in))
+		var err error
+		for r := new(Response); r != nil && err == nil; {
+			r, err = p.Next()
+		}
+		assert.ErrorIs(t, err, want, "%.80q", in)
+		assert.False(t, err == nil && p.HasPartialResponse(), "%.80q", in)
+	}
+}
--- a/internal/proto/http1/parser.go
+++ b/internal/proto/http1/parser.go
@@ -18,6 +18,11 @@
 const (
 	maxHeadBytes = 16 << 10 // bytes of the status line and the headers
 	maxHeaders   = 64
+	// maxOverheadBytes limits what a response has besides its head and its body: interim responses, the
+	// lines around chunks, and trailers. A response without that limit could be endless.
+	maxOverheadBytes = 16 << 10
+	// chunkAllowance is how many bytes of the lines around a chunk do not count as overhead.
+	chunkAllowance = 16
 
 	version10 = "HTTP/1.0"
 	version11 = "HTTP/1.1"
@@ -50,6 +55,7 @@
 	remaining int       // remaining bytes of the body or chunk
 	bodyBytes int       // bytes of the body so far, unless they went to Sink
 	current   *Response // response being parsed
+	overhead  int       // see maxOverheadBytes
 	status    int       // status of the response being received; zero until its status line is complete
 }
 
@@ -108,10 +114,18 @@
 
 func (p *Parser) finishResponse() *Response {
 	r := p.current
-	p.current, p.state, p.remaining, p.bodyBytes, p.status = nil, head, 0, 0, 0
+	p.current, p.state, p.remaining, p.bodyBytes, p.overhead, p.status = nil, head, 0, 0, 0, 0
 	return r
 }
 
+// addOverhead counts bytes of the response that belong neither to its head nor to its body.
+func (p *Parser) addOverhead(n int) error {
+	if p.overhead += n; p.overhead > maxOverheadBytes {
+		return ErrTooBig
+	}
+	return nil
+}
+
 // recordStatus records the status as soon as the status line is complete. The status is final
 // even if the rest of the response fails.
 func (p *Parser) recordStatus() {
@@ -134,7 +148,7 @@
 	p.offset = 0
 }
 
-// nextLine returns the next line without its end. The line is valid until the next call of Feed. ok is
+// nextLine returns the next line around a chunk or of the trailers, without its end. The line is valid until the next call of Feed. ok is
 // false if the line is incomplete.
 func (p *Parser) nextLine() (line []byte, ok bool, err error) {
 	b := p.unparsed()
@@ -146,6 +160,9 @@
 		return nil, false, nil
 	}
 	p.offset += i + 1
+	if err := p.addOverhead(i + 1); err != nil {
+		return nil, false, err
+	}
 	return bytes.TrimSuffix(b[:i], []byte("\r")), true, nil
 }
 
@@ -166,7 +183,8 @@
 	}
 	p.offset += end + len("\r\n\r\n")
 	if r.interim() {
-		return nil, true, nil
+		err := p.addOverhead(end + len("\r\n\r\n"))
+		return nil, err == nil, err
 	}
 	p.current = r
 	if err := p.selectBodyFraming(); err != nil {
@@ -263,9 +281,12 @@
 	if err != nil {
 		return false, ErrSyntax
 	}
-	if p.remaining, p.state = int(n), chunkData; n == 0 {
+	if n == 0 {
 		p.state = trailers
+		return true, nil
 	}
+	p.remaining, p.state = int(n), chunkData
+	p.overhead = max(p.overhead-chunkAllowance, 0)
 	return true, nil
 }
 
