An interim response in two parts does not begin the answer

What callers saw: a partner that sends an interim response before a slow answer lost the call 500 ms later if that response came in two segments: the attempt counted as one that may have run, and what may be repeated was sent again although the first attempt was running.

Cause: targetConn.Data starts the time for the rest of an answer (500 ms) when any part of a response has come, and stops it with a final answer only. By reading, found while looking for what awaits an answer's end.

Change: a complete interim response stops that time. Interim responses without end are bounded by their number of bytes.

Evidence: TestInterimResponseDoesNotBeginAnswer failed before with outcome 5 (reset) 2 s after the interim response, and passes; the tests of endless answers pass.

--- a/internal/front/endless_answer_test.go
+++ b/internal/front/endless_answer_test.go
@@ -100,3 +100,27 @@
 		})
 	}
 }
+
+// Guards against taking an interim response that comes in two parts for the beginning of the answer: an honest
+// call that took longer than an answer's rest may take was given up, and sent again though it ran.
+func TestInterimResponseDoesNotBeginAnswer(t *testing.T) {
+	s := newTestCourier(t)
+	target := s.front.Target(core.Entry{Name: "s-1", Addr: s.target.listener.Addr().String()})
+	var result *core.Result
+	target.Call(&store.Message{ID: "m1"}, core.Shape{}, 10*time.Second, always, func(r core.Result) { result = &r })
+	s.until("the call arrives", func() bool { return s.target.with("m1") != nil })
+	target0 := s.target.at(0)
+	for _, part := range []string{"HTTP/1.1 102 Proc", "essing\r\n\r\n"} {
+		target0.send(t, part)
+		s.settle()
+	}
+	s.after(2 * time.Second)
+	require.Nil(t, result, "the call goes on")
+	target0.send(t, "HTTP/1.1 503 Bu")
+	s.settle()
+	s.after(400 * time.Millisecond)
+	require.Nil(t, result, "the rest of the answer has its time")
+	target0.send(t, "sy\r\nContent-Length: 0\r\n\r\n")
+	s.until("the call ends", func() bool { return result != nil })
+	assert.Equal(t, snowjunction.Rejected, result.Outcome)
+}
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -294,9 +294,7 @@
 		if c.parser.Status() == 200 && !c.wantWhole {
 			c.finish(core.Result{Outcome: snowjunction.OK})
 		}
-		if c.answerTimer == nil && c.parser.HasPartialResponse() {
-			c.answerTimer = t.front.Loop.After(answerRestTimeout, c.abandonAnswer)
-		}
+		c.limitAnswerTime()
 		return
 	}
 	c.answerTimer.Stop()
@@ -315,6 +313,18 @@
 	c.finish(t.mapResult(r, c.wantWhole))
 }
 
+// limitAnswerTime starts the time that the rest of an answer may take. An interim response that is complete
+// leaves the call without a started answer.
+func (c *targetConn) limitAnswerTime() {
+	switch {
+	case !c.parser.HasPartialResponse():
+		c.answerTimer.Stop()
+		c.answerTimer = nil
+	case c.answerTimer == nil:
+		c.answerTimer = c.target.front.Loop.After(answerRestTimeout, c.abandonAnswer)
+	}
+}
+
 // abandonAnswer gives up the rest of an answer and closes the connection.
 func (c *targetConn) abandonAnswer() {
 	c.closeConn(net.Protocol)
