More than its answer from discovery ends the connection and is not kept

What operators would see: an agent that sends answers without having been asked fills the courier's memory with them, and each is later taken for the answer to a request that it knows nothing of.

Cause: discovery.Data reads one answer for each segment that comes, and writes the next request. What the segment has besides stays in the parser, without a limit: it is bounded within an answer only. Notices and targets end such a connection; discovery did not.

Change: before it asks again, the courier looks for bytes that have come besides the answer, in the parser and in the socket. If there are any, the answer counts, the connection ends (`unsolicited`) and the next request goes on a new one after the pause that follows a lost connection. Bodies of error answers are not kept, from discovery or to notices, as nothing reads them.

--- a/internal/front/endless_answer_test.go
+++ b/internal/front/endless_answer_test.go
@@ -124,3 +124,31 @@
 	s.until("the call ends", func() bool { return result != nil })
 	assert.Equal(t, snowjunction.Rejected, result.Outcome)
 }
+
+// Guards against keeping complete answers that discovery sends without having been asked: one was read at a time,
+// and the others were kept without a limit, to be taken for the answers to later requests.
+func TestSurplusFromDiscoveryIsNotKept(t *testing.T) {
+	const sentBytes, heldLimit = 32 << 20, 2 << 20
+	answer := httpAnswer("200 OK", `{"generation":2,"reset":false,"instances":[]}`)
+	s := newTestCourier(t)
+	s.until("the list is watched", func() bool { return s.discovery.hasReceived(0, discoveryPath, 1) })
+	before := heldBytes()
+	written := make(chan struct{})
+	go func() {
+		writeRepeated(s.discovery.at(0), "", strings.Repeat(answer, 1000), sentBytes)
+		close(written)
+	}()
+	s.until("all is written or the courier closes the connection", func() bool {
+		select {
+		case <-written:
+			return true
+		default:
+			return false
+		}
+	})
+	assert.Less(t, heldBytes()-before, heldLimit)
+	s.until("the connection is closed", func() bool { return len(s.discoveryCloseCodes) > 0 })
+	assert.Equal(t, []string{"unsolicited"}, s.discoveryCloseCodes)
+	s.after(50 * time.Millisecond)
+	s.until("the list is watched again", func() bool { return s.discovery.hasReceived(1, discoveryPath+"?after=2", 1) })
+}
--- a/internal/front/platform/discovery.go
+++ b/internal/front/platform/discovery.go
@@ -42,8 +42,12 @@
 	if d.closed {
 		return
 	}
+	if d.hasSurplus() {
+		d.retryAfter(net.Unsolicited, d.backoff.Disconnected(d.stepAge()))
+		return
+	}
 	if d.conn == nil {
-		d.parser = http1.Parser{MaxBodyBytes: maxAnswerBytes, Sink: d.readBody}
+		d.parser = http1.Parser{MaxBodyBytes: maxAnswerBytes, DiscardBody: true, Sink: d.readBody}
 		d.conn = d.front.Engine.Dial(WatchKind, d.front.Discovery, d)
 		if d.partitions.mayGain = false; !d.partitions.gained {
 			d.stepStart = d.front.Loop.Now()
@@ -54,6 +58,15 @@
 	d.request()
 }
 
+// hasSurplus reports whether more has arrived than the answer to the last request. The rest would be taken
+// for the answer to the next one.
+func (d *discovery) hasSurplus() bool {
+	if d.conn == nil {
+		return false
+	}
+	return d.parser.HasPartialResponse() || d.conn.HasUnread()
+}
+
 // setTimeout closes the connection after a time. Each step has its own timeout: a watch may be
 // silent for long, but a connection that does not open would leave the courier without a list for
 // as long.
--- a/internal/front/platform/notices.go
+++ b/internal/front/platform/notices.go
@@ -55,7 +55,7 @@
 	}
 	if n.conn == nil {
 		n.up = false
-		n.parser = http1.Parser{MaxBodyBytes: maxAnswerBytes}
+		n.parser = http1.Parser{MaxBodyBytes: maxAnswerBytes, DiscardBody: true}
 		n.conn = n.front.Engine.Dial(NoticeKind, n.front.Discovery, n)
 		n.timeout = n.front.Loop.After(n.answerTimeout(), func() { n.timedOut(net.DialTimeout) })
 		return
