HTTP/2: interim responses, late heads and acknowledgements are limited

What callers would see: a gateway that sends interim responses without end on a call's stream keeps the call until its own timeout, with the loop busy reading them for as long; on a stream that was reset, or with PING and SETTINGS acknowledgements, it can go on for ever on a connection without a call.

Cause: handleHeaderList returns for an interim response and for a stream that was reset without counting anything, and so do acknowledgements; frames that ask nothing are counted elsewhere (floodScore).

Change: the interim responses of a stream share the limit of a header list (16 KB); past it the stream is reset, and the call is one that may have run. A head on a stream that was reset adds a half to the flood score, an acknowledgement of what was not sent one.

--- a/internal/front/endless_answer_test.go
+++ b/internal/front/endless_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -152,3 +153,25 @@
 	s.after(50 * time.Millisecond)
 	s.until("the list is watched again", func() bool { return s.discovery.hasReceived(1, discoveryPath+"?after=2", 1) })
 }
+
+// Guards against the same from an HTTP/2 target: the call ends as one that may have run, and another call on its
+// connection goes on unless the flood goes on.
+func TestEndlessAnswerOnStreamIsEnded(t *testing.T) {
+	s := newPushTestCourier(t)
+	server := newFakeServer(t)
+	target := s.push.Target(core.Entry{Name: "s-1", Addr: server.listener.Addr().String()})
+	results := map[string]core.Result{}
+	for _, id := range []string{"m1", "m2"} {
+		target.Call(&store.Message{ID: id, Body: []byte(id)}, core.Shape{}, 10*time.Second, always, func(r core.Result) { results[id] = r })
+	}
+	s.until("both calls arrive", func() bool { return server.hasReceived(0, "m1", 1) && server.hasReceived(0, "m2", 1) })
+	interim := headersFrame(t, 1, false, ":status", "103", "link", strings.Repeat("x", 1000))
+	server.at(0).send(t, settingsFrame(t)+strings.Repeat(interim, 20))
+	s.until("the call ends", func() bool { return len(results) > 0 })
+	assert.Equal(t, snowjunction.Reset, results["m1"].Outcome)
+	server.at(0).send(t, headersFrame(t, 3, true, ":status", "200"))
+	s.until("the other call ends", func() bool { return len(results) == 2 })
+	assert.Equal(t, snowjunction.OK, results["m2"].Outcome)
+	go writeRepeated(server.at(0), "", strings.Repeat(interim, 16), 64<<20)
+	s.until("the connection is closed", func() bool { return slices.Contains(s.closeCodes["push target"], "protocol") })
+}
--- a/internal/proto/h2/conn.go
+++ b/internal/proto/h2/conn.go
@@ -60,12 +60,13 @@
 
 // Conn is one side of an HTTP/2 connection. It is not safe for concurrent use.
 type Conn struct {
-	client           bool
-	limits           Limits
-	inBuffer         []byte
-	outBuffer        []byte
-	prefaceReceived  bool // the client's preface has been received
-	settingsReceived bool // the peer's first SETTINGS frame has been received
+	client               bool
+	limits               Limits
+	inBuffer             []byte
+	outBuffer            []byte
+	prefaceReceived      bool // the client's preface has been received
+	settingsReceived     bool // the peer's first SETTINGS frame has been received
+	settingsAcknowledged bool // the peer has acknowledged our SETTINGS
 
 	decoder          *hpack.Decoder
 	encoder          *hpack.Encoder
@@ -106,6 +107,7 @@
 	contentLength    int64 // content-length; -1 if absent
 	tooBig           bool
 	headersReceived  bool   // the header list has been received
+	interimBytes     int    // size of the header lists of interim responses
 	remoteClosed     bool   // the peer has ended the stream
 	localClosed      bool   // we have ended the stream
 	sendWindow       int64  // bytes that we may send
@@ -123,7 +125,8 @@
 const (
 	maxFloodScore            = 200 // a higher score ends the connection
 	floodScoreDecayPerSecond = 20
-	maxHeaderFrames          = 16 // HEADERS and CONTINUATION frames of one header block
+	lateHeadersScore         = 0.5 // an answer that crosses the reset of its stream costs this and one for its body
+	maxHeaderFrames          = 16  // HEADERS and CONTINUATION frames of one header block
 )
 
 // NewServer returns the server side of a connection.
@@ -268,8 +271,9 @@
 			return &ConnError{ProtocolError, "PING on a stream"}
 		case len(f.payload) != 8:
 			return &ConnError{FrameSizeError, "malformed PING"}
-		case !f.has(flagAck):
-			c.floodScore++
+		}
+		c.floodScore++ // this side sends no PING that could be acknowledged
+		if !f.has(flagAck) {
 			c.outBuffer = appendFrame(c.outBuffer, framePing, flagAck, 0, f.payload)
 		}
 	case frameGoAway:
@@ -289,6 +293,7 @@
 	case f.has(flagAck) && len(f.payload) != 0, len(f.payload)%6 != 0:
 		return &ConnError{FrameSizeError, "malformed SETTINGS"}
 	case f.has(flagAck):
+		c.handleSettingsAck()
 		return nil
 	}
 	if c.settingsReceived {
@@ -329,6 +334,14 @@
 	return nil
 }
 
+// handleSettingsAck expects one acknowledgement, because SETTINGS are sent once.
+func (c *Conn) handleSettingsAck() {
+	if c.settingsAcknowledged {
+		c.floodScore++
+	}
+	c.settingsAcknowledged = true
+}
+
 func (c *Conn) handleWindowUpdate(f frame) *ConnError {
 	if len(f.payload) != 4 {
 		return &ConnError{FrameSizeError, "malformed WINDOW_UPDATE"}
--- a/internal/proto/h2/stream.go
+++ b/internal/proto/h2/stream.go
@@ -77,11 +77,13 @@
 		s = c.openStream(f.stream)
 		c.lastAcceptedStream = f.stream
 		c.openPeerStreams++
-	case s == nil:
-		return nil // a stream that we have reset
+	case s == nil: // a stream that we have reset
+		c.floodScore += lateHeadersScore
+		return nil
 	}
 	if c.client && isInterim(fields) {
-		if f.has(flagEndStream) {
+		// An answer's interim responses share a limit, because a series of them could be endless.
+		if s.interimBytes += c.headerListSize; s.interimBytes > c.limits.MaxHeaderBytes || f.has(flagEndStream) {
 			return c.resetMalformed(s)
 		}
 		return nil
