Header lists of incomplete push requests count against their limit

What operators would see: clients of the push front that send long header lists and no bodies take the courier over its memory: 64 clients with 100 streams of 16 KB each are 100 MB, by reckoning; no run was made with real processes.

Cause: BufferedInput counts parts of frames, header blocks and bodies. The decoded header list of a stream whose body is missing is kept too and was not counted, so the limit on what incomplete requests hold together (a tenth of memory_mb) did not see it. Found while counting what answers hold.

Change: the size of a stream's header list counts until its message is complete.

--- a/internal/proto/h2/conn.go
+++ b/internal/proto/h2/conn.go
@@ -103,7 +103,10 @@
 type stream struct {
 	id               uint32
 	fields           []Field
+	headerBytes      int // size of the header list, as far as it is kept
 	body             []byte
+	bodyBytes        int   // bytes of the body so far
+	discardBody      bool  // the body is counted and not kept
 	contentLength    int64 // content-length; -1 if absent
 	tooBig           bool
 	headersReceived  bool   // the header list has been received
@@ -442,15 +445,32 @@
 
 // BufferedInput returns the number of bytes that are held of incomplete frames, header lists and bodies.
 func (c *Conn) BufferedInput() int {
-	n := len(c.inBuffer) + len(c.headerBlock)
-	for _, s := range c.streams {
-		if !s.remoteClosed {
-			n += len(s.body)
-		}
+	n := c.PartialInput()
+	for id := range c.streams {
+		n += c.StreamInput(id)
 	}
 	return n
 }
 
+// PartialInput returns the number of bytes that are held of an incomplete frame and an incomplete header block.
+func (c *Conn) PartialInput() int { return len(c.inBuffer) + len(c.headerBlock) }
+
+// StreamInput returns the number of bytes that are held of an incomplete message.
+func (c *Conn) StreamInput(id uint32) int {
+	s := c.streams[id]
+	if s == nil || s.remoteClosed {
+		return 0
+	}
+	return s.headerBytes + len(s.body)
+}
+
+// DiscardBody makes a client check the body of a response and not keep it.
+func (c *Conn) DiscardBody(id uint32) {
+	if s := c.streams[id]; s != nil {
+		s.discardBody = true
+	}
+}
+
 // HasPartialInput reports whether a frame or a header block has been received in part.
 func (c *Conn) HasPartialInput() bool { return len(c.inBuffer) > 0 || c.headerFrame.stream != 0 }
 
--- a/internal/proto/h2/stream.go
+++ b/internal/proto/h2/stream.go
@@ -89,6 +89,7 @@
 		return nil
 	}
 	s.headersReceived, s.fields, s.tooBig = true, fields, tooBig
+	s.headerBytes = min(c.headerListSize, c.limits.MaxHeaderBytes)
 	if c.client {
 		c.events = append(c.events, ResponseHead{Stream: s.id, Fields: fields})
 	}
@@ -200,10 +201,13 @@
 		c.events = append(c.events, Reset{Stream: s.id, Code: FlowControlError})
 		return nil
 	}
-	s.body = append(s.body, b...)
+	s.bodyBytes += len(b)
+	if !s.discardBody {
+		s.body = append(s.body, b...)
+	}
 	s.wait.moved = s.wait.moved || len(b) > 0
 	switch {
-	case len(s.body) > c.limits.MaxBodyBytes:
+	case s.bodyBytes > c.limits.MaxBodyBytes:
 		return c.completeTooBig(s)
 	case f.has(flagEndStream):
 		return c.complete(s)
@@ -233,7 +237,7 @@
 // complete reports a complete message. Only now are its bytes returned to the connection's receive
 // window, so that this window limits the total size of incomplete messages.
 func (c *Conn) complete(s *stream) *ConnError {
-	if s.contentLength >= 0 && s.contentLength != int64(len(s.body)) && !s.tooBig && !s.timedOut {
+	if s.contentLength >= 0 && s.contentLength != int64(s.bodyBytes) && !s.tooBig && !s.timedOut {
 		return c.resetMalformed(s)
 	}
 	s.remoteClosed, s.wait = true, wait{}
