What incomplete answers hold is limited in all, for each front

What operators would see: endpoints that stop within their answers take a courier over its memory together: 16 KB of a head, or 16 KB and a body of 64 KB, for each call, up to the limit on connections or calls, with nothing that bounds the product (10 to 20 MB of 32, by reckoning; no run with real processes).

Change: AnswerBudget counts what the incomplete answers of a front's targets hold. Past a twentieth of memory_mb the answer that has been incomplete for longest is given up, as after its 500 ms: HTTP/1.1 closes its connection (`spared`), HTTP/2 resets the stream, or closes the connection for an incomplete frame or header block. Bodies that no plug-in reads are not kept on HTTP/2 either, so that honest answers hold their heads only. A buffer over 4 KB is not kept with an idle connection.

Evidence: TestIncompleteAnswersAreLimited: five kinds of incomplete answers on real connections, room for two of three: without the limit none of the first is given up in 20 s; with it the first is, and the other two are answered. TestUnreadBodiesAreNotKept: bodies over the limit that no plug-in reads are answered. go test -race of front, proto and daemon passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,9 +33,10 @@
 )
 
 const (
-	heapShare           = 0.6 // share of the machine's memory; the folder's files need memory too
-	incompleteShare     = 0.1 // share of the machine's memory for the incomplete requests of a front's clients
-	reservedDescriptors = 32  // file descriptors besides connections: journal, log, epoll, listeners
+	heapShare             = 0.6  // share of the machine's memory; the folder's files need memory too
+	incompleteShare       = 0.1  // share of the machine's memory for the incomplete requests of a front's clients
+	incompleteAnswerShare = 0.05 // share of the machine's memory for the incomplete answers of a front's targets
+	reservedDescriptors   = 32   // file descriptors besides connections: journal, log, epoll, listeners
 )
 
 // Times of a planned stop: decisions continue for a while, calls in flight are awaited, and the
@@ -173,12 +174,13 @@
 		Loop: c.loop, Engine: c.engine, Log: c.log, FrontIndex: platformFrontNumber, Listen: cfg.Listen,
 		Discovery: cfg.Discovery, Names: cfg.Names, ReportColumns: cfg.ReportColumns, Settings: cfg.Settings,
 		Lists: platform.ListLimits{Bytes: c.idle.ListBytes, Entries: c.idle.ListEntries}, OnStep: c.onPlatformStep,
-		AnswerSettleTime: c.process.opts.AnswerSettleTime, MaxIncompleteBytes: maxIncompleteBytes(cfg),
-		Router: c.newRouter(messages),
+		AnswerSettleTime: c.process.opts.AnswerSettleTime, MaxIncompleteBytes: memoryShare(cfg, incompleteShare),
+		MaxIncompleteAnswerBytes: memoryShare(cfg, incompleteAnswerShare), Router: c.newRouter(messages),
 	})
 	c.push = push.New(push.Config{
 		Loop: c.loop, Engine: c.engine, Log: c.log, FrontIndex: pushFrontNumber, Push: pushCfg, API: c.process.api, Lifecycle: c.process.life,
-		ReportColumns: cfg.ReportColumns, Settings: cfg.Settings, MaxIncompleteBytes: maxIncompleteBytes(cfg),
+		ReportColumns: cfg.ReportColumns, Settings: cfg.Settings, MaxIncompleteBytes: memoryShare(cfg, incompleteShare),
+		MaxIncompleteAnswerBytes: memoryShare(cfg, incompleteAnswerShare),
 	})
 	coreCfg := core.Config{
 		Loop: c.loop, Log: c.log, Journal: c.journal, Settings: cfg.Settings,
@@ -216,10 +218,9 @@
 	return messages, err
 }
 
-// maxIncompleteBytes returns how many bytes of memory the incomplete requests of a front's clients may
-// hold together.
-func maxIncompleteBytes(cfg *config.Config) int {
-	return int(float64(cfg.Limits.MemoryMB<<20) * incompleteShare)
+// memoryShare returns a share of the machine's memory in bytes.
+func memoryShare(cfg *config.Config, share float64) int {
+	return int(float64(cfg.Limits.MemoryMB<<20) * share)
 }
 
 // reservedConns returns the connections that are reserved, whatever clients and targets need, for a
--- a/internal/front/platform/handover.go
+++ b/internal/front/platform/handover.go
@@ -112,7 +112,7 @@
 	if !ok {
 		return handover.Call{}, false
 	}
-	c.answerTimer.Stop()
+	c.endAnswer()
 	c.done = nil
 	return handover.Call{Conn: conn, IdleTime: c.idleBefore, WantsWholeAnswer: c.wantWhole}, true
 }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -12,6 +12,7 @@
 	"snowjunction/internal/confidence"
 	"snowjunction/internal/config"
 	"snowjunction/internal/core"
+	"snowjunction/internal/front"
 	"snowjunction/internal/net"
 	"snowjunction/internal/partition"
 	"snowjunction/internal/store"
@@ -33,6 +34,9 @@
 	// MaxIncompleteBytes limits what the incomplete commands of all clients hold together. Zero means no
 	// limit.
 	MaxIncompleteBytes int
+	// MaxIncompleteAnswerBytes limits what the incomplete answers of all targets hold together. Zero means
+	// no limit.
+	MaxIncompleteAnswerBytes int
 	// AnswerSettleTime replaces how long a connection to a target rests between an answer and the next
 	// call. Zero keeps it.
 	AnswerSettleTime time.Duration
@@ -75,6 +79,7 @@
 	forwarder       forwarder
 	requestCount    uint64 // submitted by clients
 	incompleteBytes int    // held by the incomplete commands of all clients
+	answers         front.AnswerBudget
 	createdAt       time.Time
 	activeSweep     *tableSweep // nil if no entries have to be removed from the table
 	lingerTimer     *core.Timer // runs while partitions that are no longer owned are still served
@@ -101,6 +106,7 @@
 		cfg.Lists = DefaultListLimits
 	}
 	f := &Front{Config: cfg, clients: map[*client]bool{}, targets: map[*target]bool{}, createdAt: cfg.Loop.Now()}
+	f.answers.MaxBytes = cfg.MaxIncompleteAnswerBytes
 	f.discovery.front = f
 	f.discovery.backoff = backoff.New(cfg.Settings.Fleet, cfg.Settings.Seed).WithGrace(cfg.Settings.DrainGrace)
 	f.notices.front = f
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -35,6 +35,7 @@
 	sent        bool        // the request may have left this process
 	wantWhole   bool        // the caller wants the complete answer, if it comes soon
 	answerTimer *core.Timer // runs while an answer is incomplete
+	answer      front.AnswerMemory
 	lastUsed    time.Time
 	answeredAt  time.Time     // when the latest answer was complete; zero if none was
 	idleBefore  time.Duration // idle time before the current call; zero for a new connection
@@ -201,10 +202,17 @@
 }
 
 func (c *targetConn) closeConn(code net.Code) {
-	c.answerTimer.Stop()
+	c.endAnswer()
 	c.conn.Close(code)
 }
 
+// endAnswer ends the wait for the rest of an answer.
+func (c *targetConn) endAnswer() {
+	c.answerTimer.Stop()
+	c.answerTimer = nil
+	c.target.front.answers.Release(&c.answer)
+}
+
 // Opened writes the request on a new connection. It sends nothing if the target left its group in
 // the meantime: the endpoint is draining or gone, and connecting may have taken longer than the
 // grace period in which it may still be sent requests. It sends nothing either if the decision to
@@ -232,7 +240,7 @@
 
 // Closed ends the current call, if any.
 func (c *targetConn) Closed(code net.Code) {
-	c.answerTimer.Stop()
+	c.endAnswer()
 	if code == net.Limit { // a local connection limit: says nothing about the target
 		c.finish(core.Result{Outcome: snowjunction.NotSent})
 		return
@@ -286,7 +294,7 @@
 	}
 	r, err := c.parser.Next()
 	if err != nil {
-		c.abandonAnswer()
+		c.abandonAnswer(net.Protocol)
 		return
 	}
 	t := c.target
@@ -294,11 +302,10 @@
 		if c.parser.Status() == 200 && !c.wantWhole {
 			c.finish(core.Result{Outcome: snowjunction.OK})
 		}
-		c.limitAnswerTime()
+		c.limitAnswer()
 		return
 	}
-	c.answerTimer.Stop()
-	c.answerTimer = nil
+	c.endAnswer()
 	switch {
 	case r.Close:
 		c.conn.Close(net.Finished)
@@ -313,21 +320,24 @@
 	c.finish(t.mapResult(r, c.wantWhole))
 }
 
-// limitAnswerTime starts the time that the rest of an answer may take. An interim response that is complete
-// leaves the call without a started answer.
-func (c *targetConn) limitAnswerTime() {
-	switch {
-	case !c.parser.HasPartialResponse():
-		c.answerTimer.Stop()
-		c.answerTimer = nil
-	case c.answerTimer == nil:
-		c.answerTimer = c.target.front.Loop.After(answerRestTimeout, c.abandonAnswer)
+// limitAnswer limits the time that the rest of an answer may take, and its memory. An interim response that is
+// complete leaves the call without a started answer.
+func (c *targetConn) limitAnswer() {
+	if !c.parser.HasPartialResponse() {
+		c.endAnswer()
+		return
+	}
+	f := c.target.front
+	if c.answerTimer == nil {
+		c.answerTimer = f.Loop.After(answerRestTimeout, func() { c.abandonAnswer(net.Protocol) })
 	}
+	f.answers.Update(&c.answer, c.parser.Buffered(), func() { c.abandonAnswer(net.Evicted) })
+	f.answers.Enforce()
 }
 
 // abandonAnswer gives up the rest of an answer and closes the connection.
-func (c *targetConn) abandonAnswer() {
-	c.closeConn(net.Protocol)
+func (c *targetConn) abandonAnswer(code net.Code) {
+	c.closeConn(code)
 	outcome := snowjunction.Reset
 	if c.parser.Status() == 200 {
 		outcome = snowjunction.OK
--- a/internal/front/push/push.go
+++ b/internal/front/push/push.go
@@ -12,6 +12,7 @@
 	"snowjunction/internal/config"
 	"snowjunction/internal/core"
 	"snowjunction/internal/describe"
+	"snowjunction/internal/front"
 	"snowjunction/internal/groups"
 	"snowjunction/internal/h2pool"
 	"snowjunction/internal/net"
@@ -33,6 +34,9 @@
 	// MaxIncompleteBytes limits what the incomplete requests of all clients hold together. Zero means no
 	// limit.
 	MaxIncompleteBytes int
+	// MaxIncompleteAnswerBytes limits what the incomplete answers of all targets hold together. Zero means
+	// no limit.
+	MaxIncompleteAnswerBytes int
 }
 
 // Front is the push front. It belongs to the loop's goroutine.
@@ -43,6 +47,7 @@
 	draining        bool
 	callsPaused     bool // a handover is in progress: no more calls
 	incompleteBytes int  // held by the incomplete requests of all clients
+	answers         front.AnswerBudget
 	clients         map[*client]bool
 	messages        map[string]*store.Message // by id, until forgotten
 	ended           []*store.Message          // ended messages, in the order in which they ended
@@ -102,7 +107,8 @@
 // New returns a front that is not started yet.
 func New(cfg Config) *Front {
 	return &Front{
-		Config: cfg, clients: map[*client]bool{}, messages: map[string]*store.Message{},
+		Config: cfg, answers: front.AnswerBudget{MaxBytes: cfg.MaxIncompleteAnswerBytes},
+		clients: map[*client]bool{}, messages: map[string]*store.Message{},
 		waiting: map[string][]*waiter{}, gone: map[string]bool{}, topics: map[topic]string{}, topicOf: map[string]topic{},
 	}
 }
--- a/internal/front/push/target.go
+++ b/internal/front/push/target.go
@@ -33,7 +33,8 @@
 	waiting  []*call // calls that wait for the connection to open or for a free stream
 	lastUsed time.Time
 	openedAt time.Time
-	retired  bool // accepts no further calls
+	retired  bool               // accepts no further calls
+	input    front.AnswerMemory // what is held of an incomplete frame or header block
 }
 
 // call is one attempt, on a stream of its own.
@@ -44,6 +45,7 @@
 	stream      uint32 // zero until sent
 	status      int    // status of a started answer; zero if none
 	answerTimer *core.Timer
+	answer      front.AnswerMemory
 	idleBefore  time.Duration // idle time of the connection before the call; zero for a new one
 	wantWhole   bool          // the caller wants the complete answer, if it comes soon
 	maySend     func() bool   // whether the decision to send is still valid
@@ -177,6 +179,7 @@
 
 func (c *targetConn) closeConn(code net.Code) {
 	c.conn.Close(code)
+	c.target.front.answers.Release(&c.input)
 	c.retire()
 }
 
@@ -229,6 +232,9 @@
 			rejected = append(rejected, x)
 			continue
 		}
+		if !x.wantWhole {
+			c.h2.DiscardBody(id)
+		}
 		x.stream = id
 		c.calls[id] = x
 	}
@@ -264,7 +270,7 @@
 func (x *call) GiveUp() {
 	c := x.conn
 	x.done = nil
-	x.answerTimer.Stop()
+	x.endAnswer()
 	if x.stream != 0 {
 		c.h2.Reset(x.stream, h2.Cancel)
 		delete(c.calls, x.stream)
@@ -296,9 +302,16 @@
 	return core.Result{Outcome: snowjunction.Reset}
 }
 
+// endAnswer ends the wait for the rest of an answer.
+func (x *call) endAnswer() {
+	x.answerTimer.Stop()
+	x.conn.target.front.answers.Release(&x.answer)
+}
+
 // abandonAnswer gives up the rest of an answer.
 func (x *call) abandonAnswer() {
 	c := x.conn
+	x.endAnswer()
 	c.h2.Reset(x.stream, h2.Cancel)
 	delete(c.calls, x.stream)
 	c.conn.Write(c.h2.Output())
@@ -323,13 +336,14 @@
 		unsent = snowjunction.NotSent
 	}
 	c.retire()
+	c.target.front.answers.Release(&c.input)
 	queue, calls := c.waiting, c.calls
 	c.waiting, c.calls = nil, map[uint32]*call{}
 	for _, x := range queue {
 		x.finish(core.Result{Outcome: unsent})
 	}
 	for _, x := range calls {
-		x.answerTimer.Stop()
+		x.endAnswer()
 		x.finish(x.lostResult())
 	}
 }
@@ -373,8 +387,7 @@
 	var failed *h2.ConnError
 	switch {
 	case errors.As(err, &failed):
-		c.conn.Close(net.Protocol)
-		c.Closed(net.Protocol)
+		c.breakOff(net.Protocol)
 	case c.retired || c.target.removed:
 		code := net.Finished
 		if c.target.removed {
@@ -382,6 +395,32 @@
 		}
 		c.closeIfIdle(code)
 	}
+	c.limitAnswers()
+}
+
+// breakOff closes the connection and ends the calls in flight.
+func (c *targetConn) breakOff(code net.Code) {
+	c.conn.Close(code)
+	c.Closed(code)
+}
+
+// limitAnswers limits the memory that incomplete answers hold.
+func (c *targetConn) limitAnswers() {
+	if !c.conn.Up() {
+		return
+	}
+	budget := &c.target.front.answers
+	if n := c.h2.PartialInput(); n > 0 {
+		budget.Update(&c.input, n, func() { c.breakOff(net.Evicted) })
+	} else {
+		budget.Release(&c.input)
+	}
+	for id, x := range c.calls {
+		if x.status != 0 {
+			budget.Update(&x.answer, c.h2.StreamInput(id), x.abandonAnswer)
+		}
+	}
+	budget.Enforce()
 }
 
 // finishCall ends a call with its complete answer.
@@ -392,7 +431,7 @@
 	if x == nil {
 		return
 	}
-	x.answerTimer.Stop()
+	x.endAnswer()
 	status, err := strconv.Atoi(h2.Get(m.Fields, ":status"))
 	if err != nil {
 		status = 500
@@ -419,7 +458,7 @@
 	if x == nil {
 		return
 	}
-	x.answerTimer.Stop()
+	x.endAnswer()
 	res := x.lostResult()
 	switch {
 	case r.NotRun && c.h2.PeerSentGoAway(): // the connection ends, but the target may be healthy
--- a/internal/proto/http1/parser.go
+++ b/internal/proto/http1/parser.go
@@ -21,6 +21,8 @@
 	// maxOverheadBytes limits what a response has besides its head and its body: interim responses, the
 	// lines around chunks, and trailers. A response without that limit could be endless.
 	maxOverheadBytes = 16 << 10
+	// maxIdleBuffer is the capacity up to which an empty buffer is kept for the next response.
+	maxIdleBuffer = 4 << 10
 	// chunkAllowance is how many bytes of the lines around a chunk do not count as overhead.
 	chunkAllowance = 16
 
@@ -68,6 +70,15 @@
 // HasPartialResponse reports whether part of a response has been received.
 func (p *Parser) HasPartialResponse() bool { return len(p.unparsed()) > 0 || p.state != head }
 
+// Buffered returns the number of bytes that are held of an incomplete response.
+func (p *Parser) Buffered() int {
+	n := len(p.unparsed())
+	if p.current != nil {
+		n += p.current.headBytes + len(p.current.Body)
+	}
+	return n
+}
+
 // Status returns the status of an incomplete response whose status line is complete, even if
 // the rest is malformed. Otherwise it returns zero.
 func (p *Parser) Status() int { return p.status }
@@ -115,6 +126,9 @@
 func (p *Parser) finishResponse() *Response {
 	r := p.current
 	p.current, p.state, p.remaining, p.bodyBytes, p.overhead, p.status = nil, head, 0, 0, 0, 0
+	if len(p.unparsed()) == 0 {
+		p.compact()
+	}
 	return r
 }
 
@@ -142,9 +156,13 @@
 // unparsed returns the received bytes that have not been parsed yet.
 func (p *Parser) unparsed() []byte { return p.buf[p.offset:] }
 
-// compact discards parsed bytes.
+// compact discards parsed bytes. A large buffer is not kept between responses.
 func (p *Parser) compact() {
-	p.buf = append(p.buf[:0], p.unparsed()...)
+	if p.offset == len(p.buf) && cap(p.buf) > maxIdleBuffer {
+		p.buf = nil
+	} else {
+		p.buf = append(p.buf[:0], p.unparsed()...)
+	}
 	p.offset = 0
 }
 
--- a/internal/proto/http1/response.go
+++ b/internal/proto/http1/response.go
@@ -11,8 +11,9 @@
 	Close  bool // the connection closes after this response
 	Body   []byte
 
-	version string // of the protocol
-	header  []field
+	version   string // of the protocol
+	header    []field
+	headBytes int // size of the status line and the headers
 }
 
 type field struct{ name, value string }
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Response{Status: status, Close: version == version10, version: version}
+	r := &Response{Status: status, Close: version == version10, version: version, headBytes: len(text)}
 	for _, l := range lines[1:] {
 		name, value, ok := strings.Cut(l, ":")
 		if !ok || name == "" || strings.ContainsAny(name, " \t") {
