What peers leave unread is limited in all, and the slowest reader is closed

What operators would see: clients that send PING with 60 KB and do not read the echo take the courier over its memory: what a peer sent is held as the answer to it, up to 1 MB each.

Cause: the engine bounds what is unsent for a connection, and connections are bounded, but not the product.

Change: where a write leaves bytes unsent, the engine adds up what all connections have unsent (unsent.go). Past a tenth of memory_mb the connection with the most is closed (`slow`).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,7 @@
 	heapShare             = 0.6  // share of the machine's memory; the folder's files need memory too
 	incompleteShare       = 0.1  // share of the machine's memory for the incomplete requests of a front's clients
 	incompleteAnswerShare = 0.05 // share of the machine's memory for the incomplete answers of a front's targets
+	unsentShare           = 0.1  // share of the machine's memory for what peers leave unread
 	reservedDescriptors   = 32   // file descriptors besides connections: journal, log, epoll, listeners
 )
 
@@ -147,6 +148,7 @@
 	cfg, pushCfg := c.cfg, c.process.files.push
 	if c.engine, err = net.New(net.Config{
 		Post: c.loop.Post, Log: c.log, MaxConns: max(cfg.Limits.Sockets-reservedDescriptors, cfg.Limits.Sockets/2), Reserved: reservedConns(cfg),
+		MaxUnsentBytes: memoryShare(cfg, unsentShare),
 	}); err != nil {
 		return nil, err
 	}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -24,6 +24,7 @@
 	plain         *plain     // used instead of nc for kinds that may be half-closed
 	up            bool
 	closed        bool
+	slow          bool // about to be closed, because the peer reads too slowly
 	accepted      bool
 	counted       bool // counted as open
 	halfClose     bool // the peer may close its sending side and still be answered
@@ -181,6 +182,7 @@
 		return false
 	}
 	c.out += len(b)
+	c.engine.limitUnsent(c)
 	return true
 }
 
@@ -262,6 +264,7 @@
 // finish updates the counts and logs the connection's one log line.
 func (c *Conn) finish(code Code) {
 	c.closed = true
+	delete(c.engine.unsent, c)
 	if c.counted {
 		c.engine.countOpen(c, -1)
 	}
--- a/internal/net/engine.go
+++ b/internal/net/engine.go
@@ -68,6 +68,9 @@
 	// reservation, idle clients and calls to targets could take all connections and cut the courier
 	// off from those it depends on.
 	Reserved map[string]int
+	// MaxUnsentBytes limits what all peers together leave unread of what they were sent, besides the kernel's
+	// buffers. Zero means no limit.
+	MaxUnsentBytes int
 }
 
 // Engine opens and accepts connections.
@@ -76,6 +79,7 @@
 	nb            *nbio.Engine
 	openCount     int
 	openByKind    map[string]int // open connections by kind
+	unsent        map[*Conn]bool // connections with unsent bytes after their latest write
 	acceptedCount int            // open connections that listeners accepted
 	listeners     []listener
 	idleEvictors  []func() bool // each closes one idle dialed connection and returns true, or returns false
@@ -111,7 +115,7 @@
 	logging.SetLevel(logging.LevelNone)
 	// nbio allocates a table of this size; its default is two million entries.
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, cfg.MaxConns+4096)
-	e := &Engine{cfg: cfg, openByKind: map[string]int{}, stopped: make(chan struct{}), plainConns: map[*plain]bool{}, halfClose: map[string]bool{}, nb: nbio.NewEngine(nbio.Config{
+	e := &Engine{cfg: cfg, openByKind: map[string]int{}, unsent: map[*Conn]bool{}, stopped: make(chan struct{}), plainConns: map[*plain]bool{}, halfClose: map[string]bool{}, nb: nbio.NewEngine(nbio.Config{
 		NPoller: 1, ReadBufferSize: readBufferSize, MaxWriteBufferSize: maxWriteBuffer,
 		MaxConnReadTimesPerEventLoop: maxReadsPerEvent,
 	})}
