Empty arrays from a client are an error, and what was read of them is not kept

What operators would see: any client that sends *0 without end takes the courier over its memory, and gets neither an error nor a close.

Cause: the RESP2 parser skips empty arrays. What it has read stays in its buffer while the buffer ends within a line (lengthLine returned without compact), and Buffered, which the limit on incomplete commands goes by, counts unread bytes only. The time limit on a command does not end a client with unread bytes.

Change: *0 and *-1 are answered `-ERR protocol error: empty array` and the connection ends, as after other errors of syntax: no client sends them. The parser compacts its buffer where a line is incomplete.

--- a/internal/front/endless_answer_test.go
+++ b/internal/front/endless_answer_test.go
@@ -175,3 +175,26 @@
 	go writeRepeated(server.at(0), "", strings.Repeat(interim, 16), 64<<20)
 	s.until("the connection is closed", func() bool { return slices.Contains(s.closeCodes["push target"], "protocol") })
 }
+
+// Guards against keeping what a client sends that is no command, for as long as it sends.
+func TestFloodOfEmptyCommandsIsNotKept(t *testing.T) {
+	const sentBytes, heldLimit = 32 << 20, 2 << 20
+	s := newTestCourier(t)
+	c := s.client()
+	before := heldBytes()
+	written := make(chan struct{})
+	go func() {
+		writeRepeated(c, "*", "0\r\n"+strings.Repeat("*0\r\n", 16<<10)+"*", sentBytes)
+		close(written)
+	}()
+	s.until("all is written or the courier closes the connection", func() bool {
+		select {
+		case <-written:
+			return true
+		default:
+			return false
+		}
+	})
+	assert.Less(t, heldBytes()-before, heldLimit)
+	s.until("the client is told", func() bool { return slices.Contains(s.closeCodes["client"], "finished") })
+}
--- a/internal/proto/resp/resp.go
+++ b/internal/proto/resp/resp.go
@@ -20,6 +20,7 @@
 var (
 	ErrSyntax = errors.New("protocol error: expected an array of bulk strings")
 	ErrLength = errors.New("protocol error: invalid length")
+	ErrEmpty  = errors.New("protocol error: empty array")
 	ErrTooBig = errors.New("protocol error: too big")
 )
 
@@ -81,8 +82,8 @@
 			if n > MaxArgs {
 				return nil, ErrTooBig
 			}
-			if n <= 0 { // an empty array is ignored
-				continue
+			if n <= 0 {
+				return nil, ErrEmpty
 			}
 			p.missingArgs, p.argSize, p.args, p.argBytes = n, -1, nil, 0
 		}
@@ -148,6 +149,7 @@
 	if len(rest) > maxLengthLine {
 		return 0, false, ErrLength
 	}
+	p.compact()
 	return 0, false, nil
 }
 
--- a/internal/proto/resp/resp_test.go
+++ b/internal/proto/resp/resp_test.go
@@ -101,3 +101,24 @@
 	assert.Len(t, args, 2)
 	assert.Zero(t, p.Buffered())
 }
+
+// Guards against empty arrays without end: they were ignored, so that their client got neither an error nor a
+// close, and kept if the pieces in which they came ended within a line.
+func TestEmptyArraysAreAnError(t *testing.T) {
+	for _, in := range []string{"*0\r\n", "*-1\r\n"} {
+		var p Parser
+		p.Feed([]byte("*"))
+		_, err := p.Next()
+		require.NoError(t, err)
+		flood := strings.Repeat(in, 4<<10)
+		for n := 0; n < 10 && err == nil; n++ {
+			p.Feed([]byte(flood[1:] + "*"))
+			_, err = p.Next()
+		}
+		assert.Less(t, len(p.buf), 2*len(flood), "%q", in)
+		p = Parser{}
+		p.Feed([]byte(in))
+		_, err = p.Next()
+		assert.ErrorIs(t, err, ErrEmpty, "%q", in)
+	}
+}
