Room for new messages depends on unsettled messages alone

Cause: a settled message that is retained went on to count with the size of its record with the body, and against the room for new messages. Sizes were corrected and ends let go by writes only, and with all messages refused nothing was written.

Change: an entry is kept for one reason (unsettled, retained, remembered), with one account each, moved in one place (room.go). Settled messages count with what a later process copies, from the moment they settle and at load. Room for a message is what unsettled messages leave; settled ones have an eighth of the space on top and go first, oldest first: queried ends, then remembered messages. The existing tests name the accounts anew and check the same.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,10 +6,11 @@
 // and the oldest is deleted. Segments are only ever deleted from the front, so a record is never
 // kept without the later records that supersede it.
 //
-// A settled message is remembered, without its body, as long as an attempt that may have run
-// constrains other messages: those with the same idempotency key, and the next one of the same
-// ordering key. Remembered messages are copied by compaction like any other and are evicted when
-// the space is needed.
+// A settled message is retained, without its body, as long as its final state can be queried. It is
+// remembered, without its body, as long as an attempt that may have run constrains other messages: those with
+// the same idempotency key, and the next one of the same ordering key. Both are copied by compaction like any
+// other and are evicted when the space is needed, so that the space for new messages depends on unsettled
+// messages alone (room.go).
 package store
 
 import (
@@ -34,30 +35,29 @@
 	usableShare     = 0.92     // share of Options.Bytes that is used; leaves room for block rounding and the folder
 	segmentShare    = 1.0 / 16 // of maxBytes: a larger segment is followed by a new one
 	compactionShare = 0.75     // of maxBytes: above this the oldest segment is compacted
-	maxLiveShare    = 0.55     // of maxBytes: accepting stops above this, so that compaction frees space
+	maxLiveShare    = 0.55     // of maxBytes: limit for unsettled messages, so that compaction frees space
 	blockSize       = 512      // bytes; file sizes are rounded up to this
 	progressReserve = 256      // bytes reserved per message for the records of its progress
 	maxRemembered   = 8192     // number of settled messages that are remembered
-	rememberedShare = 1.0 / 8  // of maxBytes, on top of maxLiveShare: limit for live and remembered messages
+	settledShare    = 1.0 / 8  // of maxBytes, on top of maxLiveShare: limit for all messages
 )
 
 // Journal is the on-disk store of accepted messages. It is not safe for concurrent use.
 type Journal struct {
-	dir            string
-	log            *slog.Logger
-	maxBytes       int64 // disk space that the segments may use
-	segments       []*segment
-	file           *os.File
-	nextSeq        uint64 // sequence number of the next message
-	live           map[uint64]*entry
-	liveSize       int64
-	retain         time.Duration
-	rememberUntil  func(*Message) time.Time
-	retained       []uint64  // settled messages whose final state can still be queried, oldest first
-	remembered     []uint64  // sequence numbers of remembered settled messages, oldest first
-	rememberedSize int64     // bytes of their records, not included in liveSize
-	lastTime       time.Time // time of the last record that carries one
-	written        Written
+	dir           string
+	log           *slog.Logger
+	maxBytes      int64 // disk space that the segments may use
+	segments      []*segment
+	file          *os.File
+	nextSeq       uint64 // sequence number of the next message
+	live          map[uint64]*entry
+	sizes         [entryKinds]int64 // bytes that the entries of each kind take, see entry.room
+	retain        time.Duration
+	rememberUntil func(*Message) time.Time
+	retained      []uint64  // settled messages whose final state can still be queried, oldest first
+	remembered    []uint64  // sequence numbers of remembered settled messages, oldest first
+	lastTime      time.Time // time of the last record that carries one
+	written       Written
 }
 
 type segment struct {
@@ -66,13 +66,6 @@
 	seqs map[uint64]bool // live messages whose kindAccepted record is in this segment
 }
 
-type entry struct {
-	message    *Message
-	segment    *segment
-	size       int64
-	remembered bool
-}
-
 // Options configures a Journal.
 type Options struct {
 	Dir    string
@@ -151,14 +144,14 @@
 		if m.Settled && !j.isRetained(m) {
 			j.remember(m.Seq)
 		} else if unsettled = append(unsettled, m); m.Settled {
-			j.retained = append(j.retained, m.Seq)
+			j.retainState(m.Seq)
 		}
 		// The previous process ended with the attempt in flight: it may have run.
 		if m.InFlight && (opts.StillInFlight == nil || !opts.StillInFlight(m.Seq)) {
-			j.markMayHaveRun(m)
+			markMayHaveRun(m)
 		}
 	}
-	j.evictRemembered()
+	j.evictSettled()
 	return j, unsettled, nil
 }
 
@@ -219,7 +212,7 @@
 	switch k {
 	case kindSent:
 		if m.InFlight { // the previous process ended with an attempt in flight and its successor recorded no outcome
-			j.markMayHaveRun(m)
+			markMayHaveRun(m)
 		}
 		m.Attempts, m.InFlight, m.InFlightSince = m.Attempts+1, true, at
 	case kindOutcome:
@@ -227,7 +220,7 @@
 			if !at.IsZero() {
 				m.InFlightSince = at
 			}
-			j.markMayHaveRun(m)
+			markMayHaveRun(m)
 		}
 		m.InFlight = false
 	case kindEnded:
@@ -238,15 +231,12 @@
 }
 
 // markMayHaveRun records that the attempt in flight has ended and may have run.
-func (j *Journal) markMayHaveRun(m *Message) {
+func markMayHaveRun(m *Message) {
 	if m.InFlight = false; !m.MayHaveRun {
 		m.MayHaveRun, m.MayHaveRunSince = true, m.InFlightSince
 	}
 }
 
-// isRetained reports whether a settled message's final state can still be queried.
-func (j *Journal) isRetained(m *Message) bool { return m.Origin != 0 && j.retain > 0 }
-
 // track adds a message whose record of this size was written to segment s.
 func (j *Journal) track(m *Message, s *segment, size int64) {
 	j.live[m.Seq] = &entry{message: m, segment: s, size: size}
@@ -263,58 +253,6 @@
 	}
 }
 
-// addSize adds an entry's size to the total of its kind (sign 1) or subtracts it (sign -1).
-func (j *Journal) addSize(e *entry, sign int64) {
-	if e.remembered {
-		j.rememberedSize += sign * e.size
-	} else {
-		j.liveSize += sign * (e.size + progressReserve)
-	}
-}
-
-// remember keeps a settled message, without its body, if it is still relevant, and forgets it
-// otherwise.
-func (j *Journal) remember(seq uint64) {
-	e := j.live[seq]
-	if e == nil || e.remembered {
-		return
-	}
-	if !j.isRelevant(e.message) {
-		j.forget(seq)
-		return
-	}
-	j.addSize(e, -1)
-	e.message.Body = nil
-	e.remembered, e.size = true, int64(len(encode(e.message)))
-	j.addSize(e, 1)
-	j.remembered = append(j.remembered, seq)
-}
-
-// isRelevant reports whether an attempt of a settled message that may have run still constrains
-// other messages.
-func (j *Journal) isRelevant(m *Message) bool {
-	return j.rememberUntil != nil && (m.MayHaveRun || m.InFlight) && j.rememberUntil(m).After(j.lastTime)
-}
-
-// evictRemembered forgets remembered messages, oldest first, that are no longer relevant or that
-// exceed the limits on number and size.
-func (j *Journal) evictRemembered() {
-	for len(j.remembered) > 0 {
-		e := j.live[j.remembered[0]]
-		hasRoom := len(j.remembered) <= maxRemembered && float64(j.liveSize+j.rememberedSize) <= float64(j.maxBytes)*(maxLiveShare+rememberedShare)
-		if e != nil && hasRoom && j.isRelevant(e.message) {
-			return
-		}
-		j.forget(j.remembered[0])
-		j.remembered = j.remembered[1:]
-	}
-}
-
-// HasRoom reports whether a message whose text fields and body have this many bytes fits.
-func (j *Journal) HasRoom(bytes int) bool {
-	return j.liveSize+int64(bytes)+2*progressReserve <= int64(float64(j.maxBytes)*maxLiveShare)
-}
-
 // Accept assigns a sequence number to a new message and writes it. It returns ErrFull if the message
 // does not fit.
 func (j *Journal) Accept(m *Message) error {
@@ -328,7 +266,7 @@
 	}
 	j.nextSeq++
 	j.track(m, j.newest(), int64(len(b)))
-	j.evictRemembered()
+	j.evictSettled()
 	return nil
 }
 
@@ -381,32 +319,22 @@
 	switch {
 	case j.live[m.Seq] == nil:
 	case j.isRetained(m):
-		m.Body = nil
-		j.retained = append(j.retained, m.Seq)
+		j.retainState(m.Seq)
 		j.expireRetained(m.EndedAt)
 	default:
 		j.remember(m.Seq)
 	}
-	j.evictRemembered()
+	j.evictSettled()
 	return err
 }
 
-// expireRetained stops retaining settled messages whose retention time has passed.
-func (j *Journal) expireRetained(now time.Time) {
-	for len(j.retained) > 0 {
-		e := j.live[j.retained[0]]
-		if e != nil && len(j.retained) <= maxRetained && now.Sub(e.message.EndedAt) < j.retain {
-			return
-		}
-		j.remember(j.retained[0])
-		j.retained = j.retained[1:]
-	}
-}
-
 // appendChange writes a change record and applies it. The change is applied even if the write
 // fails, so that the state in memory stays correct.
 func (j *Journal) appendChange(m *Message, k recordKind, at time.Time, n byte, after time.Duration) error {
-	defer j.applyChange(m, k, at, n, after)
+	defer func() {
+		j.applyChange(m, k, at, n, after)
+		j.resizeSettled(m.Seq)
+	}()
 	if j.live[m.Seq] == nil {
 		return nil
 	}
@@ -482,7 +410,7 @@
 	oldest := j.segments[0]
 	for _, seq := range slices.Sorted(maps.Keys(oldest.seqs)) {
 		e := j.live[seq]
-		if e.remembered && !j.isRelevant(e.message) {
+		if e.kind == rememberedEntry && !j.isRelevant(e.message) {
 			j.forget(seq)
 			continue
 		}
@@ -491,6 +419,7 @@
 			return err
 		}
 		j.relocate(e, int64(len(b)))
+		j.resizeSettled(seq)
 	}
 	if err := os.Remove(j.path(oldest.no)); err != nil {
 		return err
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -159,8 +159,8 @@
 		for _, seq := range slices.Sorted(maps.Keys(j.live)) {
 			j.remember(seq)
 		}
-		j.evictRemembered()
-		require.LessOrEqual(t, j.rememberedSize, int64(0), "nothing fits into a journal without space")
+		j.evictSettled()
+		require.LessOrEqual(t, j.sizes[rememberedEntry], int64(0), "nothing fits into a journal without space")
 	})
 }
 
@@ -275,7 +275,7 @@
 			compactAll(t, j, noon.Add(6*time.Second))
 			j = loadRemembering(t, dir, room)
 			assert.Empty(t, j.SettledMayHaveRun(), "it is no longer relevant")
-			assert.Zero(t, j.rememberedSize)
+			assert.Zero(t, j.sizes[rememberedEntry])
 		})
 	}
 }
@@ -311,13 +311,18 @@
 	assert.Equal(t, baseline, held, "as many messages are accepted as without remembered ones")
 	assert.Less(t, len(j.SettledMayHaveRun()), len(before))
 	assert.Greater(t, len(j.SettledMayHaveRun()), 100, "and some are still remembered")
-	var liveSize, rememberedSize int64
+	requireExactSizes(t, j)
+}
+
+// requireExactSizes requires that the journal's account of its room agrees with its entries and their records.
+func requireExactSizes(t require.TestingT, j *Journal) {
+	var sizes [entryKinds]int64
 	for _, e := range j.live {
-		if e.remembered {
-			rememberedSize += e.size
-		} else {
-			liveSize += e.size + progressReserve
+		sizes[e.kind] += e.room()
+		if e.kind != unsettledEntry {
+			require.Equal(t, settledSize(e.message), e.size, "%s: what compaction copies", e.message.ID)
+			require.Empty(t, e.message.Body)
 		}
 	}
-	assert.Equal(t, []int64{liveSize, rememberedSize}, []int64{j.liveSize, j.rememberedSize})
+	require.Equal(t, sizes, j.sizes)
 }
