A message whose destination is being read holds back the later ones of its key

Change: keyorder.go keeps, for a key with such a message, the later ones in their order, and passes them on after it. Frozen cores refuse them like parked ones.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -119,11 +119,7 @@
 		c.flowsByIdempotencyKey[f.idempotencyKey()] = append(c.flowsByIdempotencyKey[f.idempotencyKey()], f)
 	}
 	c.openFlows++
-	if g := c.hold(f); g.loading {
-		g.parked = append(g.parked, f)
-		return
-	}
-	c.submit(f)
+	c.submitInOrder(f)
 }
 
 // submit passes a flow to the module. Its destination is loaded.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -140,6 +140,7 @@
 	openCalls             int
 	routes                routes
 	awaitingSettlement    map[uint64][]*flow // by ordering key: flows that wait for earlier ends to be settled
+	heldBack              map[uint64][]*flow // by ordering key: flows that the module has not received yet, see keyorder.go
 	unsettledEnds         map[uint64]int     // by ordering key: number of unsettled ends
 	classes               map[string]int
 	tenants               map[string]int
@@ -205,7 +206,7 @@
 	c := &Core{
 		Config: cfg, idleTracker: idlestate.New(dormancyConfig), courier: courier, start: cfg.Loop.Now(),
 		flows: map[snowjunction.RequestID]*flow{}, flowsByRef: map[messageRef]*flow{},
-		retryAfterReceived: map[uint32]bool{}, pluginQueues: map[uint64][]*flow{}, awaitingSettlement: map[uint64][]*flow{}, unsettledEnds: map[uint64]int{},
+		retryAfterReceived: map[uint32]bool{}, pluginQueues: map[uint64][]*flow{}, heldBack: map[uint64][]*flow{}, awaitingSettlement: map[uint64][]*flow{}, unsettledEnds: map[uint64]int{},
 		classes: map[string]int{}, tenants: map[string]int{},
 		routes: newRoutes(len(cfg.Fronts)), picker: learnedstate.NewPicker(),
 		attemptedKeys: idempotency.New(maxIdempotencyKeys), flowsByIdempotencyKey: map[idempotency.Key][]*flow{}, endedBefore: map[idempotency.Key]*store.Message{}, tallies: make([]tally, len(cfg.Settings.Classes)+1),
@@ -332,6 +333,13 @@
 			c.refuse(f, 0)
 		}
 	}
+	for _, flows := range c.heldBack {
+		for _, f := range flows {
+			if !c.isLoading(f) { // the others are refused as parked flows
+				c.refuse(f, 0)
+			}
+		}
+	}
 	c.checkIdle()
 }
 
--- a/internal/core/sleep.go
+++ b/internal/core/sleep.go
@@ -67,7 +67,7 @@
 	parked := g.parked
 	g.parked = nil
 	for _, f := range parked {
-		c.submit(f)
+		c.submitParked(f)
 	}
 }
 
