Delays and outages that are handed over take the room of states that no rule needs

Cause: idlestate.AddHandedOver dropped what did not fit, binding or not, in the order of numbers, and core.TakeOver took no notice. Restore, which a start reads learnt state with, did the same.

Change: both add a binding state in place of ones that are not, the oldest first; TakeOver adds states by age. A binding one that finds only binding ones is counted (binding_dropped in `idle` figures) and logged.

--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -174,9 +174,7 @@
 // TakeOver loads the state handed over by another process of this courier. It must be called before
 // Restore.
 func (c *Core) TakeOver(e *handover.State) {
-	for _, k := range e.Destinations {
-		c.idleTracker.AddHandedOver(snowjunction.DestinationID(k.Destination), k.Snapshot, k.At.Sub(c.start), c.elapsed(), k.Loaded, k.FromRestart)
-	}
+	c.takeOverDestinations(e.Destinations)
 	for _, k := range e.Keys {
 		c.attemptedKeys.AttemptSent(idempotency.Key{Destination: k.Destination, Text: k.Text}, k.ID, k.At.Sub(c.start), k.Until.Sub(k.At))
 	}
@@ -191,6 +189,18 @@
 	}
 }
 
+// takeOverDestinations takes over the state of destinations. If there is not enough room, what no rule needs
+// gives way first, the oldest before the others.
+func (c *Core) takeOverDestinations(destinations []handover.DestinationState) {
+	byAge := slices.SortedStableFunc(slices.Values(destinations), func(a, b handover.DestinationState) int { return a.At.Compare(b.At) })
+	for _, k := range byAge {
+		c.idleTracker.AddHandedOver(snowjunction.DestinationID(k.Destination), k.Snapshot, k.At.Sub(c.start), c.elapsed(), k.Loaded, k.FromRestart)
+	}
+	if n := c.idleTracker.Counts.BindingDropped; n > 0 {
+		c.Log.Warn("no room for all delays and outages of the previous process", "destinations", n)
+	}
+}
+
 // UnclaimedCalls returns the calls taken over for which no message is open.
 func (c *Core) UnclaimedCalls() map[uint64]handover.Call { return c.adoptedCalls }
 
--- a/internal/core/sleep.go
+++ b/internal/core/sleep.go
@@ -221,7 +221,7 @@
 		slog.Int("listed", endpoints), slog.Int("destinations", c.routes.destinations()), slog.Int("table_bytes", bytes),
 		slog.Int("awake", c.idleTracker.Loaded()), slog.Int("mementos", c.idleTracker.Snapshots()), slog.Int("memento_bytes", c.idleTracker.Bytes()),
 		slog.Uint64("slept", counts.Unloaded), slog.Uint64("woke", counts.Loaded), slog.Uint64("known", counts.LoadedWithSnapshot),
-		slog.Int("beyond", stored), slog.Uint64("dropped", counts.Dropped), slog.Uint64("full", counts.AllBinding),
+		slog.Int("beyond", stored), slog.Uint64("dropped", counts.Dropped), slog.Uint64("binding_dropped", counts.BindingDropped), slog.Uint64("full", counts.AllBinding),
 		slog.Int("changes", updates.count), slog.Int64("change_ns", meanNs),
 	)
 }
--- a/internal/idlestate/idlestate.go
+++ b/internal/idlestate/idlestate.go
@@ -70,7 +70,8 @@
 // Counts are the totals since its start.
 type Counts struct {
 	Unloaded, Loaded, LoadedWithSnapshot uint64 // the last one: loaded with a snapshot
-	Dropped                              uint64 // snapshots dropped for lack of room
+	Dropped                              uint64 // snapshots that were not binding, dropped for lack of room
+	BindingDropped                       uint64 // binding snapshots dropped for lack of room
 	AllBinding                           uint64 // idle destinations not unloaded because all snapshots are binding
 }
 
@@ -84,6 +85,9 @@
 	prev, next      *entry
 }
 
+// size returns the memory that the snapshot takes, in bytes.
+func (k *entry) size() int { return len(k.encoded) + entryOverhead }
+
 // entryOverhead is the memory that a snapshot takes besides its encoded bytes: its record and its
 // places in the map and the order.
 const entryOverhead = 128
@@ -184,6 +188,12 @@
 	b.Counts.Unloaded++
 	encoded = snapshot.Encode(nil, m)
 	b.addEntry(&entry{dest: d, unloadedAt: now, bindingUntil: now + b.bindingFor(&m.State), encoded: encoded})
+	b.dropToLimit(now)
+	return encoded
+}
+
+// dropToLimit drops snapshots that are not binding, the oldest first, until the others are within the limit.
+func (b *Tracker) dropToLimit(now time.Duration) {
 	for k := b.oldest; k != nil && b.bytes > b.cfg.MaxBytes; {
 		next := k.next
 		if k.bindingUntil <= now {
@@ -192,7 +202,18 @@
 		}
 		k = next
 	}
-	return encoded
+}
+
+// addWithinLimit adds a snapshot in place of ones that are not binding, and reports whether it was kept. A
+// binding one is dropped only if all others are binding too.
+func (b *Tracker) addWithinLimit(k *entry, now time.Duration) bool {
+	b.addEntry(k)
+	b.dropToLimit(now)
+	if b.bytes > b.cfg.MaxBytes {
+		b.removeEntry(k)
+		b.Counts.BindingDropped++
+	}
+	return b.entries[k.dest] == k
 }
 
 func (b *Tracker) addEntry(k *entry) {
@@ -206,7 +227,7 @@
 	}
 	b.youngest = k
 	b.entries[k.dest] = k
-	b.bytes += len(k.encoded) + entryOverhead
+	b.bytes += k.size()
 }
 
 func (b *Tracker) removeEntry(k *entry) {
@@ -221,7 +242,7 @@
 		b.youngest = k.prev
 	}
 	delete(b.entries, k.dest)
-	b.bytes -= len(k.encoded) + entryOverhead
+	b.bytes -= k.size()
 }
 
 // bindingFor returns for how long a rule needs the state s.
@@ -282,10 +303,10 @@
 
 // Restore adds a snapshot of the given age from a previous process run. A negative age means that it
 // is unknown, as after a clock was set back. It returns false if the text is not a snapshot or
-// there is no room.
+// there is no room; a binding snapshot takes the room of others.
 func (b *Tracker) Restore(d Destination, encoded []byte, age, now time.Duration) bool {
 	m, err := snapshot.Decode(encoded)
-	if err != nil || b.bytes+len(encoded)+entryOverhead > b.cfg.MaxBytes {
+	if err != nil {
 		return false
 	}
 	if age < 0 {
@@ -294,20 +315,25 @@
 	if b.cfg.MaxAge > 0 && age >= b.cfg.MaxAge {
 		return false
 	}
-	b.addEntry(&entry{dest: d, unloadedAt: now - age, bindingUntil: now - age + b.bindingFor(&m.State), encoded: encoded, fromPreviousRun: true})
-	return true
+	k := &entry{dest: d, unloadedAt: now - age, bindingUntil: now - age + b.bindingFor(&m.State), encoded: encoded, fromPreviousRun: true}
+	if k.bindingUntil <= now && b.bytes+k.size() > b.cfg.MaxBytes {
+		return false
+	}
+	return b.addWithinLimit(k, now)
 }
 
 // AddHandedOver adds a snapshot that another process of this courier took a moment ago. It is used like this
 // process's own state, retry-after delays included. A destination that was loaded is taken over
-// unchanged.
+// unchanged. Snapshots must be added in the order in which they were taken: the oldest give way. It returns
+// false if the text is not a snapshot or there is no room.
 func (b *Tracker) AddHandedOver(d Destination, encoded []byte, at, now time.Duration, loaded, fromPreviousRun bool) bool {
 	m, err := snapshot.Decode(encoded)
-	if err != nil || b.bytes+len(encoded)+entryOverhead > b.cfg.MaxBytes {
+	if err != nil {
 		return false
 	}
-	b.addEntry(&entry{dest: d, unloadedAt: at, bindingUntil: at + b.bindingFor(&m.State), encoded: encoded, handedOver: loaded, fromPreviousRun: fromPreviousRun})
-	return true
+	return b.addWithinLimit(&entry{
+		dest: d, unloadedAt: at, bindingUntil: at + b.bindingFor(&m.State), encoded: encoded, handedOver: loaded, fromPreviousRun: fromPreviousRun,
+	}, now)
 }
 
 // Each calls f for every stored snapshot.
--- a/internal/idlestate/idlestate_test.go
+++ b/internal/idlestate/idlestate_test.go
@@ -247,3 +247,43 @@
 	b := New(config())
 	assert.False(t, b.Restore(1, []byte("rubbish"), 0, 0))
 }
+
+// Guards against an upgrade or a restart that forgets delays and outages because snapshots that no rule needs have
+// filled their room: these give way, the oldest first. Binding ones that do not fit are counted.
+func TestBindingSnapshotsTakeRoomOfOthers(t *testing.T) {
+	unbound := snapshot.Encode(nil, unboundSnapshot())
+	binding := snapshot.Encode(nil, withRetryAfter(time.Minute))
+	const room = 5 // snapshots
+	for name, add := range map[string]func(b *Tracker, d Destination, encoded []byte, at time.Duration) bool{
+		"handed over": func(b *Tracker, d Destination, encoded []byte, at time.Duration) bool {
+			return b.AddHandedOver(d, encoded, at, time.Second, false, false)
+		},
+		"previous run": func(b *Tracker, d Destination, encoded []byte, at time.Duration) bool {
+			return b.Restore(d, encoded, time.Second-at, time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := config()
+			cfg.MaxBytes = room*(len(binding)+entryOverhead) + 8
+			b := New(cfg)
+			for d := range Destination(room) {
+				require.True(t, add(b, d, unbound, time.Duration(d)*time.Millisecond))
+			}
+			for d := range Destination(2) {
+				require.True(t, add(b, 100+d, binding, 0))
+			}
+			assert.Equal(t, []bool{false, false, true, true, true}, []bool{b.Has(0), b.Has(1), b.Has(2), b.Has(3), b.Has(4)})
+			for d := Destination(2); d < room; d++ {
+				require.True(t, add(b, 100+d, binding, 0), "room for nothing else")
+			}
+			assert.False(t, add(b, 200, unbound, time.Millisecond))
+			assert.Zero(t, b.Counts.BindingDropped)
+			assert.False(t, add(b, 300, binding, 0), "room for less")
+			assert.EqualValues(t, 1, b.Counts.BindingDropped)
+			for d := range Destination(room) {
+				assert.True(t, b.Has(100+d))
+			}
+			assert.LessOrEqual(t, b.Bytes(), cfg.MaxBytes)
+		})
+	}
+}
