Tests of endless input share their flood; receivers of a target's connection have one name

Need: three tests had the same wait written out, in a file named for one of them, and targetConn's receivers had two names.

Change: floodFrom in endless_input_test.go (renamed); no check, bound or input changed.

Result: go test -race of these tests passes.

--- a/internal/front/endless_answer_test.go
+++ b/internal/front/endless_input_test.go
@@ -23,10 +23,43 @@
 	return int(stats.HeapAlloc)
 }
 
+const (
+	floodBytes = 32 << 20
+	heldLimit  = 2 << 20 // bytes that a courier may hold of a flood
+)
+
+// floodFrom writes a flood to a courier, and returns once all is written or the courier has closed the connection.
+func (s *testCourier) floodFrom(c *testConn, head, repeated string) (sent int) {
+	s.t.Helper()
+	written := make(chan int)
+	go func() { written <- writeRepeated(c, head, repeated, floodBytes) }()
+	ended := false
+	s.until("all is written or the courier closes the connection", func() bool {
+		select {
+		case sent = <-written:
+			ended = true
+		default:
+		}
+		return ended
+	})
+	return sent
+}
+
+// writeRepeated writes the head and then the repeated part until all is written or the connection breaks. It
+// returns the number of bytes written.
+func writeRepeated(c *testConn, head, repeated string, atMost int) int {
+	sent, err := c.Write([]byte(head))
+	for err == nil && sent < atMost {
+		var n int
+		n, err = c.Write([]byte(repeated))
+		sent += n
+	}
+	return sent
+}
+
 // Guards against keeping all that an endless answer brings until it is given up, which took a courier over its
 // memory (review/7).
 func TestEndlessAnswerIsNotKept(t *testing.T) {
-	const sentBytes, heldLimit = 32 << 20, 2 << 20
 	interim := "HTTP/1.1 102 Processing\r\nX-Padding: " + strings.Repeat("x", 15_000) + "\r\n\r\n"
 	chunkExtension := "1;" + strings.Repeat("x", 15_000) + "\r\na\r\n"
 	chunkedHead := "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -43,16 +76,7 @@
 			target.Call(&store.Message{ID: "m1"}, core.Shape{}, 10*time.Second, always, func(r core.Result) { result = &r })
 			s.until("the call arrives", func() bool { return s.target.with("m1") != nil })
 			before := heldBytes()
-			written := make(chan int)
-			go func() { written <- writeRepeated(s.target.at(0), answer.head, answer.repeated, sentBytes) }()
-			sent := -1
-			s.until("all is written or the courier closes the connection", func() bool {
-				select {
-				case sent = <-written:
-				default:
-				}
-				return sent >= 0
-			})
+			sent := s.floodFrom(s.target.at(0), answer.head, answer.repeated)
 			assert.Less(t, heldBytes()-before, heldLimit, "after %d bytes", sent)
 			s.after(500 * time.Millisecond)
 			s.until("the call ends", func() bool { return result != nil })
@@ -61,18 +85,6 @@
 	}
 }
 
-// writeRepeated writes the head and then the repeated part until all is written or the connection breaks. It
-// returns the number of bytes written.
-func writeRepeated(c *testConn, head, repeated string, atMost int) int {
-	sent, err := c.Write([]byte(head))
-	for err == nil && sent < atMost {
-		var n int
-		n, err = c.Write([]byte(repeated))
-		sent += n
-	}
-	return sent
-}
-
 // Guards against reading an answer that never ends at full speed until it is given up: the courier closes its
 // connection after a bounded number of bytes, without waiting for a timeout.
 func TestEndlessAnswerIsEnded(t *testing.T) {
@@ -129,25 +141,12 @@
 // Guards against keeping complete answers that discovery sends without having been asked: one was read at a time,
 // and the others were kept without a limit, to be taken for the answers to later requests.
 func TestSurplusFromDiscoveryIsNotKept(t *testing.T) {
-	const sentBytes, heldLimit = 32 << 20, 2 << 20
 	answer := httpAnswer("200 OK", `{"generation":2,"reset":false,"instances":[]}`)
 	s := newTestCourier(t)
 	s.until("the list is watched", func() bool { return s.discovery.hasReceived(0, discoveryPath, 1) })
 	before := heldBytes()
-	written := make(chan struct{})
-	go func() {
-		writeRepeated(s.discovery.at(0), "", strings.Repeat(answer, 1000), sentBytes)
-		close(written)
-	}()
-	s.until("all is written or the courier closes the connection", func() bool {
-		select {
-		case <-written:
-			return true
-		default:
-			return false
-		}
-	})
-	assert.Less(t, heldBytes()-before, heldLimit)
+	sent := s.floodFrom(s.discovery.at(0), "", strings.Repeat(answer, 1000))
+	assert.Less(t, heldBytes()-before, heldLimit, "after %d bytes", sent)
 	s.until("the connection is closed", func() bool { return len(s.discoveryCloseCodes) > 0 })
 	assert.Equal(t, []string{"unsolicited"}, s.discoveryCloseCodes)
 	s.after(50 * time.Millisecond)
@@ -178,23 +177,10 @@
 
 // Guards against keeping what a client sends that is no command, for as long as it sends.
 func TestFloodOfEmptyCommandsIsNotKept(t *testing.T) {
-	const sentBytes, heldLimit = 32 << 20, 2 << 20
 	s := newTestCourier(t)
 	c := s.client()
 	before := heldBytes()
-	written := make(chan struct{})
-	go func() {
-		writeRepeated(c, "*", "0\r\n"+strings.Repeat("*0\r\n", 16<<10)+"*", sentBytes)
-		close(written)
-	}()
-	s.until("all is written or the courier closes the connection", func() bool {
-		select {
-		case <-written:
-			return true
-		default:
-			return false
-		}
-	})
-	assert.Less(t, heldBytes()-before, heldLimit)
+	sent := s.floodFrom(c, "*", "0\r\n"+strings.Repeat("*0\r\n", 16<<10)+"*")
+	assert.Less(t, heldBytes()-before, heldLimit, "after %d bytes", sent)
 	s.until("the client is told", func() bool { return slices.Contains(s.closeCodes["client"], "finished") })
 }
--- a/internal/front/platform/target.go
+++ b/internal/front/platform/target.go
@@ -189,15 +189,15 @@
 func (c *targetConn) Sent() bool { return c.sent }
 
 // IdleBefore returns how long the connection was idle before the call.
-func (l *targetConn) IdleBefore() time.Duration { return l.idleBefore }
+func (c *targetConn) IdleBefore() time.Duration { return c.idleBefore }
 
 // GiveUp closes the connection, which lets the target notice that the call is abandoned.
-func (l *targetConn) GiveUp() {
-	l.done = nil
-	if l.sent {
-		l.closeConn(net.CallTimeout)
+func (c *targetConn) GiveUp() {
+	c.done = nil
+	if c.sent {
+		c.closeConn(net.CallTimeout)
 	} else {
-		l.closeConn(net.DialTimeout)
+		c.closeConn(net.DialTimeout)
 	}
 }
 
