Answers of a plug-in's host wait for the loop while four are pending

The goroutine that reads a plug-in's host posted each answer to the loop and went on, up to 1 MB each, without a limit on those pending. The host is the project's own program and answers once a call, so nobody has met it.

Change: readAnswers, taken out of startProcess, waits while four answers are pending, until the host is killed. An answer that was not asked for still ends the host.

--- a/internal/plugin/plugin_test.go
+++ b/internal/plugin/plugin_test.go
@@ -18,13 +18,17 @@
 	"snowjunction/internal/store"
 )
 
-// The test binary acts as a plug-in host, or as one that never answers, depending on its argument.
+// The test binary acts as a plug-in host, as one that never answers, or as one that answers without end,
+// depending on its argument.
 func TestMain(m *testing.M) {
 	switch {
 	case len(os.Args) > 1 && os.Args[1] == "plugin-host":
 		_ = host.Serve(os.Stdin, os.Stdout)
 	case len(os.Args) > 1 && os.Args[1] == "silent":
 		_, _ = io.Copy(io.Discard, os.Stdin)
+	case len(os.Args) > 1 && os.Args[1] == "endless":
+		for host.Write(os.Stdout, host.Answer{}) == nil {
+		}
 	default:
 		os.Exit(m.Run())
 	}
--- a/internal/plugin/process.go
+++ b/internal/plugin/process.go
@@ -8,11 +8,12 @@
 	"sync"
 	"syscall"
 
+	"snowjunction/internal/plugin/guard"
 	"snowjunction/internal/plugin/host"
 )
 
 // process is a host process with the goroutines that write to it and read from it. The goroutines
-// post events to the loop. They never wait for the loop, and the loop never waits for them.
+// post events to the loop, which never waits for them.
 type process struct {
 	cmd   *exec.Cmd
 	calls chan any
@@ -27,6 +28,9 @@
 // maxAnswerFrameBytes limits a frame from the host.
 const maxAnswerFrameBytes = 1 << 20
 
+// maxPendingAnswers limits the answers that are read and not yet handled by the loop. A host owes one at a time.
+const maxPendingAnswers = 4
+
 // startProcess starts a host for the plug-in in hello. It posts onStarted once, when the plug-in is
 // loaded or with the error if it cannot be loaded; onAnswer for each answer, parsed and checked as far
 // as this is possible outside the loop; and onExit once, when the process has exited.
@@ -81,14 +85,7 @@
 			post(func() { onStarted(a, err) })
 		} else {
 			post(func() { onStarted(a, nil) })
-			for {
-				var a host.Answer
-				if host.Read(r, maxAnswerFrameBytes, &a) != nil {
-					break
-				}
-				x := newReply(a, hello.Manifest.Permissions())
-				post(func() { onAnswer(x) })
-			}
+			p.readAnswers(r, hello.Manifest.Permissions(), post, onAnswer)
 		}
 		close(done)
 		<-ended
@@ -96,6 +93,28 @@
 	return p
 }
 
+// readAnswers posts the answers of the host until it ends or is killed. It waits for the loop while too many of
+// them are pending.
+func (p *process) readAnswers(r *bufio.Reader, allowed guard.Permissions, post func(func()), onAnswer func(*reply)) {
+	pending := make(chan struct{}, maxPendingAnswers)
+	for {
+		var a host.Answer
+		if host.Read(r, maxAnswerFrameBytes, &a) != nil {
+			return
+		}
+		x := newReply(a, allowed)
+		select {
+		case pending <- struct{}{}:
+		case <-p.quit:
+			return
+		}
+		post(func() {
+			<-pending
+			onAnswer(x)
+		})
+	}
+}
+
 // startBound starts a command that the kernel kills when this process ends, however it ends: a host that
 // loops would not notice. The kernel does so at the end of the thread that started the command, so that
 // thread waits for the command. ended is closed when it has ended, which is awaited once done is closed.
